--- /dev/null
+++ b/src/cell/assignment.ts
@@ -0,0 +1,384 @@
+/**
+ * The leader's assignment of slices to servers and of servers to dispatchers.
+ *
+ * Nothing is given to a new holder before the old one is known to have let go:
+ * either its host reported the release, or every lease under which it could
+ * act has ended. A server that does not check grants cannot refuse a sender
+ * that was paused past its lease, so there only the report counts, or proof
+ * that the old sender is gone.
+ */
+import { hashText, planSlices } from '../slices/mod.ts'
+import { formatUnit, parseUnit } from './_unit.ts'
+import type { HostTable, KnownHost } from './host_table.ts'
+import type { CellServer, OwnersByService, ViewServer } from './types.ts'
+
+/** What the assignment works from; taken from the platform's list, the configuration and measurements. */
+export interface AssignmentInput {
+  readonly servers: readonly CellServer[]
+  /** Slices that are at home in this cell, by keyed service. */
+  readonly homes: Readonly<Record<string, readonly number[]>>
+  /** Measured load of each slice, by service. */
+  readonly loads: Readonly<Record<string, ReadonlyMap<number, number>>>
+  /** Hosts that the platform's list names. */
+  readonly listedHosts: ReadonlySet<string>
+  /** Hosts that the platform's list does not name any more. */
+  readonly goneHosts: ReadonlySet<string>
+}
+
+/** Circumstances of one run of {@link Assignment.decide}. */
+export interface DecideOptions {
+  readonly now: number
+  /** Version that the next view will bear. */
+  readonly version: number
+  readonly hosts: HostTable
+  /** Owners in the durable row. */
+  readonly durable: OwnersByService
+  /** Whether slices of lost servers may move before the durable write has succeeded. */
+  readonly mayActUnwritten: boolean
+  /** Hosts that may dispatch. */
+  readonly members: readonly string[]
+  /** Whether slices may move from servers that stay. */
+  readonly rebalance: boolean
+}
+
+/** State of one server in the assignment. */
+interface ServerState {
+  spec: CellServer
+  dispatcher: string | null
+  token: number
+  lost: boolean
+}
+
+/** A holder that has been told to let go. */
+interface Retirement {
+  readonly dispatcher: string | null
+  readonly server: string
+  readonly version: number
+  readonly slice: number | null
+}
+
+/** The assignment of one leader in one epoch. */
+export interface Assignment {
+  /** Replaces the input; takes effect at the next {@link decide}. */
+  setInput (input: AssignmentInput): void
+  /** Changes the assignment as far as is safe now; returns whether the view changed. */
+  decide (options: DecideOptions): boolean
+  /** Servers as the view shows them. */
+  servers (): readonly ViewServer[]
+  /** Owners in force. */
+  owners (): OwnersByService
+  /** Owners that the durable row should name. */
+  targets (): OwnersByService
+}
+
+/** Where an assignment starts from. */
+export interface AssignmentOptions {
+  readonly epoch: number
+  /** Owners under the last leader, or in the durable row. */
+  readonly owners: OwnersByService
+  /** Servers of the last leader's view. Default: none. */
+  readonly servers?: readonly ViewServer[]
+  /** Hosts of earlier epochs that could still act for servers that do not check grants. */
+  readonly unprovenHosts: readonly string[]
+}
+
+/** Versions of one epoch that fit into a fencing token. */
+const VERSIONS_PER_EPOCH = 2 ** 24
+
+/**
+ * Creates the assignment of a leader whose authority has just begun.
+ *
+ * @param options Epoch and inheritance.
+ * @returns The assignment; it holds nothing in force before the first decision.
+ */
+export function createAssignment (options: AssignmentOptions): Assignment {
+  const servers = new Map<string, ServerState>()
+  const current = new Map<string, string>()
+  const targets = new Map<string, string>()
+  const inherited = new Map<string, string>()
+  const retirements = new Map<string, Retirement>()
+  const unproven = new Set(options.unprovenHosts)
+  let input: AssignmentInput = { servers: [], homes: {}, loads: {}, listedHosts: new Set(), goneHosts: new Set() }
+  let changed = false
+  inherit()
+
+  function inherit (): void {
+    for (const [service, owners] of Object.entries(options.owners)) {
+      for (const [slice, server] of Object.entries(owners)) targets.set(formatUnit(service, Number(slice)), server)
+    }
+    for (const [unit, server] of targets) inherited.set(unit, server)
+    for (const server of options.servers ?? []) {
+      servers.set(server.id, { spec: server, dispatcher: null, token: 0, lost: false })
+    }
+  }
+
+  function touch (state: ServerState, version: number): void {
+    state.token = tokenOf(options.epoch, version)
+    changed = true
+  }
+
+  function syncServers (context: DecideOptions): void {
+    const listed = new Map(input.servers.map((server) => [server.id, server]))
+    for (const spec of listed.values()) {
+      const state = servers.get(spec.id)
+      if (state === undefined) {
+        servers.set(spec.id, { spec, dispatcher: null, token: 0, lost: false })
+        changed = true
+      } else if (JSON.stringify(state.spec) !== JSON.stringify(spec)) {
+        state.spec = spec
+        changed = true
+      }
+    }
+    for (const [id, state] of servers) {
+      if (!listed.has(id) && input.servers.length > 0) removeServer(id, state, context)
+    }
+  }
+
+  function removeServer (id: string, state: ServerState, context: DecideOptions): void {
+    if (state.dispatcher !== null) {
+      retireServer(id, state, context)
+      return
+    }
+    if (retirements.has(id)) return
+    servers.delete(id)
+    changed = true
+  }
+
+  function retireServer (id: string, state: ServerState, context: DecideOptions): void {
+    retirements.set(id, { dispatcher: state.dispatcher, server: id, version: context.version, slice: null })
+    state.dispatcher = null
+    touch(state, context.version)
+  }
+
+  function noteProof (context: DecideOptions): void {
+    for (const host of unproven) {
+      if (input.goneHosts.has(host) || context.hosts.get(host)?.proven === true) unproven.delete(host)
+    }
+  }
+
+  function noteLosses (context: DecideOptions): void {
+    for (const state of servers.values()) {
+      const report = reportedLoss(state, context)
+      if (report === undefined) continue
+      if (state.lost && !ownsAnything(state.spec.id)) continue
+      state.lost = true
+      for (const [unit, owner] of current) {
+        if (owner !== state.spec.id) continue
+        const { slice } = parseUnit(unit)
+        current.delete(unit)
+        if (report.held.includes(slice)) {
+          retirements.set(unit, { dispatcher: state.dispatcher, server: owner, version: context.version, slice })
+        }
+      }
+      touch(state, context.version)
+    }
+  }
+
+  function ownsAnything (server: string): boolean {
+    for (const owner of current.values()) {
+      if (owner === server) return true
+    }
+    return false
+  }
+
+  function reportedLoss (state: ServerState, context: DecideOptions): { readonly held: readonly number[] } | undefined {
+    if (state.dispatcher === null) return undefined
+    const dispatcher = context.hosts.get(state.dispatcher)
+    return dispatcher?.lost.find((lost) => lost.server === state.spec.id && lost.token === state.token)
+  }
+
+  function noteReturns (context: DecideOptions): void {
+    for (const state of servers.values()) {
+      if (!state.lost || state.dispatcher === null) continue
+      const dispatcher = context.hosts.get(state.dispatcher)
+      const answered = dispatcher !== undefined && dispatcher.applied >= tokenVersion(state.token) &&
+        !dispatcher.pending.includes(state.spec.id) &&
+        dispatcher.lost.every((lost) => lost.server !== state.spec.id)
+      if (answered) state.lost = false
+    }
+  }
+
+  function settleRetirements (context: DecideOptions): void {
+    for (const [unit, retirement] of retirements) {
+      if (hasLetGo(retirement, context)) retirements.delete(unit)
+    }
+  }
+
+  function hasLetGo (retirement: Retirement, context: DecideOptions): boolean {
+    if (retirement.dispatcher === null) return true
+    const known = context.hosts.get(retirement.dispatcher)
+    if (known !== undefined && reportsRelease(known, retirement)) return true
+    const leaseEnded = known === undefined || context.now > known.leaseUntil
+    const checks = servers.get(retirement.server)?.spec.checksGrants ?? false
+    if (checks) return leaseEnded
+    return leaseEnded && input.goneHosts.has(retirement.dispatcher)
+  }
+
+  function reportsRelease (known: KnownHost, retirement: Retirement): boolean {
+    if (known.applied < retirement.version) return false
+    if (!known.pending.includes(retirement.server)) return true
+    const lost = known.lost.find((entry) => entry.server === retirement.server)
+    return lost !== undefined && retirement.slice !== null && !lost.held.includes(retirement.slice)
+  }
+
+  function assignDispatchers (context: DecideOptions): void {
+    const able = context.hosts.all()
+      .filter((known) => context.members.includes(known.host) && context.hosts.isAlive(known.host, context.now) && !known.leaving)
+      .map((known) => known.host).sort()
+    for (const [id, state] of servers) {
+      if (state.dispatcher !== null && !able.includes(state.dispatcher)) retireServer(id, state, context)
+    }
+    const counts = new Map(able.map((host) => [host, 0]))
+    for (const state of servers.values()) {
+      if (state.dispatcher !== null) counts.set(state.dispatcher, (counts.get(state.dispatcher) ?? 0) + 1)
+    }
+    for (const [id, state] of servers) {
+      if (state.dispatcher !== null || retirements.has(id) || !isListed(id)) continue
+      const host = chooseDispatcher(state, counts)
+      if (host === undefined) continue
+      state.dispatcher = host
+      counts.set(host, (counts.get(host) ?? 0) + 1)
+      touch(state, context.version)
+    }
+    if (context.rebalance) evenOut(counts, context)
+  }
+
+  function isListed (id: string): boolean {
+    return input.servers.some((server) => server.id === id)
+  }
+
+  /** Servers of a service without keys share one queue, so they share one dispatcher. */
+  function chooseDispatcher (state: ServerState, counts: ReadonlyMap<string, number>): string | undefined {
+    if (!state.spec.keyed) {
+      for (const other of servers.values()) {
+        if (other.spec.service === state.spec.service && other.dispatcher !== null) return other.dispatcher
+      }
+    }
+    let best: string | undefined
+    for (const [host, count] of counts) {
+      if (best === undefined) {
+        best = host
+        continue
+      }
+      const bestCount = counts.get(best) ?? 0
+      const ranksFirst = hashText(`${host}/${state.spec.id}`) > hashText(`${best}/${state.spec.id}`)
+      if (count < bestCount || (count === bestCount && ranksFirst)) best = host
+    }
+    return best
+  }
+
+  /** Moves one keyed server from the host with most to the host with fewest, where they are two or more apart. */
+  function evenOut (counts: ReadonlyMap<string, number>, context: DecideOptions): void {
+    if (retirements.size > 0 || counts.size < 2) return
+    const ordered = [...counts].sort((left, right) => left[1] - right[1])
+    const [, least] = ordered[0] ?? ['', 0]
+    const [busiest, most] = ordered[ordered.length - 1] ?? ['', 0]
+    if (most - least < 2) return
+    for (const [id, state] of servers) {
+      if (state.dispatcher !== busiest || !state.spec.keyed || state.lost) continue
+      retireServer(id, state, context)
+      return
+    }
+  }
+
+  function planOwners (context: DecideOptions): void {
+    for (const [service, slices] of Object.entries(input.homes)) {
+      const able = [...servers.values()]
+        .filter((state) => state.spec.service === service && !state.lost && !state.spec.leaving && isListed(state.spec.id))
+        .map((state) => state.spec.id)
+      const owned = new Map(slices.map((slice) => [slice, targets.get(formatUnit(service, slice)) ?? null]))
+      const plan = planSlices(owned, {
+        servers: able,
+        loads: input.loads[service],
+        maximumMoves: context.rebalance ? undefined : 0
+      })
+      for (const [slice, server] of plan) {
+        const unit = formatUnit(service, slice)
+        if (targets.get(unit) === server) continue
+        if (isBoundByUnproven(targets.get(unit))) continue
+        targets.set(unit, server)
+      }
+    }
+  }
+
+  /** Whether an unknown sender may still reach the server, so that its slices must stay. */
+  function isBoundByUnproven (server: string | undefined): boolean {
+    if (server === undefined || unproven.size === 0) return false
+    const state = servers.get(server)
+    return state !== undefined && !state.spec.checksGrants
+  }
+
+  function releaseMoved (context: DecideOptions): void {
+    const homes = new Set(Object.entries(input.homes)
+      .flatMap(([service, slices]) => slices.map((slice) => formatUnit(service, slice))))
+    for (const [unit, owner] of current) {
+      if (targets.get(unit) === owner && homes.has(unit)) continue
+      const state = servers.get(owner)
+      current.delete(unit)
+      changed = true
+      if (state === undefined) continue
+      const { slice } = parseUnit(unit)
+      const holder = state.dispatcher ?? retirements.get(owner)?.dispatcher ?? null
+      retirements.set(unit, { dispatcher: holder, server: owner, version: context.version, slice })
+      touch(state, context.version)
+    }
+  }
+
+  function grantTargets (context: DecideOptions): void {
+    for (const [unit, target] of targets) {
+      if (current.has(unit) || retirements.has(unit)) continue
+      const { service, slice } = parseUnit(unit)
+      const state = servers.get(target)
+      if (state === undefined || !isHome(service, slice)) continue
+      if (state.lost || state.dispatcher === null) continue
+      const written = context.durable[service]?.[String(slice)] === target || inherited.get(unit) === target
+      if (!written && !context.mayActUnwritten) continue
+      current.set(unit, target)
+      touch(state, context.version)
+    }
+  }
+
+  function isHome (service: string, slice: number): boolean {
+    return input.homes[service]?.includes(slice) ?? false
+  }
+
+  return {
+    setInput (next) { input = next },
+    decide (context) {
+      changed = false
+      syncServers(context)
+      noteProof(context)
+      noteLosses(context)
+      noteReturns(context)
+      settleRetirements(context)
+      assignDispatchers(context)
+      planOwners(context)
+      releaseMoved(context)
+      grantTargets(context)
+      return changed
+    },
+    servers: () => [...servers.values()].map((state) => ({ ...state.spec, dispatcher: state.dispatcher, token: state.token })),
+    owners: () => group(current),
+    targets: () => group(targets)
+  }
+}
+
+/** Tokens of views are even; the odd one after each is the release of what it granted. */
+function tokenOf (epoch: number, version: number): number {
+  return (epoch * VERSIONS_PER_EPOCH + version) * 2
+}
+
+function tokenVersion (token: number): number {
+  return Math.floor(token / 2) % VERSIONS_PER_EPOCH
+}
+
+function group (units: ReadonlyMap<string, string>): OwnersByService {
+  const grouped: Record<string, Record<string, string>> = {}
+  for (const [unit, server] of units) {
+    const { service, slice } = parseUnit(unit)
+    const owners = grouped[service] ?? {}
+    owners[String(slice)] = server
+    grouped[service] = owners
+  }
+  return grouped
+}
--- /dev/null
+++ b/src/cell/host_table.ts
@@ -0,0 +1,142 @@
+/**
+ * What a leader knows of the hosts of its cell: promises made to it, dispatch
+ * leases it has issued and what each dispatcher reported. All times are the
+ * leader's monotonic clock in milliseconds, unless a name says otherwise.
+ */
+import { CellTiming } from './timing.ts'
+import type { LostServer, Pong, PromiseAnswer } from './types.ts'
+
+/** One host as its leader sees it. */
+export interface KnownHost {
+  readonly host: string
+  incarnation: number
+  /** The host's own time in its newest message. */
+  echo: number
+  /** When that message arrived. */
+  receivedAt: number
+  /** The host follows no other leader before this time. */
+  promisedUntil: number
+  /** No dispatch lease issued to the host lasts beyond this time. */
+  leaseUntil: number
+  held: number
+  applied: number
+  pending: readonly string[]
+  lost: readonly LostServer[]
+  leaving: boolean
+  /** Whether this life of the host has put a view of this epoch into effect. */
+  proven: boolean
+}
+
+/** Table of the hosts that a leader knows. */
+export interface HostTable {
+  get (host: string): KnownHost | undefined
+  all (): readonly KnownHost[]
+  /** Adds a host that asked to join, or returns the known one. */
+  add (host: string, incarnation: number, heard: { readonly echo: number, readonly now: number }): KnownHost
+  remove (host: string): void
+  onPromise (host: string, answer: PromiseAnswer, now: number): void
+  onPong (host: string, pong: Pong, now: number): void
+  /** End of the authority that a majority of `members` gives. */
+  authorityUntil (members: readonly string[]): number
+  /** Newest view version that a majority of `members` holds. */
+  committed (members: readonly string[]): number
+  /** Issues a dispatch lease that ends within the authority; returns its length. */
+  issueLease (host: string, authorityUntil: number): number
+  /** Whether a host answered lately enough to dispatch. */
+  isAlive (host: string, now: number): boolean
+}
+
+/**
+ * Creates an empty table.
+ *
+ * @returns The table of a leader that has just begun.
+ * @example
+ * ```ts
+ * createHostTable().authorityUntil(['127.0.0.1:7100']) // 0
+ * ```
+ */
+export function createHostTable (): HostTable {
+  const hosts = new Map<string, KnownHost>()
+
+  function add (host: string, incarnation: number, heard: { readonly echo: number, readonly now: number }): KnownHost {
+    const known = hosts.get(host)
+    if (known !== undefined && known.incarnation >= incarnation) {
+      if (known.incarnation === incarnation) hear(known, heard)
+      return known
+    }
+    const fresh: KnownHost = {
+      host,
+      incarnation,
+      echo: heard.echo,
+      receivedAt: heard.now,
+      promisedUntil: known?.promisedUntil ?? 0,
+      leaseUntil: known?.leaseUntil ?? 0,
+      held: 0,
+      applied: 0,
+      pending: [],
+      lost: [],
+      leaving: false,
+      proven: false
+    }
+    hosts.set(host, fresh)
+    return fresh
+  }
+
+  function hear (known: KnownHost, heard: { readonly echo: number, readonly now: number }): boolean {
+    if (heard.echo <= known.echo) return false
+    known.echo = heard.echo
+    known.receivedAt = heard.now
+    return true
+  }
+
+  function majorityValue (members: readonly string[], value: (known: KnownHost) => number): number {
+    const values = members.map((host) => {
+      const known = hosts.get(host)
+      return known === undefined ? 0 : value(known)
+    })
+    values.sort((left, right) => right - left)
+    return values[Math.floor(members.length / 2)] ?? 0
+  }
+
+  return {
+    get: (host) => hosts.get(host),
+    all: () => [...hosts.values()],
+    add,
+    remove (host) { hosts.delete(host) },
+    onPromise (host, answer, now) {
+      const known = add(host, answer.incarnation, { echo: answer.sentAt, now })
+      if (known.incarnation !== answer.incarnation) return
+      const until = answer.echo + CellTiming.PROMISE_MS - CellTiming.DRIFT_MARGIN_MS
+      known.promisedUntil = Math.max(known.promisedUntil, until)
+    },
+    onPong (host, pong, now) {
+      const known = add(host, pong.incarnation, { echo: pong.sentAt, now })
+      if (known.incarnation !== pong.incarnation) return
+      if (pong.promised) {
+        const until = pong.echo + CellTiming.PROMISE_MS - CellTiming.DRIFT_MARGIN_MS
+        known.promisedUntil = Math.max(known.promisedUntil, until)
+      }
+      if (pong.sentAt < known.echo) return
+      known.held = pong.held
+      known.applied = pong.applied
+      known.pending = pong.pending
+      known.lost = pong.lost
+      known.leaving = pong.leaving
+      if (pong.applied > 0) known.proven = true
+    },
+    authorityUntil: (members) => majorityValue(members, (known) => known.promisedUntil),
+    committed: (members) => majorityValue(members, (known) => known.held),
+    issueLease (host, authorityUntil) {
+      const known = hosts.get(host)
+      if (known === undefined || known.echo === 0) return 0
+      const length = Math.min(CellTiming.DISPATCH_LEASE_MS, Math.floor(authorityUntil - known.receivedAt))
+      if (length <= 0) return 0
+      known.leaseUntil = Math.max(known.leaseUntil, known.receivedAt + length)
+      return length
+    },
+    isAlive (host, now) {
+      const known = hosts.get(host)
+      return known !== undefined && now - known.receivedAt < CellTiming.MEMBER_TIMEOUT_MS
+    }
+  }
+}
--- /dev/null
+++ b/src/cell/leader.ts
@@ -0,0 +1,304 @@
+/**
+ * A host in the role of cell leader: pings the hosts, keeps the authority that
+ * a majority of the members gives, makes assignments durable and publishes
+ * them as views. It acts only while its authority lasts.
+ */
+import { createAssignment, type AssignmentInput } from './assignment.ts'
+import { createHostTable, type HostTable } from './host_table.ts'
+import { CellTiming } from './timing.ts'
+import type {
+  CellAction, CellRow, CellView, HostLife, KnownRow, OwnersByService, Pong, PromiseAnswer, RowOutcome
+} from './types.ts'
+
+/** What a new leader starts from. */
+export interface LeaderOptions {
+  readonly self: HostLife
+  readonly epoch: number
+  readonly now: number
+  readonly known: KnownRow
+  /** Newest view that the host held; `null` where it held none. */
+  readonly view: CellView | null
+  /** Promises that made it leader, by host. */
+  readonly promises: ReadonlyMap<string, PromiseAnswer>
+}
+
+/** A leader of one epoch. */
+export interface Leader {
+  readonly epoch: number
+  /** End of the authority on this host's clock, in milliseconds. */
+  authorityUntil (): number
+  /** The view that the hosts should hold; `null` before the first. */
+  view (): CellView | null
+  committed (): number
+  hosts (): HostTable
+  setInput (input: AssignmentInput, platformReachable: boolean): void
+  /** Sets the newest revision of the shared rows that this host holds. */
+  setRowsRevision (revision: number): void
+  onPong (from: string, pong: Pong, now: number): CellAction[]
+  onJoin (from: string, incarnation: number, heard: { readonly echo: number, readonly now: number }): void
+  onRow (outcome: RowOutcome, now: number): CellAction[]
+  tick (now: number): CellAction[]
+}
+
+/** How long a member may be silent before it is struck from the row, in milliseconds. */
+const STRIKE_AFTER_MS = 10_000
+
+/** Interval between two rounds in which slices may move from servers that stay, in milliseconds. */
+const REBALANCE_INTERVAL_MS = 5000
+
+/** Members that a cell may have. */
+const MAXIMUM_MEMBERS = 16
+
+/** Pause before a failed write is tried again, in milliseconds. */
+const WRITE_RETRY_MS = 500
+
+/**
+ * Creates a leader from the promises of a majority.
+ *
+ * @param options What it starts from.
+ * @returns The leader.
+ */
+export function createLeader (options: LeaderOptions): Leader {
+  const { self, epoch } = options
+  const hosts = createHostTable()
+  let known = options.known
+  let input: AssignmentInput = { servers: [], homes: {}, loads: {}, listedHosts: new Set(), goneHosts: new Set() }
+  let platformReachable = true
+  let view: CellView | null = null
+  let version = 0
+  let rowsRevision = 0
+  let writing: { readonly row: CellRow, readonly since: number } | null = null
+  let unwrittenSince: number | null = null
+  let retryWriteAt = 0
+  const reports = new Map<string, string>()
+  let nextPingAt = options.now
+  let lastCommitted = 0
+  let nextRebalanceAt = options.now + REBALANCE_INTERVAL_MS
+  let settled = false
+  const settleUntil = options.now + CellTiming.SETTLE_MS
+  for (const [host, answer] of options.promises) hosts.onPromise(host, answer, options.now)
+  let assignment = inheritAssignment(options.view?.owners ?? known.row.owners)
+
+  function inheritAssignment (owners: OwnersByService): ReturnType<typeof createAssignment> {
+    const lives = new Set([...(options.view?.hosts ?? []), ...known.row.members.map((member) => member.host)])
+    return createAssignment({ epoch, owners, servers: options.view?.servers, unprovenHosts: [...lives] })
+  }
+
+  function memberHosts (): string[] {
+    return known.row.members.map((member) => member.host)
+  }
+
+  function authorityUntil (): number {
+    return hosts.authorityUntil(memberHosts())
+  }
+
+  function reportText (host: string): string {
+    const known = hosts.get(host)
+    return JSON.stringify([known?.applied, known?.pending, known?.lost, known?.leaving, known?.incarnation])
+  }
+
+  function pingAll (now: number): CellAction[] {
+    nextPingAt = now + CellTiming.PING_INTERVAL_MS
+    const targets = new Set([...memberHosts(), ...hosts.all().map((host) => host.host)])
+    return [...targets].map((host) => ping(host, now))
+  }
+
+  function ping (host: string, now: number): CellAction {
+    const target = hosts.get(host)
+    return {
+      kind: 'send',
+      to: host,
+      message: {
+        kind: 'ping',
+        epoch,
+        sentAt: now,
+        incarnation: target?.incarnation ?? 0,
+        echo: target?.echo ?? 0,
+        lease: hosts.issueLease(host, authorityUntil()),
+        view: version,
+        committed: committed(),
+        rows: rowsRevision
+      }
+    }
+  }
+
+  function committed (): number {
+    return hosts.committed(memberHosts())
+  }
+
+  function settle (): void {
+    settled = true
+    if (known.revision > (options.view?.rowRevision ?? 0)) assignment = inheritAssignment(mergeOwners())
+  }
+
+  /** The durable row is newer than the view: what it says stands, and the view fills in the rest. */
+  function mergeOwners (): OwnersByService {
+    const merged: Record<string, Record<string, string>> = {}
+    for (const source of [options.view?.owners ?? {}, known.row.owners]) {
+      for (const [service, owners] of Object.entries(source)) merged[service] = { ...merged[service], ...owners }
+    }
+    return merged
+  }
+
+  function decide (now: number): void {
+    if (!settled && now >= settleUntil) settle()
+    if (!settled) return
+    const rebalance = now >= nextRebalanceAt
+    if (rebalance) nextRebalanceAt = now + REBALANCE_INTERVAL_MS
+    assignment.setInput(input)
+    const changed = assignment.decide({
+      now,
+      version: version + 1,
+      hosts,
+      durable: known.row.owners,
+      mayActUnwritten: unwrittenSince !== null && now - unwrittenSince >= CellTiming.DURABLE_WAIT_MS,
+      members: memberHosts(),
+      rebalance: rebalance && platformReachable && unwrittenSince === null
+    })
+    if (changed || view === null || isViewStale()) publish()
+  }
+
+  function isViewStale (): boolean {
+    return view === null || view.rowRevision !== known.revision || view.durable !== isDurable() ||
+      view.hosts.join() !== hostNames().join()
+  }
+
+  function hostNames (): string[] {
+    return [...new Set([...memberHosts(), ...hosts.all().map((host) => host.host)])].sort()
+  }
+
+  function publish (): void {
+    version++
+    view = {
+      epoch,
+      version,
+      leader: self.host,
+      row: known.row,
+      rowRevision: known.revision,
+      hosts: hostNames(),
+      servers: assignment.servers(),
+      owners: assignment.owners(),
+      durable: isDurable()
+    }
+  }
+
+  function isDurable (): boolean {
+    return JSON.stringify(sortOwners(known.row.owners)) === JSON.stringify(sortOwners(assignment.targets()))
+  }
+
+  /** A row with other members bears another term, so that no deputy's epoch is ever used twice. */
+  function desiredRow (now: number): CellRow {
+    const members = nextMembers(now)
+    const succession = [...members.filter((member) => member.host !== self.host), self]
+    const same = sameLives([known.row.leader], [self]) && sameLives(known.row.members, members)
+    return {
+      term: same ? known.row.term : known.row.term + 1,
+      leader: self,
+      succession: same ? known.row.succession : succession,
+      members,
+      owners: assignment.targets()
+    }
+  }
+
+  /** Changes the members one at a time, and only once a majority holds the members so far. */
+  function nextMembers (now: number): readonly HostLife[] {
+    const members = known.row.members
+    if (view === null || view.rowRevision !== known.revision || committed() < view.version) return members
+    const restarted = members.find((member) => {
+      const host = hosts.get(member.host)
+      return host !== undefined && host.incarnation > member.incarnation && hosts.isAlive(member.host, now)
+    })
+    if (restarted !== undefined) {
+      return members.map((member) => member === restarted ? lifeOf(member.host, member.incarnation) : member)
+    }
+    const joining = hosts.all().find((host) => hosts.isAlive(host.host, now) && !host.leaving &&
+      input.listedHosts.has(host.host) && members.length < MAXIMUM_MEMBERS &&
+      members.every((member) => member.host !== host.host))
+    if (joining !== undefined) return [...members, lifeOf(joining.host, joining.incarnation)]
+    const silent = members.find((member) => isStruck(member.host, now))
+    return silent === undefined ? members : members.filter((member) => member !== silent)
+  }
+
+  function lifeOf (host: string, incarnation: number): HostLife {
+    return { host, incarnation: hosts.get(host)?.incarnation ?? incarnation }
+  }
+
+  function isStruck (host: string, now: number): boolean {
+    if (host === self.host) return false
+    const lastHeard = hosts.get(host)?.receivedAt ?? options.now
+    return input.goneHosts.has(host) || now - lastHeard > STRIKE_AFTER_MS
+  }
+
+  function write (now: number): CellAction[] {
+    if (writing !== null || !settled || now < retryWriteAt) return []
+    const row = desiredRow(now)
+    if (sameRow(row, known.row)) {
+      unwrittenSince = null
+      return []
+    }
+    unwrittenSince ??= now
+    writing = { row, since: now }
+    return [{ kind: 'write-row', expectedRevision: known.revision, row }]
+  }
+
+  return {
+    epoch,
+    authorityUntil,
+    view: () => view,
+    committed,
+    hosts: () => hosts,
+    setInput (next, reachable) {
+      input = next
+      platformReachable = reachable
+    },
+    setRowsRevision (revision) { rowsRevision = revision },
+    onPong (from, pong, now) {
+      hosts.onPong(from, pong, now)
+      const reached = committed()
+      const isNews = reportText(from) !== reports.get(from)
+      reports.set(from, reportText(from))
+      if (reached === lastCommitted) return isNews ? this.tick(now) : []
+      lastCommitted = reached
+      return [...pingAll(now), ...this.tick(now)]
+    },
+    onJoin (from, incarnation, heard) { hosts.add(from, incarnation, heard) },
+    onRow (outcome, now) {
+      if (outcome.kind === 'written') {
+        unwrittenSince = null
+        known = outcome.known
+      } else if (outcome.kind === 'unavailable') {
+        retryWriteAt = now + WRITE_RETRY_MS
+      } else if (outcome.known !== null && outcome.known.revision > known.revision) {
+        known = outcome.known
+      }
+      if (outcome.kind !== 'read') writing = null
+      if (!settled && outcome.kind !== 'unavailable') settle()
+      return this.tick(now)
+    },
+    tick (now) {
+      if (now >= authorityUntil()) return []
+      for (const host of hosts.all()) {
+        if (now - host.receivedAt > STRIKE_AFTER_MS && !memberHosts().includes(host.host)) hosts.remove(host.host)
+      }
+      const before = version
+      decide(now)
+      const actions = write(now)
+      if (version !== before || now >= nextPingAt) actions.push(...pingAll(now))
+      return actions
+    }
+  }
+}
+
+function sameLives (left: readonly HostLife[], right: readonly HostLife[]): boolean {
+  return JSON.stringify(left) === JSON.stringify(right)
+}
+
+function sameRow (left: CellRow, right: CellRow): boolean {
+  return JSON.stringify([left.term, left.leader, left.members, sortOwners(left.owners)]) ===
+    JSON.stringify([right.term, right.leader, right.members, sortOwners(right.owners)])
+}
+
+function sortOwners (owners: OwnersByService): unknown {
+  return Object.entries(owners).sort(([left], [right]) => left < right ? -1 : 1)
+    .map(([service, slices]) => [service, Object.entries(slices).sort(([left], [right]) => Number(left) - Number(right))])
+}
--- /dev/null
+++ b/src/cell/timing.ts
@@ -0,0 +1,34 @@
+/** Durations that every host of a cell must agree on, in milliseconds of a monotonic clock. */
+export const CellTiming = {
+  /** Interval between two pings of a leader. */
+  PING_INTERVAL_MS: 250,
+  /** How long a member's promise to a leader lasts. */
+  PROMISE_MS: 1200,
+  /** How long a leader's permission to dispatch lasts. */
+  DISPATCH_LEASE_MS: 1000,
+  /** How long a grant to a backend server lasts. */
+  GRANT_MS: 800,
+  /** Interval between two renewals of a grant. */
+  GRANT_RENEWAL_MS: 200,
+  /** What a lease holder takes off for clock drift. */
+  DRIFT_MARGIN_MS: 40,
+  /** Silence after which a host gets no backend server to dispatch for. */
+  MEMBER_TIMEOUT_MS: 800,
+  /** How much later each further deputy stands than the one before it. */
+  DEPUTY_STAGGER_MS: 100,
+  /** Interval between two rounds in which a candidate asks for promises. */
+  ASK_INTERVAL_MS: 60,
+  /** How long a host without a leader waits before it claims a term at the table service. */
+  CLAIM_DELAY_MS: 1500,
+  /** How long a leader waits for a durable write before it acts on the succession written in advance. */
+  DURABLE_WAIT_MS: 300,
+  /** How long a new leader waits for the durable row before it starts from its own view. */
+  SETTLE_MS: 150
+} as const
+
+/**
+ * Ranks a term has room for; epoch = term × this + rank. Rank 0 belongs to the
+ * host that claimed the term, the others to the succession in turn, again and
+ * again.
+ */
+export const RANKS_PER_TERM = 64
--- /dev/null
+++ b/src/configuration/configuration_holder.ts
@@ -0,0 +1,36 @@
+/** The configuration that a host has in force; it never goes back to a lower version. */
+import { EMPTY_BUNDLE, type Bundle, type ServiceConfiguration } from './service_configuration.ts'
+
+/** Holder of the bundle in force. */
+export interface ConfigurationHolder {
+  /** Offers a bundle; returns whether it is newer and now in force. */
+  offer (bundle: Bundle): boolean
+  bundle (): Bundle
+  services (): readonly ServiceConfiguration[]
+  service (name: string): ServiceConfiguration | undefined
+}
+
+/**
+ * Creates a holder with nothing in force.
+ *
+ * @returns The holder.
+ * @example
+ * ```ts
+ * createConfigurationHolder().bundle().version // 0
+ * ```
+ */
+export function createConfigurationHolder (): ConfigurationHolder {
+  let bundle = EMPTY_BUNDLE
+  let byName = new Map<string, ServiceConfiguration>()
+  return {
+    offer (next) {
+      if (next.version <= bundle.version) return false
+      bundle = next
+      byName = new Map(next.services.map((entry) => [entry.service.name, entry.service]))
+      return true
+    },
+    bundle: () => bundle,
+    services: () => [...byName.values()],
+    service: (name) => byName.get(name)
+  }
+}
--- /dev/null
+++ b/src/dispatch/_headers.ts
@@ -0,0 +1,45 @@
+/** Headers of requests to backend servers and of their answers. */
+import type { DispatchRequest, HeaderValues } from './dispatch_types.ts'
+
+/** Headers that concern one connection only. */
+const HOP_HEADERS: ReadonlySet<string> = new Set([
+  'connection', 'keep-alive', 'proxy-authenticate', 'proxy-authorization', 'proxy-connection', 'te', 'trailer', 'transfer-encoding', 'upgrade', 'expect'
+])
+
+/** Start of the names of the system's own headers. */
+export const OWN_PREFIX = 'gooseberryfold-'
+
+/**
+ * Removes the headers of one connection and the system's own.
+ *
+ * @param headers Headers as they came.
+ * @returns Headers that may be passed on.
+ */
+export function withoutOwnHeaders (headers: HeaderValues): Record<string, string | string[]> {
+  const named = String(headers.connection ?? '').toLowerCase().split(',').map((name) => name.trim())
+  const kept: Record<string, string | string[]> = {}
+  for (const [name, value] of Object.entries(headers)) {
+    if (value === undefined || HOP_HEADERS.has(name) || named.includes(name) || name.startsWith(OWN_PREFIX)) continue
+    kept[name] = value
+  }
+  return kept
+}
+
+/** Headers of a request to a server. */
+export function requestHeaders (
+  request: DispatchRequest,
+  grant: { readonly token: number, readonly remainingMs: number }
+): Record<string, string | string[]> {
+  const headers = withoutOwnHeaders(request.headers)
+  headers['gooseberryfold-token'] = String(grant.token)
+  headers['gooseberryfold-request-id'] = request.id
+  headers['gooseberryfold-deadline-ms'] = String(Math.max(0, Math.floor(grant.remainingMs)))
+  if (request.slice !== null) headers['gooseberryfold-slice'] = String(request.slice)
+  return headers
+}
+
+/** Whether the end of an answer can be told from a connection that was cut. */
+export function isWellFramed (method: string, status: number, headers: HeaderValues): boolean {
+  if (method === 'HEAD' || status === 204 || status === 304) return true
+  return headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined
+}
--- /dev/null
+++ b/src/dispatch/backend_client.ts
@@ -0,0 +1,110 @@
+/** Port towards a backend server, and its adapter over HTTP. */
+import { errors, Pool } from 'undici'
+import type { Readable } from 'node:stream'
+import type { GrantAction, GrantOutcome } from './grant_types.ts'
+import type { HeaderValues, RequestBody } from './dispatch_types.ts'
+
+/** A request as it goes to a server. */
+export interface BackendRequest {
+  readonly address: string
+  readonly method: string
+  readonly path: string
+  readonly headers: HeaderValues
+  readonly body: RequestBody
+  readonly signal: AbortSignal
+}
+
+/** How sending ended. `unsent`: no byte of the request reached a connection. */
+export type BackendOutcome =
+  | { readonly kind: 'answered', readonly status: number, readonly headers: HeaderValues, readonly body: Readable }
+  | { readonly kind: 'unsent' }
+  | { readonly kind: 'lost', readonly aborted: boolean }
+
+/** Port towards the backend servers. */
+export interface BackendClient {
+  send (request: BackendRequest): Promise<BackendOutcome>
+  /** Sends a grant, or a probe to a server that does not check grants. */
+  grant (action: GrantAction): Promise<GrantOutcome>
+  close (): Promise<void>
+}
+
+/** Options of {@link createBackendClient}. */
+export interface BackendClientOptions {
+  /** Connections to one server at most. Default: 64. */
+  readonly connections?: number
+  /** Time after which a grant counts as unanswered, in milliseconds. Default: 300. */
+  readonly grantTimeoutMs?: number
+}
+
+/** Error codes of connections that were never made. */
+const UNSENT_CODES: ReadonlySet<string> = new Set(['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'UND_ERR_CONNECT_TIMEOUT'])
+
+/**
+ * Creates the adapter over undici; one request at a time on each connection.
+ *
+ * @param options Limits.
+ * @returns The client; no call throws.
+ */
+export function createBackendClient (options: BackendClientOptions = {}): BackendClient {
+  const pools = new Map<string, Pool>()
+  const controls = new Map<string, Pool>()
+
+  function poolFor (map: Map<string, Pool>, address: string, connections: number): Pool {
+    const existing = map.get(address)
+    if (existing !== undefined) return existing
+    const pool = new Pool(`http://${address}`, {
+      connections, pipelining: 1, connectTimeout: 500, keepAliveTimeout: 30_000, headersTimeout: 0, bodyTimeout: 0
+    })
+    map.set(address, pool)
+    return pool
+  }
+
+  return {
+    async send (request) {
+      try {
+        const response = await poolFor(pools, request.address, options.connections ?? 64).request({
+          method: request.method as 'GET',
+          path: request.path,
+          headers: { ...request.headers },
+          body: request.body,
+          signal: request.signal
+        })
+        return { kind: 'answered', status: response.statusCode, headers: response.headers, body: response.body }
+      } catch (error) {
+        const code = codeOf(error)
+        if (UNSENT_CODES.has(code)) return { kind: 'unsent' }
+        return { kind: 'lost', aborted: error instanceof errors.RequestAbortedError || request.signal.aborted }
+      }
+    },
+    async grant (action) {
+      try {
+        const response = await poolFor(controls, action.address, 1).request({
+          method: action.checksGrants ? 'POST' : 'GET',
+          path: action.checksGrants ? '/.gooseberryfold/grant' : '/health',
+          headers: { 'content-type': 'application/json' },
+          body: action.checksGrants ? JSON.stringify(action.request) : null,
+          signal: AbortSignal.timeout(options.grantTimeoutMs ?? 300)
+        })
+        const text = await response.body.text()
+        if (!action.checksGrants) return { kind: 'answered', answer: { boot: '', now: 0 } }
+        if (response.statusCode === 409) return { kind: 'superseded' }
+        if (response.statusCode !== 200) return { kind: 'no-answer' }
+        const { boot, now } = JSON.parse(text) as { readonly boot: unknown, readonly now: unknown }
+        return typeof boot === 'string' && typeof now === 'number'
+          ? { kind: 'answered', answer: { boot, now } }
+          : { kind: 'no-answer' }
+      } catch (error) {
+        return { kind: codeOf(error) === 'ECONNREFUSED' ? 'connection-refused' : 'no-answer' }
+      }
+    },
+    async close () {
+      await Promise.all([...pools.values(), ...controls.values()].map(async (pool) => { await pool.destroy() }))
+    }
+  }
+}
+
+function codeOf (error: unknown): string {
+  if (typeof error !== 'object' || error === null) return ''
+  const code = (error as { readonly code?: unknown }).code
+  return typeof code === 'string' ? code : ''
+}
--- /dev/null
+++ b/src/dispatch/dispatch_types.ts
@@ -0,0 +1,103 @@
+/** A request on its way to a backend server, and the ways it can end. */
+import type { Readable } from 'node:stream'
+
+/** Header values by lower-case name. */
+export type HeaderValues = Readonly<Record<string, string | string[] | undefined>>
+
+/** Body of a request: none, bytes that can be sent again, or a stream that cannot. */
+export type RequestBody = Buffer | Readable | null
+
+/**
+ * Whether a body can still be sent whole.
+ *
+ * @param body The body.
+ * @returns `false` for a stream of which something was read.
+ * @example
+ * ```ts
+ * isReplayable(null) // true
+ * ```
+ */
+export function isReplayable (body: RequestBody): boolean {
+  return body === null || Buffer.isBuffer(body) || !(body.readableDidRead || body.destroyed)
+}
+
+/** A request that a dispatcher is to run. */
+export interface DispatchRequest {
+  readonly id: string
+  readonly service: string
+  /** Slice of the request's key; `null` for a service without keys. */
+  readonly slice: number | null
+  readonly method: string
+  readonly path: string
+  readonly headers: HeaderValues
+  readonly body: RequestBody
+  /** Time by which the answer must be there, on this host's monotonic clock, in milliseconds. */
+  readonly deadline: number
+  readonly isIdempotent: boolean
+  /** Value of the Idempotency-Key header that the claim is made under; `null` where none is made. */
+  readonly claimKey: string | null
+  /** Aborts when the caller has gone away. */
+  readonly signal: AbortSignal
+}
+
+/** Why a request was not run. */
+export const NotRunReason = {
+  noService: 'no-service',
+  noKey: 'no-key',
+  idempotencyKeyMissing: 'idempotency-key-missing',
+  bodyTooLarge: 'body-too-large',
+  overloaded: 'overloaded',
+  deadline: 'deadline',
+  wrongDispatcher: 'wrong-dispatcher',
+  noDispatcher: 'no-dispatcher',
+  serverRefused: 'server-refused',
+  serverUnreachable: 'server-unreachable',
+  peerUnreachable: 'peer-unreachable',
+  claimUnavailable: 'claim-unavailable',
+  suspectedCrash: 'suspected-crash',
+  shuttingDown: 'shutting-down',
+  callerGone: 'caller-gone'
+} as const
+/** One of the values of {@link NotRunReason}. */
+export type NotRunReason = typeof NotRunReason[keyof typeof NotRunReason]
+
+/** Why it is not known whether a request was run. */
+export const UnknownReason = {
+  connectionLost: 'connection-lost',
+  deadline: 'deadline',
+  crossedAnswer: 'crossed-answer',
+  malformedAnswer: 'malformed-answer',
+  callerGone: 'caller-gone',
+  alreadyClaimed: 'already-claimed',
+  alreadyRun: 'already-run',
+  peerLost: 'peer-lost'
+} as const
+/** One of the values of {@link UnknownReason}. */
+export type UnknownReason = typeof UnknownReason[keyof typeof UnknownReason]
+
+/** A backend server's answer. */
+export interface DispatchAnswer {
+  readonly kind: 'answer'
+  readonly status: number
+  readonly headers: HeaderValues
+  readonly body: Readable
+  readonly server: string
+  readonly dispatcher: string
+}
+
+/** The request was not run. */
+export interface DispatchNotRun {
+  readonly kind: 'not-run'
+  readonly reason: NotRunReason
+  /** The host that dispatches for the slice, where the one asked does not. */
+  readonly dispatcher?: string
+}
+
+/** The request may have been run, wholly, partly or not at all. */
+export interface DispatchUnknown {
+  readonly kind: 'unknown'
+  readonly reason: UnknownReason
+}
+
+/** How a request ended. */
+export type DispatchOutcome = DispatchAnswer | DispatchNotRun | DispatchUnknown
--- /dev/null
+++ b/src/edge/peer_client.ts
@@ -0,0 +1,118 @@
+/** Client of the dispatch interface of other entry hosts. */
+import { errors, Pool } from 'undici'
+import {
+  NotRunReason, UnknownReason, withoutOwnHeaders,
+  type DispatchNotRun, type DispatchOutcome, type DispatchRequest, type DispatchUnknown
+} from '../dispatch/mod.ts'
+
+/** Client of the other hosts. */
+export interface PeerClient {
+  /** Has a request dispatched by another host. */
+  dispatch (host: string, request: DispatchRequest): Promise<DispatchOutcome>
+  close (): Promise<void>
+}
+
+/** Options of {@link createPeerClient}. */
+export interface PeerClientOptions {
+  readonly secret: string
+  /** Monotonic time in milliseconds. */
+  readonly now: () => number
+  /** Connections to one host at most. Default: 128. */
+  readonly connections?: number
+}
+
+/** What a peer's deadline may fall behind ours, in milliseconds. */
+const DEADLINE_GRACE_MS = 100
+
+const UNSENT_CODES: ReadonlySet<string> = new Set(['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'UND_ERR_CONNECT_TIMEOUT'])
+
+/**
+ * Creates the client.
+ *
+ * @param options Secret, clock and limits.
+ * @returns The client; no call throws.
+ */
+export function createPeerClient (options: PeerClientOptions): PeerClient {
+  const pools = new Map<string, Pool>()
+
+  function poolFor (host: string): Pool {
+    const existing = pools.get(host)
+    if (existing !== undefined) return existing
+    const pool = new Pool(`http://${host}`, {
+      connections: options.connections ?? 128, pipelining: 1, connectTimeout: 300, headersTimeout: 0, bodyTimeout: 0
+    })
+    pools.set(host, pool)
+    return pool
+  }
+
+  async function send (host: string, request: DispatchRequest, signal: AbortSignal): Promise<DispatchOutcome> {
+    const response = await poolFor(host).request({
+      method: request.method as 'GET',
+      path: `/dispatch${request.path}`,
+      headers: {
+        ...withoutOwnHeaders(request.headers),
+        'gooseberryfold-secret': options.secret,
+        'gooseberryfold-service': request.service,
+        'gooseberryfold-request-id': request.id,
+        'gooseberryfold-deadline-ms': String(Math.max(1, Math.floor(request.deadline - options.now()))),
+        'gooseberryfold-idempotent': String(request.isIdempotent),
+        ...(request.slice === null ? {} : { 'gooseberryfold-slice': String(request.slice) }),
+        ...(request.claimKey === null ? {} : { 'gooseberryfold-claim-key': encodeURIComponent(request.claimKey) })
+      },
+      body: request.body,
+      signal
+    })
+    const { headers } = response
+    const outcome = headers['gooseberryfold-outcome']
+    if (outcome === 'answer') {
+      return {
+        kind: 'answer',
+        status: response.statusCode,
+        headers,
+        body: response.body,
+        server: String(headers['gooseberryfold-server']),
+        dispatcher: host
+      }
+    }
+    response.body.resume()
+    return decodeProblem(headers)
+  }
+
+  return {
+    async dispatch (host, request) {
+      const deadline = new AbortController()
+      const timer = setTimeout(() => { deadline.abort() }, Math.max(0, request.deadline - options.now()) + DEADLINE_GRACE_MS)
+      try {
+        const outcome = await send(host, request, AbortSignal.any([request.signal, deadline.signal]))
+        if (outcome.kind === 'answer') outcome.body.once('close', () => { clearTimeout(timer) })
+        else clearTimeout(timer)
+        return outcome
+      } catch (error) {
+        clearTimeout(timer)
+        return describeFailure(error, request.signal)
+      }
+    },
+    async close () {
+      await Promise.all([...pools.values()].map(async (pool) => { await pool.destroy() }))
+    }
+  }
+}
+
+function describeFailure (error: unknown, caller: AbortSignal): DispatchOutcome {
+  const code = typeof error === 'object' && error !== null ? (error as { readonly code?: unknown }).code : undefined
+  if (typeof code === 'string' && UNSENT_CODES.has(code)) return { kind: 'not-run', reason: NotRunReason.peerUnreachable }
+  if (caller.aborted) return { kind: 'unknown', reason: UnknownReason.callerGone }
+  const isAborted = error instanceof errors.RequestAbortedError || (error instanceof Error && error.name === 'AbortError')
+  return { kind: 'unknown', reason: isAborted ? UnknownReason.deadline : UnknownReason.peerLost }
+}
+
+function decodeProblem (headers: Readonly<Record<string, string | string[] | undefined>>): DispatchNotRun | DispatchUnknown {
+  const reason = headers['gooseberryfold-reason']
+  const notRun = Object.values(NotRunReason).find((known) => known === reason)
+  if (headers['gooseberryfold-outcome'] === 'not-run' && notRun !== undefined) {
+    const dispatcher = headers['gooseberryfold-dispatcher']
+    return { kind: 'not-run', reason: notRun, dispatcher: typeof dispatcher === 'string' ? dispatcher : undefined }
+  }
+  const unknown = Object.values(UnknownReason).find((known) => known === reason)
+  return { kind: 'unknown', reason: unknown ?? UnknownReason.peerLost }
+}
--- /dev/null
+++ b/src/errors/mod.ts
@@ -0,0 +1,2 @@
+/** Findings that are reported together. */
+export * from './finding.ts'
--- /dev/null
+++ b/src/gooseberryfoldd.ts
@@ -0,0 +1,40 @@
+#!/usr/bin/env node
+/** The daemon of an entry host. */
+import meow from 'meow'
+import { formatFinding } from './errors/mod.ts'
+import { createHost } from './host/mod.ts'
+import { createLogger } from './logging/mod.ts'
+import { daemonSettings, describeSettings, readSettings } from './settings/mod.ts'
+
+/** Exit code for settings that are not valid. */
+const EXIT_SETTINGS = 2
+
+const cli = meow(`
+  Usage
+    $ gooseberryfoldd [flags]
+
+  Flags, with the environment variables that stand for them
+${describeSettings(daemonSettings)}
+`, { importMeta: import.meta, flags: {}, allowUnknownFlags: true })
+
+const settings = readSettings(daemonSettings, { flags: cli.flags, environment: process.env })
+if (settings.kind === 'findings') {
+  for (const finding of settings.findings) process.stderr.write(`${formatFinding(finding)}\n`)
+  process.exit(EXIT_SETTINGS)
+}
+
+const logger = createLogger({ name: 'gooseberryfoldd', level: settings.values.logLevel })
+try {
+  const host = await createHost(settings.values, logger)
+  let isShuttingDown = false
+  const shutDown = (): void => {
+    if (isShuttingDown) return
+    isShuttingDown = true
+    host.shutDown().then(() => process.exit(0), () => process.exit(1))
+  }
+  process.on('SIGTERM', shutDown)
+  process.on('SIGINT', shutDown)
+} catch (error) {
+  logger.fatal({ error: error instanceof Error ? error.message : String(error) }, 'start-failed')
+  process.exit(1)
+}
--- /dev/null
+++ b/src/host/control_router.ts
@@ -0,0 +1,72 @@
+/** Control interface between entry hosts, and its client; both over tRPC. */
+import { createTRPCClient, httpLink, type TRPCClient } from '@trpc/client'
+import { initTRPC } from '@trpc/server'
+import { z } from 'zod'
+import type { CellView } from '../cell/mod.ts'
+import type { TableRow } from '../ports/mod.ts'
+
+/** What a host answers to its peers. */
+export interface ControlSource {
+  view (): CellView | null
+  rowsSince (revision: number): TableRow[]
+  bundle (digest: string): string | null
+  takeLoads (): Record<string, Record<string, number>>
+  onSuspects (suspects: ReadonlyArray<{ readonly fingerprint: string, readonly crashes: number }>): void
+  onClearedSuspect (fingerprint: string): void
+}
+
+const trpc = initTRPC.create()
+
+/**
+ * Creates the control interface of a host.
+ *
+ * @param source What it answers from.
+ * @returns The tRPC router.
+ */
+
+export function createControlRouter (source: ControlSource) {
+  return trpc.router({
+    view: trpc.procedure.query(() => source.view()),
+    rows: trpc.procedure.input(z.object({ since: z.number().int().min(0) }))
+      .query(({ input }) => source.rowsSince(input.since)),
+    bundle: trpc.procedure.input(z.object({ digest: z.string() })).query(({ input }) => source.bundle(input.digest)),
+    loads: trpc.procedure.mutation(() => source.takeLoads()),
+    suspects: trpc.procedure
+      .input(z.array(z.object({ fingerprint: z.string(), crashes: z.number().int().min(1) })))
+      .mutation(({ input }) => { source.onSuspects(input) }),
+    clearSuspect: trpc.procedure.input(z.object({ fingerprint: z.string() }))
+      .mutation(({ input }) => { source.onClearedSuspect(input.fingerprint) })
+  })
+}
+
+/** Type of the control interface. */
+export type ControlRouter = ReturnType<typeof createControlRouter>
+
+/** Client of one peer's control interface. */
+export type ControlClient = TRPCClient<ControlRouter>
+
+/** Time after which a call counts as unanswered, in milliseconds. */
+const CALL_TIMEOUT_MS = 1000
+
+/**
+ * Creates a function that gives the client of each peer.
+ *
+ * @param secret Secret that the hosts share.
+ * @returns The function; it makes each client once.
+ */
+export function createControlClients (secret: string): (host: string) => ControlClient {
+  const clients = new Map<string, ControlClient>()
+  return (host) => {
+    const existing = clients.get(host)
+    if (existing !== undefined) return existing
+    const client = createTRPCClient<ControlRouter>({
+      links: [httpLink({
+        url: `http://${host}/control`,
+        headers: { 'gooseberryfold-secret': secret },
+        fetch: async (url, init) => await fetch(url, { ...init as RequestInit, signal: AbortSignal.timeout(CALL_TIMEOUT_MS) })
+      })]
+    })
+    clients.set(host, client)
+    return client
+  }
+}
--- /dev/null
+++ b/src/host/create_host.ts
@@ -0,0 +1,421 @@
+/**
+ * An entry host: wires the decision code to sockets, the platform and the
+ * clock. All decisions are made elsewhere; this module passes messages.
+ */
+import type { FastifyInstance } from 'fastify'
+import { createCell, type CellAction, type CellMessage, type CellRow, type CellView, type KnownRow } from '../cell/mod.ts'
+import { createConfigurationHolder } from '../configuration/mod.ts'
+import {
+  createBackendClient, createClaimStore, createDispatcher, createGrantKeeper, type DispatchEvent, type Suspect
+} from '../dispatch/mod.ts'
+import { createEdge, createPeerClient } from '../edge/mod.ts'
+import type { Logger } from '../logging/mod.ts'
+import { createPlatformClient } from '../platform/mod.ts'
+import type { TableRow } from '../ports/mod.ts'
+import type { DaemonSettings } from '../settings/mod.ts'
+import { sliceOfKey } from '../slices/mod.ts'
+import { createPeerSocket } from '../transport/mod.ts'
+import { createCallerListener } from './caller_listener.ts'
+import { buildCellInput, cellName, createListTracker } from './cell_input.ts'
+import { createControlClients, createControlRouter } from './control_router.ts'
+import { createHostMetrics } from './metrics.ts'
+import { createOperatorListener } from './operator_listener.ts'
+import { createPeerListener } from './peer_listener.ts'
+import { planHomes } from './plan_homes.ts'
+import { createPlatformSync } from './platform_sync.ts'
+import { CELLS_PREFIX, createRoutes, HOMES_PREFIX, placementIn, readHomes } from './routes.ts'
+import { createSharedRows } from './shared_rows.ts'
+import { splitAddress } from '../transport/mod.ts'
+
+/** Interval between two turns of the host's timer, in milliseconds. */
+const TICK_MS = 25
+
+/** Interval between two readings of the platform by a leader, in milliseconds. */
+const POLL_INTERVAL_MS = 500
+
+/** Interval between two readings of the platform by a host that has no leader, in milliseconds. */
+const LEADERLESS_POLL_INTERVAL_MS = 1000
+
+/** Interval between two collections of slice loads, in milliseconds. */
+const LOADS_INTERVAL_MS = 5000
+
+/** Share of the newest collection in the smoothed loads. */
+const LOADS_WEIGHT = 0.5
+
+/** Longest time that a caller waits for the other hosts to learn of a suspect, in milliseconds. */
+const SHARE_TIMEOUT_MS = 500
+
+/** Start of the keys of the rows of drained servers. */
+export const DRAINS_PREFIX = 'gooseberryfold/drains/'
+
+/** Start of the keys of the rows of suspects. */
+export const SUSPECTS_PREFIX = 'gooseberryfold/suspects/'
+
+/** A running entry host. */
+export interface Host {
+  /** Finishes what is in flight, hands the leases over and closes. */
+  shutDown (): Promise<void>
+  dump (): unknown
+}
+
+/**
+ * Starts an entry host.
+ *
+ * @param settings Checked settings.
+ * @param logger Where events are logged.
+ * @returns The host, once its listeners are open.
+ * @throws {Error} Where a listener's address cannot be bound.
+ */
+export async function createHost (settings: DaemonSettings, logger: Logger): Promise<Host> {
+  const self = { host: settings.peerListen, incarnation: Date.now() }
+  const cellId = cellName(settings.zone, settings.cell)
+  const rowKey = CELLS_PREFIX + cellId
+  const now = (): number => Math.floor(performance.now())
+  const metrics = createHostMetrics()
+  const platform = createPlatformClient({ url: settings.platform, zone: settings.zone })
+  const rows = createSharedRows()
+  const configuration = createConfigurationHolder()
+  const tracker = createListTracker()
+  const peer = createControlClients(settings.peerSecret)
+  const cell = createCell({ self, startedAt: now(), seeds: settings.seeds })
+  const keeper = createGrantKeeper(self.host)
+  const client = createBackendClient()
+  const loads: Record<string, Map<number, number>> = {}
+  let leaving = false
+  let nextPollAt = 0
+  let nextLoadsAt = 0
+  let lastView: CellView | null = null
+  let wasLeading = false
+  let homesWritten = new Set<string>()
+  const sync = createPlatformSync({
+    platform,
+    rows,
+    configuration,
+    tracker,
+    peer,
+    now,
+    onCall (call, succeeded) { metrics.platformCalls.inc({ call, outcome: succeeded ? 'answered' : 'failed' }) },
+    onConfiguration (version, digest) {
+      metrics.configurationVersion.set(version)
+      logger.info({ version, digest }, 'configuration-in-force')
+    }
+  })
+  const dispatcher = createDispatcher({
+    host: self.host,
+    keeper,
+    client,
+    claims: createClaimStore(platform.table),
+    service: (name) => configuration.service(name),
+    placement: (service, slice) => placementIn(cell.view(), { service, slice, host: self.host }),
+    shareSuspects,
+    now,
+    onEvent
+  })
+  const peers = createPeerClient({ secret: settings.peerSecret, now })
+  const edge = createEdge({
+    host: self.host,
+    dispatcher,
+    peers,
+    routes: createRoutes({ host: self.host, cell: cellId, rows, view: () => cell.view() }),
+    services: () => configuration.services(),
+    now
+  })
+  const router = createControlRouter({
+    view: () => cell.heldView(),
+    rowsSince: (revision) => rows.since(revision),
+    bundle: (digest) => sync.bundleText(digest),
+    takeLoads: () => dispatcher.takeLoads(),
+    onSuspects (suspects) { for (const suspect of suspects) dispatcher.suspects.merge(suspect.fingerprint, suspect.crashes, now()) },
+    onClearedSuspect (fingerprint) { dispatcher.suspects.clear(fingerprint) }
+  })
+  const listeners = await listen()
+  const socket = await createPeerSocket({ address: settings.peerListen, secret: settings.peerSecret, onMessage: receive })
+  const timer = setInterval(turn, TICK_MS)
+  logger.info({ host: self.host, cell: cellId, incarnation: self.incarnation }, 'host-started')
+
+  async function listen (): Promise<FastifyInstance[]> {
+    const peerListener = await createPeerListener({ secret: settings.peerSecret, dispatcher, router, bodyBytes: settings.bodyBytes })
+    const operatorListener = createOperatorListener({ metrics, dump, refreshMetrics, locate, suspects: dispatcher.suspects, now, clearSuspect })
+    const callerListener = createCallerListener({
+      edge,
+      headerBytes: settings.headerBytes,
+      bodyBytes: settings.bodyBytes,
+      maximumConnections: settings.maximumConnections,
+      requestTimeoutMs: settings.requestTimeoutMs,
+      isLeaving: () => leaving,
+      onServed (id, outcome, durationMs) {
+        metrics.requests.inc({ outcome: outcome.kind, reason: outcome.kind === 'answer' ? 'none' : outcome.reason })
+        metrics.requestDuration.observe(durationMs / 1000)
+        if (outcome.kind !== 'answer') logger.info({ request: id, outcome: outcome.kind, reason: outcome.reason, durationMs: Math.round(durationMs) }, 'request-failed')
+        else logger.debug({ request: id, server: outcome.server, dispatcher: outcome.dispatcher, status: outcome.status, durationMs: Math.round(durationMs) }, 'request-answered')
+      }
+    })
+    await peerListener.listen(splitAddress(settings.peerListen))
+    await operatorListener.listen(splitAddress(settings.operatorListen))
+    await callerListener.listen(splitAddress(settings.callerListen))
+    return [callerListener, operatorListener, peerListener]
+  }
+
+  function receive (from: string, message: CellMessage): void {
+    perform(cell.onMessage(from, message, now()))
+    apply()
+  }
+
+  function turn (): void {
+    const time = now()
+    refreshInput(time)
+    perform(cell.tick(time))
+    apply()
+    if (time >= nextPollAt) poll(time)
+    if (cell.isLeading(time) && time >= nextLoadsAt) collectLoads(time)
+  }
+
+  /** Carries the state of the cell over to the keeper and the dispatcher. */
+  function apply (): void {
+    const time = now()
+    noteChanges(time)
+    keeper.setRight(cell.right(time), time)
+    for (const action of keeper.due(time)) {
+      client.grant(action).then((outcome) => {
+        keeper.onOutcome(action, outcome, now())
+        apply()
+      }, () => {})
+    }
+    perform(cell.setReport(keeper.report(time, leaving), time))
+    dispatcher.pump()
+  }
+
+  function noteChanges (time: number): void {
+    const view = cell.view()
+    if (view !== lastView && view !== null) {
+      lastView = view
+      logger.debug({ epoch: view.epoch, version: view.version, leader: view.leader }, 'view-applied')
+    }
+    const isLeading = cell.isLeading(time)
+    if (isLeading !== wasLeading) logger.info({ cell: cellId, epoch: cell.dump(time).epoch }, isLeading ? 'leadership-gained' : 'leadership-ended')
+    wasLeading = isLeading
+    cell.setRowsRevision(rows.revision())
+  }
+
+  function refreshInput (time: number): void {
+    const view = cell.heldView()
+    const members = view?.row.members.map((member) => member.host) ?? []
+    cell.setInput(buildCellInput({
+      cell: cellId,
+      cellsInZone: settings.cellsInZone,
+      services: configuration.services(),
+      homes: readHomes(rows),
+      drained: new Set(rows.withPrefix(DRAINS_PREFIX).filter((row) => row.value === true).map((row) => row.key.slice(DRAINS_PREFIX.length))),
+      loads,
+      listing: tracker.listing(),
+      goneHosts: tracker.gone(members, time),
+      view
+    }), sync.isReachable())
+  }
+
+  function poll (time: number): void {
+    const isLeading = cell.isLeading(time)
+    const hasLeader = cell.leader(time) !== null
+    nextPollAt = time + (isLeading ? POLL_INTERVAL_MS : LEADERLESS_POLL_INTERVAL_MS)
+    if (!isLeading && hasLeader) return
+    sync.poll().then(() => {
+      adoptSuspects()
+      return isLeading ? createHomes() : undefined
+    }).catch(onFault)
+  }
+
+  async function createHomes (): Promise<void> {
+    const listing = tracker.listing()
+    if (listing === null) return
+    const known = readHomes(rows)
+    for (const service of configuration.services()) {
+      if (service.key === undefined || known.has(service.name) || homesWritten.has(service.name)) continue
+      const homes = planHomes(listing, { service: service.name, slices: service.key.slices, cellsInZone: settings.cellsInZone })
+      if (homes === null) continue
+      const written = await platform.table.write([{ key: HOMES_PREFIX + service.name, expectedRevision: 0, value: homes }])
+      if (written.ok) homesWritten = new Set([...homesWritten, service.name])
+    }
+  }
+
+  function collectLoads (time: number): void {
+    nextLoadsAt = time + LOADS_INTERVAL_MS
+    for (const host of lastView?.hosts ?? []) {
+      const taken = host === self.host ? Promise.resolve(dispatcher.takeLoads()) : peer(host).loads.mutate()
+      taken.then(mergeLoads, () => {})
+    }
+  }
+
+  function mergeLoads (taken: Readonly<Record<string, Readonly<Record<string, number>>>>): void {
+    for (const [service, counts] of Object.entries(taken)) {
+      const smoothed = loads[service] ?? new Map<number, number>()
+      for (const [slice, count] of Object.entries(counts)) {
+        const before = smoothed.get(Number(slice)) ?? 0
+        smoothed.set(Number(slice), before + (count - before) * LOADS_WEIGHT)
+      }
+      loads[service] = smoothed
+    }
+  }
+
+  function perform (actions: readonly CellAction[]): void {
+    for (const action of actions) {
+      switch (action.kind) {
+        case 'send':
+          if (action.to === self.host) queueMicrotask(() => { receive(self.host, action.message) })
+          else socket.send(action.to, action.message)
+          break
+        case 'pull-view': pullView(action.from); break
+        case 'pull-rows': sync.pullFrom(action.from).then(adoptSuspects).catch(onFault); break
+        case 'read-row': readRow().catch(onFault); break
+        case 'write-row': writeRow(action.expectedRevision, action.row).catch(onFault); break
+      }
+    }
+  }
+
+  const pullsRunning = new Set<string>()
+
+  function pullView (from: string): void {
+    if (pullsRunning.has(from)) return
+    pullsRunning.add(from)
+    peer(from).view.query().then((view) => {
+      if (view !== null) perform(cell.onView(view as CellView, now()))
+      apply()
+    }, () => {}).finally(() => { pullsRunning.delete(from) })
+  }
+
+  async function readRow (): Promise<void> {
+    const read = await platform.table.read(rowKey)
+    perform(cell.onRow(read.ok ? { kind: 'read', known: knownRow(read.value) } : { kind: 'unavailable' }, now()))
+    apply()
+  }
+
+  async function writeRow (expectedRevision: number, row: CellRow): Promise<void> {
+    const written = await platform.table.write([{ key: rowKey, expectedRevision, value: row }])
+    metrics.platformCalls.inc({ call: 'table-write', outcome: written.ok ? 'answered' : 'failed' })
+    if (written.ok) perform(cell.onRow({ kind: 'written', known: { row, revision: written.value } }, now()))
+    else if (written.error.kind === 'unavailable') perform(cell.onRow({ kind: 'unavailable' }, now()))
+    else perform(cell.onRow({ kind: 'conflict', known: knownRow(written.error.current[0] ?? null) }, now()))
+    apply()
+  }
+
+  async function shareSuspects (suspects: readonly Suspect[]): Promise<void> {
+    const entries = suspects.map(({ fingerprint, crashes }) => ({ fingerprint, crashes }))
+    const hosts = new Set((lastView?.hosts ?? []).filter((host) => host !== self.host))
+    for (const row of rows.withPrefix(CELLS_PREFIX)) for (const member of (row.value as CellRow).members) hosts.add(member.host)
+    hosts.delete(self.host)
+    const told = [...hosts].map(async (host) => { await peer(host).suspects.mutate(entries) })
+    const kept = entries.map(async ({ fingerprint, crashes }) => {
+      const key = SUSPECTS_PREFIX + fingerprint
+      await platform.table.write([{ key, expectedRevision: rows.get(key)?.revision ?? 0, value: { crashes } }])
+    })
+    await Promise.race([
+      Promise.allSettled([...told, ...kept]),
+      new Promise((resolve) => { setTimeout(resolve, SHARE_TIMEOUT_MS).unref() })
+    ])
+  }
+
+  const adoptedSuspects = new Map<string, number>()
+
+  /** Takes each row of a suspect in once, so that a suspect cleared by success stays cleared. */
+  function adoptSuspects (): void {
+    for (const row of rows.withPrefix(SUSPECTS_PREFIX)) {
+      if (adoptedSuspects.get(row.key) === row.revision) continue
+      adoptedSuspects.set(row.key, row.revision)
+      const { crashes } = row.value as { readonly crashes: number }
+      const fingerprint = row.key.slice(SUSPECTS_PREFIX.length)
+      if (crashes > 0) dispatcher.suspects.merge(fingerprint, crashes, now())
+      else dispatcher.suspects.clear(fingerprint)
+    }
+  }
+
+  async function clearSuspect (fingerprint: string): Promise<boolean> {
+    dispatcher.suspects.clear(fingerprint)
+    const key = SUSPECTS_PREFIX + fingerprint
+    const row = await platform.table.read(key)
+    if (!row.ok) return false
+    if (row.value === null) return true
+    const written = await platform.table.write([{ key, expectedRevision: row.value.revision, value: { crashes: 0 } }])
+    return written.ok
+  }
+
+  function onEvent (event: DispatchEvent): void {
+    switch (event.kind) {
+      case 'sent': metrics.queueWait.observe({ service: event.service }, event.waitMs / 1000); break
+      case 'ended': metrics.serverDuration.observe({ service: event.service }, event.durationMs / 1000); break
+      case 'retried': metrics.retries.inc({ service: event.service, reason: event.reason }); break
+      case 'crash':
+        metrics.crashes.inc()
+        logger.warn({ server: event.server, suspects: event.suspects }, 'server-crashed')
+        break
+    }
+  }
+
+  function onFault (error: unknown): void {
+    logger.error({ error: error instanceof Error ? error.message : String(error) }, 'unexpected-error')
+  }
+
+  function refreshMetrics (): void {
+    metrics.datagramBytes.set({ direction: 'sent' }, socket.traffic.sentBytes)
+    metrics.datagramBytes.set({ direction: 'received' }, socket.traffic.receivedBytes)
+    metrics.queued.set(dispatcher.queued())
+    metrics.inFlight.set(dispatcher.inFlight())
+    metrics.isLeader.set(cell.isLeading(now()) ? 1 : 0)
+  }
+
+  function locate (serviceName: string, key: string): unknown {
+    const service = configuration.service(serviceName)
+    if (service?.key === undefined) return { found: false, detail: `The service "${serviceName}" is not divided by key` }
+    const slice = sliceOfKey(key, service.key.slices)
+    const homes = readHomes(rows).get(serviceName)
+    const home = homes?.cells[homes.homeOfSlice[slice] ?? -1] ?? null
+    const view = cell.view()
+    if (home !== cellId || view === null) return { found: true, service: serviceName, key, slice, cell: home, host: self.host, owner: null }
+    const owner = view.owners[serviceName]?.[String(slice)] ?? null
+    const dispatchedBy = view.servers.find((server) => server.id === owner)?.dispatcher ?? null
+    return { found: true, service: serviceName, key, slice, cell: home, owner, dispatcher: dispatchedBy, durable: view.durable, epoch: view.epoch, version: view.version }
+  }
+
+  function dump (): unknown {
+    const time = now()
+    return {
+      host: self,
+      cell: cellId,
+      leaving,
+      configuration: { version: configuration.bundle().version, services: configuration.services().map((service) => service.name) },
+      platform: { reachable: sync.isReachable(), rowsRevision: rows.revision() },
+      leadership: cell.dump(time),
+      right: cell.right(time) === null ? null : { untilInMs: (cell.right(time)?.until ?? time) - time },
+      view: cell.view(),
+      grants: keeper.dump(time),
+      queued: dispatcher.queued(),
+      inFlight: dispatcher.inFlight(),
+      suspects: dispatcher.suspects.list(time),
+      datagrams: socket.traffic
+    }
+  }
+
+  function isHandedOver (): boolean {
+    const view = cell.view()
+    const dispatches = view?.servers.some((server) => server.dispatcher === self.host) ?? false
+    return dispatcher.inFlight() === 0 && dispatcher.queued() === 0 && (!dispatches || cell.leader(now()) === null)
+  }
+
+  async function shutDown (): Promise<void> {
+    leaving = true
+    logger.info({ host: self.host }, 'shutdown-begun')
+    const deadline = now() + settings.shutdownTimeoutMs
+    while (!isHandedOver() && now() < deadline) await new Promise((resolve) => { setTimeout(resolve, 50) })
+    for (const listener of listeners) await listener.close()
+    clearInterval(timer)
+    await socket.close()
+    await peers.close()
+    await client.close()
+    await platform.close()
+    logger.info({ host: self.host, inTime: now() < deadline }, 'shutdown-done')
+  }
+
+  return { shutDown, dump }
+}
+
+function knownRow (row: TableRow | null): KnownRow | null {
+  return row === null ? null : { row: row.value as CellRow, revision: row.revision }
+}
--- /dev/null
+++ b/src/host/operator_listener.ts
@@ -0,0 +1,39 @@
+/** The operators' listener: metrics, state dump, lookup of keys and the list of suspects. */
+import fastify, { type FastifyInstance } from 'fastify'
+import type { SuspectLedger } from '../dispatch/mod.ts'
+import type { HostMetrics } from './metrics.ts'
+
+/** Options of {@link createOperatorListener}. */
+export interface OperatorListenerOptions {
+  readonly metrics: HostMetrics
+  readonly refreshMetrics: () => void
+  readonly dump: () => unknown
+  readonly locate: (service: string, key: string) => unknown
+  readonly suspects: SuspectLedger
+  readonly clearSuspect: (fingerprint: string) => Promise<boolean>
+  /** Monotonic time in milliseconds. */
+  readonly now: () => number
+}
+
+/**
+ * Creates the listener; the host makes it listen.
+ *
+ * @param options Sources of what it shows.
+ * @returns The HTTP server.
+ */
+export function createOperatorListener (options: OperatorListenerOptions): FastifyInstance {
+  const app = fastify({ forceCloseConnections: true })
+  app.get('/metrics', async (_request, reply) => {
+    options.refreshMetrics()
+    await reply.type(options.metrics.registry.contentType).send(await options.metrics.registry.metrics())
+  })
+  app.get('/dump', async () => options.dump())
+  app.get<{ Querystring: { service?: string, key?: string } }>('/locate', async (request) =>
+    options.locate(request.query.service ?? '', request.query.key ?? ''))
+  app.get('/suspects', async () => options.suspects.list(options.now()))
+  app.delete<{ Params: { fingerprint: string } }>('/suspects/:fingerprint', async (request, reply) => {
+    const cleared = await options.clearSuspect(request.params.fingerprint)
+    await reply.code(cleared ? 200 : 503).send({ cleared })
+  })
+  return app
+}
--- /dev/null
+++ b/src/host/peer_listener.ts
@@ -0,0 +1,98 @@
+/** The listener for other entry hosts: control calls and requests to dispatch. */
+import { fastifyTRPCPlugin } from '@trpc/server/adapters/fastify'
+import fastify, { type FastifyInstance } from 'fastify'
+import { timingSafeEqual } from 'node:crypto'
+import type { IncomingMessage } from 'node:http'
+import { withoutOwnHeaders, type DispatchOutcome, type Dispatcher, type DispatchRequest } from '../dispatch/mod.ts'
+import { describeProblem } from '../edge/mod.ts'
+import type { createControlRouter } from './control_router.ts'
+import { senderSignal, takeBody, writeAnswer, writeProblem } from './_write_outcome.ts'
+
+/** Options of {@link createPeerListener}. */
+export interface PeerListenerOptions {
+  readonly secret: string
+  readonly dispatcher: Dispatcher
+  readonly router: ReturnType<typeof createControlRouter>
+  readonly bodyBytes: number
+}
+
+/**
+ * Creates the listener; the host makes it listen.
+ *
+ * @param options Secret, dispatcher and control interface.
+ * @returns The HTTP server.
+ */
+export async function createPeerListener (options: PeerListenerOptions): Promise<FastifyInstance> {
+  const app = fastify({ forceCloseConnections: 'idle', exposeHeadRoutes: false, bodyLimit: Number.MAX_SAFE_INTEGER })
+  app.addHook('onRequest', async (request, reply) => {
+    if (!hasSecret(request.raw, options.secret)) await reply.code(403).send({ error: 'The secret of the entry hosts is missing or wrong' })
+  })
+  await app.register(fastifyTRPCPlugin, { prefix: '/control', trpcOptions: { router: options.router } })
+  await app.register(async (scope) => {
+    scope.removeAllContentTypeParsers()
+    scope.addContentTypeParser('*', (_request, _payload, done) => { done(null) })
+    scope.route({
+      method: ['GET', 'HEAD', 'POST', 'PUT', 'PATCH', 'DELETE', 'OPTIONS'],
+      url: '/dispatch/*',
+      handler: async (request, reply) => {
+        reply.hijack()
+        const id = headerOf(request.raw, 'gooseberryfold-request-id')
+        const outcome = await dispatch(request.raw, { id, signal: senderSignal(reply.raw) })
+        if (outcome.kind === 'answer') {
+          writeAnswer(reply.raw, outcome, { 'gooseberryfold-outcome': 'answer', 'gooseberryfold-server': outcome.server })
+        } else writeProblem(reply.raw, describeProblem(outcome, id), outcomeHeaders(outcome))
+      }
+    })
+  })
+
+  async function dispatch (
+    request: IncomingMessage,
+    context: { readonly id: string, readonly signal: AbortSignal }
+  ): Promise<DispatchOutcome> {
+    try {
+      const taken = await takeBody(request, options.bodyBytes)
+      if (taken.kind === 'too-large') return { kind: 'not-run', reason: 'body-too-large' }
+      return await options.dispatcher.dispatch(decodeRequest(request, { ...context, body: taken.body }))
+    } catch {
+      return { kind: 'not-run', reason: 'caller-gone' }
+    }
+  }
+
+  return app
+}
+
+function decodeRequest (
+  request: IncomingMessage,
+  context: Pick<DispatchRequest, 'id' | 'signal' | 'body'>
+): DispatchRequest {
+  const slice = request.headers['gooseberryfold-slice']
+  const claimKey = request.headers['gooseberryfold-claim-key']
+  return {
+    ...context,
+    service: headerOf(request, 'gooseberryfold-service'),
+    slice: typeof slice === 'string' ? Number(slice) : null,
+    method: request.method ?? 'GET',
+    path: (request.url ?? '/').slice('/dispatch'.length),
+    headers: { ...withoutOwnHeaders(request.headers), host: request.headers.host },
+    deadline: performance.now() + Number(headerOf(request, 'gooseberryfold-deadline-ms')),
+    isIdempotent: headerOf(request, 'gooseberryfold-idempotent') === 'true',
+    claimKey: typeof claimKey === 'string' ? decodeURIComponent(claimKey) : null
+  }
+}
+
+function outcomeHeaders (outcome: Exclude<DispatchOutcome, { readonly kind: 'answer' }>): Record<string, string> {
+  const headers: Record<string, string> = { 'gooseberryfold-outcome': outcome.kind, 'gooseberryfold-reason': outcome.reason }
+  if (outcome.kind === 'not-run' && outcome.dispatcher !== undefined) headers['gooseberryfold-dispatcher'] = outcome.dispatcher
+  return headers
+}
+
+function headerOf (request: IncomingMessage, name: string): string {
+  const value = request.headers[name]
+  return typeof value === 'string' ? value : ''
+}
+
+function hasSecret (request: IncomingMessage, secret: string): boolean {
+  const given = Buffer.from(headerOf(request, 'gooseberryfold-secret'))
+  const expected = Buffer.from(secret)
+  return given.length === expected.length && timingSafeEqual(given, expected)
+}
--- /dev/null
+++ b/src/host/plan_homes.ts
@@ -0,0 +1,49 @@
+/** Home cells of the slices of a keyed service. */
+import { z } from 'zod'
+import type { HostListing } from '../ports/mod.ts'
+import { cellOfServer } from './cell_input.ts'
+
+/** Schema of the row that holds the homes of a service. */
+export const homesSchema = z.object({
+  cells: z.array(z.string()),
+  /** Index into `cells` for each slice. */
+  homeOfSlice: z.array(z.number().int().min(0))
+})
+
+/** Home cell of each slice of one service. */
+export type Homes = z.infer<typeof homesSchema>
+
+/** Options of {@link planHomes}. */
+export interface PlanHomesOptions {
+  readonly service: string
+  readonly slices: number
+  readonly cellsInZone: number
+}
+
+/**
+ * Shares the slices of a service out to cells, in proportion to the servers
+ * that each cell has.
+ *
+ * @param listing The platform's list.
+ * @param options Service and number of slices.
+ * @returns The homes, or `null` where the list names no server of the service.
+ */
+export function planHomes (listing: HostListing, options: PlanHomesOptions): Homes | null {
+  const counts = new Map<string, number>()
+  for (const server of listing.servers) {
+    if (server.service !== options.service) continue
+    const cell = cellOfServer(server, options.cellsInZone)
+    counts.set(cell, (counts.get(cell) ?? 0) + 1)
+  }
+  const cells = [...counts.keys()].sort()
+  const total = [...counts.values()].reduce((sum, count) => sum + count, 0)
+  if (total === 0) return null
+  const homeOfSlice: number[] = []
+  let servers = 0
+  for (const [index, cell] of cells.entries()) {
+    servers += counts.get(cell) ?? 0
+    const end = Math.round(options.slices * servers / total)
+    while (homeOfSlice.length < end) homeOfSlice.push(index)
+  }
+  return { cells, homeOfSlice }
+}
--- /dev/null
+++ b/src/logging/mod.ts
@@ -0,0 +1,2 @@
+/** Logs as key=value lines. */
+export * from './create_logger.ts'
--- /dev/null
+++ b/src/platform/mod.ts
@@ -0,0 +1,2 @@
+/** Adapters of the platform. */
+export * from './create_platform_client.ts'
--- /dev/null
+++ b/tools/demo.ts
@@ -0,0 +1,116 @@
+/**
+ * Demonstration: stand-ins, nine entry hosts in three availability zones, the
+ * two deployments of the examples, and real requests for every service. With
+ * `--check` it ends with exit code 0 only if every request got its whole answer.
+ */
+import { randomUUID } from 'node:crypto'
+import { setTimeout as delay } from 'node:timers/promises'
+import { fileURLToPath } from 'node:url'
+import { request } from 'undici'
+import { startCluster, type Cluster, type ClusterService } from './_cluster.ts'
+
+const EXAMPLES = fileURLToPath(new URL('../../examples', import.meta.url))
+
+/** The services of the two deployments, with the sizes of the brief. */
+export const DEMO_SERVICES: readonly ClusterService[] = [
+  { name: 'catalogue', servers: 20, behaviour: { slots: 6, workMs: 5, checksGrants: true } },
+  { name: 'orders', servers: 12, behaviour: { slots: 6, workMs: 12, checksGrants: true } },
+  { name: 'scans', servers: 6, behaviour: { slots: 6, workMs: 30, checksGrants: true } },
+  { name: 'permits', servers: 16, behaviour: { slots: 4, workMs: 5, checksGrants: false } },
+  { name: 'fees', servers: 8, behaviour: { slots: 4, workMs: 12, checksGrants: false } },
+  { name: 'photos', servers: 6, behaviour: { slots: 4, workMs: 30, checksGrants: false } }
+]
+
+/** Slices of the keyed services of the examples. */
+export const DEMO_SLICES = { catalogue: 320, permits: 256 } as const
+
+const ROUNDS = 60
+const UPLOAD_BYTES = 300_000
+
+interface Served { service: string, server: string, via: Set<string>, answers: number, failures: number }
+
+async function sendOne (cluster: Cluster, service: string, round: number): Promise<{ host: string, server: string, isWhole: boolean }> {
+  const host = cluster.hosts[round % cluster.hosts.length]
+  if (host === undefined) throw new Error('The cluster has no host')
+  const isUpload = service === 'scans' || service === 'photos'
+  const isPosting = service === 'orders' || service === 'fees'
+  const body = isUpload ? Buffer.alloc(UPLOAD_BYTES, round) : isPosting ? JSON.stringify({ round }) : undefined
+  const path = `/${service}/${service}-key-${round % 37}`
+  try {
+    const response = await request(`http://${host.caller}${path}`, {
+      method: isUpload ? 'PUT' : isPosting ? 'POST' : 'GET',
+      body,
+      headers: isPosting ? { 'idempotency-key': randomUUID(), 'content-type': 'application/json' } : {}
+    })
+    const answer = await response.body.json() as { server?: string, path?: string, received?: number }
+    const isWhole = response.statusCode === 200 && answer.path === path && answer.received === (body?.length ?? 0)
+    return { host: host.name, server: answer.server ?? 'none', isWhole }
+  } catch {
+    return { host: host.name, server: 'none', isWhole: false }
+  }
+}
+
+async function sendRounds (cluster: Cluster): Promise<Served[]> {
+  const served = new Map<string, Served>()
+  const sending: Array<Promise<void>> = []
+  for (let round = 0; round < ROUNDS; round++) {
+    for (const { name } of DEMO_SERVICES) {
+      sending.push(sendOne(cluster, name, round).then((result) => {
+        const key = `${name} ${result.server}`
+        const entry = served.get(key) ?? { service: name, server: result.server, via: new Set<string>(), answers: 0, failures: 0 }
+        entry.via.add(result.host)
+        if (result.isWhole) entry.answers++
+        else entry.failures++
+        served.set(key, entry)
+      }))
+    }
+    await delay(10)
+  }
+  await Promise.all(sending)
+  return [...served.values()].sort((left, right) => `${left.service} ${left.server}` < `${right.service} ${right.server}` ? -1 : 1)
+}
+
+function print (served: readonly Served[]): void {
+  console.log('service     server          answers  failures  via hosts')
+  for (const entry of served) {
+    const via = [...entry.via].map((host) => host.split(':')[1]).sort().join(' ')
+    console.log(`${entry.service.padEnd(11)} ${entry.server.padEnd(15)} ${String(entry.answers).padStart(7)} ${String(entry.failures).padStart(9)}  ${via}`)
+  }
+}
+
+async function main (): Promise<void> {
+  const isCheck = process.argv.includes('--check')
+  const cluster = await startCluster({
+    zones: 3, hostsPerZone: 3, services: DEMO_SERVICES, firstPort: 17_000, logFolder: process.env.DEMO_LOGS
+  })
+  const stop = async (code: number): Promise<void> => {
+    await cluster.stop()
+    process.exit(code)
+  }
+  process.on('SIGINT', () => { stop(130).catch(() => process.exit(1)) })
+  process.on('SIGTERM', () => { stop(143).catch(() => process.exit(1)) })
+  for (const deployment of ['leiria', 'luzon']) {
+    const published = await cluster.command('publish', `${EXAMPLES}/${deployment}`)
+    console.log(`publish ${deployment}: ${published.output}`)
+  }
+  if (!await cluster.ready(DEMO_SLICES, 30_000)) {
+    console.log('The hosts were not ready within 30 s')
+    await stop(1)
+  }
+  console.log(`${cluster.hosts.length} entry hosts in 3 availability zones are serving`)
+  const served = await sendRounds(cluster)
+  print(served)
+  const failures = served.reduce((sum, entry) => sum + entry.failures, 0)
+  const answers = served.reduce((sum, entry) => sum + entry.answers, 0)
+  console.log(`${answers} whole answers, ${failures} failures`)
+  if (isCheck) await stop(failures === 0 && answers === ROUNDS * DEMO_SERVICES.length ? 0 : 1)
+  console.log(`Running on. Try: curl -i http://${cluster.hosts[0]?.caller}/catalogue/ammonite`)
+  for (;;) {
+    await delay(5000)
+    const again = await sendRounds(cluster)
+    const failed = again.reduce((sum, entry) => sum + entry.failures, 0)
+    console.log(`${new Date().toISOString()} ${again.reduce((sum, entry) => sum + entry.answers, 0)} whole answers, ${failed} failures`)
+  }
+}
+
+if (process.argv[1] === fileURLToPath(import.meta.url)) await main()
