Ownership properties over the hosts' decision code, and five faults they found

Cause: nothing showed that one owner, announced assignments, the bound of a leaving server and recovery hold under faults.

Change: host_core ties cell and grants together; the daemon and the tests run it. testing/ holds fakes at the ports (clock, datagrams, durable row, servers). Five fast-check properties with kills, pauses, cuts, outages, lost answers, delays, freezes and drains.

Found, each shown failing first: - a dispatcher that was paused called its servers lost (pause 906 ms of one of two hosts: announced owners changed). Now missing answers are counted, not timed. - a candidate that could not win ignored its leader for good (kill, then one lost answer: slices 2 and 7 never served again). A promise that has ended no longer binds to its epoch, and a candidate rests. - a dispatcher took a grant as ended by its own clock only, without the server's drift (slow network 484 ms: two servers with a grant). - a lost assignment was granted again while its loss was on the way to the leader (slow network 1086 ms: two servers with a grant). Two checks were wrong: unserved at one instant also shows a planned change of dispatcher (now: unserved throughout 500 ms), and a server that checks grants discards work whose grant ended, so running beside it is allowed only there.

--- a/src/cell/cell.ts
+++ b/src/cell/cell.ts
@@ -76,11 +76,15 @@
 /** Spread of the times at which hosts claim a term, in milliseconds. */
 const CLAIM_SPREAD_MS = 600
 
+/** How long a candidate asks before it rests, so that it can follow a leader that others follow, in milliseconds. */
+const CANDIDACY_MS = 600
+
 /** A round of asking for promises. */
 interface Candidacy {
   readonly epoch: number
   readonly known: KnownRow
   readonly granted: Map<string, PromiseAnswer>
+  readonly startedAt: number
   nextAskAt: number
 }
 
@@ -116,6 +120,7 @@
   let claiming = false
   let claimAt = 0
   let lastLedEpoch = 0
+  let restUntil = 0
   const claimedTerms = new Set<number>()
 
   function send (to: string, message: CellMessage): CellAction {
@@ -259,7 +264,7 @@
     if (known === null) return []
     const epoch = nextOwnEpoch(known.row)
     if (epoch === null) return []
-    const latest = Math.max(ledger.current().epoch, known.row.term * RANKS_PER_TERM)
+    const latest = Math.max(ledger.highestEpoch(), known.row.term * RANKS_PER_TERM)
     const waitedFor = (epoch - latest - 1) * CellTiming.DEPUTY_STAGGER_MS
     if (now < ledger.current().until + Math.max(0, waitedFor)) return []
     return stand(epoch, known, now)
@@ -271,15 +276,20 @@
       const life = row.succession[(rank - 1) % row.succession.length]
       if (life?.host !== self.host || life.incarnation !== self.incarnation) continue
       if (base + rank === candidacy?.epoch) return base + rank
-      if (base + rank > Math.max(ledger.current().epoch, lastLedEpoch)) return base + rank
+      if (base + rank > Math.max(ledger.highestEpoch(), lastLedEpoch)) return base + rank
     }
     return null
   }
 
   function stand (epoch: number, from: KnownRow, now: number): CellAction[] {
-    if (epoch < ledger.current().epoch || epoch <= lastLedEpoch) return []
+    if (epoch < ledger.highestEpoch() || epoch <= lastLedEpoch || now < restUntil) return []
     if (candidacy === null || candidacy.epoch !== epoch) {
-      candidacy = { epoch, known: from, granted: new Map(), nextAskAt: now }
+      candidacy = { epoch, known: from, granted: new Map(), startedAt: now, nextAskAt: now }
+    }
+    if (now - candidacy.startedAt > CANDIDACY_MS) {
+      candidacy = null
+      restUntil = now + CellTiming.PROMISE_MS + hashText(`${self.host}/${epoch}`) % CLAIM_SPREAD_MS
+      return []
     }
     if (now < candidacy.nextAskAt) return []
     candidacy.nextAskAt = now + CellTiming.ASK_INTERVAL_MS
@@ -350,7 +360,7 @@
       }
     },
     onView (view, now) {
-      if (view.epoch >= ledger.current().epoch || held === null) hold(view)
+      hold(view)
       return leader !== null && view.leader === self.host ? leader.tick(now) : []
     },
     onRow (outcome, now) {
--- a/src/cell/promise_ledger.ts
+++ b/src/cell/promise_ledger.ts
@@ -2,6 +2,10 @@
  * A member's promises to leaders. A promise is kept on the member's own
  * monotonic clock; a restarted member has forgotten its promises, so it makes
  * none to a new leader before the longest of them must have ended.
+ *
+ * A leader whose epoch is lower than that of a candidate that never won is
+ * followed again once the promise to the candidate has ended: had the candidate
+ * won, the leader's authority would have ended for good.
  */
 import { CellTiming } from './timing.ts'
 
@@ -17,6 +21,8 @@
 export interface PromiseLedger {
   /** Returns the newest promise; epoch 0 where none was made. */
   current (): LeaderPromise
+  /** Returns the highest epoch that was ever followed or promised. */
+  highestEpoch (): number
   /** Follows a leader whose ping has arrived; returns whether the ping also renews a promise. */
   follow (epoch: number, host: string, now: number): 'ignored' | 'followed' | 'promised'
   /** Whether a candidate may have the promise now. */
@@ -38,6 +44,7 @@
  */
 export function createPromiseLedger (startedAt: number): PromiseLedger {
   let latest: LeaderPromise = { epoch: 0, host: '', until: startedAt + CellTiming.PROMISE_MS }
+  let highest = { epoch: 0, host: '' }
 
   function isFree (host: string, now: number): boolean {
     return now >= latest.until || latest.host === host
@@ -45,18 +52,19 @@
 
   function promise (epoch: number, host: string, now: number): void {
     latest = { epoch, host, until: now + CellTiming.PROMISE_MS }
+    if (epoch > highest.epoch) highest = { epoch, host }
   }
 
   return {
     current: () => latest,
+    highestEpoch: () => highest.epoch,
     follow (epoch, host, now) {
-      if (epoch < latest.epoch) return 'ignored'
-      if (!isFree(host, now)) return 'followed'
+      if (!isFree(host, now)) return epoch < latest.epoch ? 'ignored' : 'followed'
       promise(epoch, host, now)
       return 'promised'
     },
     mayPromise (epoch, host, now) {
-      if (epoch < latest.epoch || (epoch === latest.epoch && host !== latest.host)) return false
+      if (epoch < highest.epoch || (epoch === highest.epoch && host !== highest.host)) return false
       return isFree(host, now)
     },
     promise
--- a/src/dispatch/grant_keeper.ts
+++ b/src/dispatch/grant_keeper.ts
@@ -15,7 +15,7 @@
 /** Keeper of a host's grants. */
 export interface GrantKeeper {
   /** Takes in the right to dispatch as it stands now. */
-  setRight (right: DispatchRight | null, now: number): void
+  setRight (right: DispatchRight | null): void
   /** Grants to send now. */
   due (now: number): GrantAction[]
   onOutcome (action: GrantAction, outcome: GrantOutcome, now: number): void
@@ -47,13 +47,13 @@
   let right: DispatchRight | null = null
   let adopted = { epoch: 0, version: 0 }
 
-  function adopt (next: DispatchRight, now: number): void {
+  function adopt (next: DispatchRight): void {
     adopted = { epoch: next.view.epoch, version: next.view.version }
     const mine = new Map(next.view.servers
       .filter((server) => server.dispatcher === host).map((server) => [server.id, server]))
     const slices = slicesByServer(next.view.owners)
     for (const [id, server] of mine) {
-      const grant = grants.get(id) ?? createGrant(server, now)
+      const grant = grants.get(id) ?? createGrant(server)
       grants.set(id, grant)
       grant.want(server, slices.get(id) ?? [])
     }
@@ -76,10 +76,10 @@
   }
 
   return {
-    setRight (next, now) {
+    setRight (next) {
       right = next
       if (next === null) return
-      if (next.view.epoch !== adopted.epoch || next.view.version !== adopted.version) adopt(next, now)
+      if (next.view.epoch !== adopted.epoch || next.view.version !== adopted.version) adopt(next)
     },
     due (now) {
       if (!mayAct(now) || right === null) return []
@@ -128,8 +128,8 @@
   }
 }
 
-function createGrant (server: ViewServer, now: number): ServerGrant {
-  return server.checksGrants ? new CheckedServerGrant(server, now) : new UncheckedServerGrant(server, now)
+function createGrant (server: ViewServer): ServerGrant {
+  return server.checksGrants ? new CheckedServerGrant(server) : new UncheckedServerGrant(server)
 }
 
 function slicesByServer (owners: Readonly<Record<string, Readonly<Record<string, string>>>>): Map<string, number[]> {
--- a/src/dispatch/server_grant.ts
+++ b/src/dispatch/server_grant.ts
@@ -30,6 +30,9 @@
   readonly lost: boolean
 }
 
+/** Messages without an answer in a row after which a server counts as lost. */
+const LOSING_FAILURES = 2
+
 /** Keeper of one server; servers that check grants and those that do not differ in it. */
 export interface ServerGrant {
   /** Sets what the newest view assigns; `null` where the server is not this host's any more. */
@@ -56,14 +59,13 @@
   protected readonly inFlight = new InFlight()
   protected hasAnswered = false
   protected isRefused = false
-  protected lastAnswerAt: number
   protected lostToken = 0
+  #failures = 0
   #nextDueAt = 0
   #outstanding = false
 
-  constructor (server: ViewServer, createdAt: number) {
+  constructor (server: ViewServer) {
     this.server = server
-    this.lastAnswerAt = createdAt
   }
 
   want (server: ViewServer | null, slices: readonly number[]): void {
@@ -94,25 +96,25 @@
     return true
   }
 
-  protected noteOutcome (outcome: GrantOutcome, now: number): void {
+  protected noteOutcome (outcome: GrantOutcome): void {
     this.#outstanding = false
     this.isRefused = outcome.kind === 'connection-refused'
-    if (outcome.kind !== 'answered') return
-    this.hasAnswered = true
-    this.lastAnswerAt = now
+    this.#failures = outcome.kind === 'no-answer' ? this.#failures + 1 : 0
+    if (outcome.kind === 'answered') this.hasAnswered = true
   }
 
-  /** A lost assignment stays lost until the leader has answered the loss with another token. */
-  protected noteLoss (now: number, hasEnded: boolean): void {
+  /** A lost assignment stays lost, and is granted no more, until the leader has answered the loss with another token. */
+  protected noteLoss (hasEnded: boolean): void {
     if (this.wanted === null || this.lostToken === this.wanted.token) {
-      if (this.wanted?.slices.size === 0 && this.isResponsive(now)) this.lostToken = 0
+      if (this.wanted?.slices.size === 0 && this.isResponsive()) this.lostToken = 0
       return
     }
-    if (!this.isResponsive(now) && hasEnded) this.lostToken = this.wanted.token
+    if (!this.isResponsive() && hasEnded) this.lostToken = this.wanted.token
   }
 
-  protected isResponsive (now: number): boolean {
-    return !this.isRefused && now - this.lastAnswerAt < CellTiming.GRANT_MS
+  /** Failures are counted, not timed: after a pause of this host one answer counts as missing, not the server. */
+  protected isResponsive (): boolean {
+    return !this.isRefused && this.#failures < LOSING_FAILURES
   }
 
   protected isLost (): boolean {
@@ -136,7 +138,7 @@
 export class CheckedServerGrant extends BaseGrant implements ServerGrant {
   #confirmed: Assigned | null = null
   #sending: Assigned | null = null
-  /** Slices that the server may believe it owns until `#lapseAt`. */
+  /** Slices that the server may believe it owns until `#lapseAt`, or by its own clock a drift margin longer. */
   #mayHold = new Set<number>()
   #lapseAt = 0
   #boot = ''
@@ -156,7 +158,7 @@
     const target = this.#target()
     if (target === null || !this.takeTurn(now)) return null
     this.#sending = target
-    const duration = this.#grantLength(leaseUntil)
+    const duration = this.isLost() ? 0 : this.#grantLength(leaseUntil)
     if (duration > 0) {
       for (const slice of target.slices) this.#mayHold.add(slice)
       this.#lapseAt = Math.max(this.#lapseAt, this.#basisAt + duration)
@@ -171,7 +173,7 @@
   }
 
   onOutcome (action: GrantAction, outcome: GrantOutcome, now: number): void {
-    this.noteOutcome(outcome, now)
+    this.noteOutcome(outcome)
     if (outcome.kind === 'superseded') this.#confirmed = null
     if (outcome.kind !== 'answered') return
     const isSameLife = outcome.answer.boot === this.#boot
@@ -192,7 +194,7 @@
 
   loss (now: number): ServerLoss | null {
     this.#expire(now)
-    this.noteLoss(now, this.#mayHold.size === 0)
+    this.noteLoss(this.#mayHold.size === 0)
     return this.isLost() && this.wanted !== null ? { token: this.wanted.token, held: [] } : null
   }
 
@@ -238,7 +240,7 @@
 
   #expire (now: number): void {
     const isDead = this.isRefused && this.inFlight.total === 0
-    if (now < this.#lapseAt && !isDead) return
+    if (now < this.#lapseAt + CellTiming.DRIFT_MARGIN_MS && !isDead) return
     this.#mayHold.clear()
     this.#confirmed = null
   }
@@ -246,8 +248,8 @@
 
 /** Keeper of a server that does not check grants: only its sole sender protects it. */
 export class UncheckedServerGrant extends BaseGrant implements ServerGrant {
-  admit (slice: number | null, now: number): number | null {
-    if (this.wanted === null || this.isLost() || !this.hasAnswered || !this.isResponsive(now)) return null
+  admit (slice: number | null, _now: number): number | null {
+    if (this.wanted === null || this.isLost() || !this.hasAnswered || !this.isResponsive()) return null
     if (slice !== null && !this.wanted.slices.has(slice)) return null
     return this.wanted.token
   }
@@ -263,8 +265,8 @@
     }
   }
 
-  onOutcome (_action: GrantAction, outcome: GrantOutcome, now: number): void {
-    this.noteOutcome(outcome, now)
+  onOutcome (_action: GrantAction, outcome: GrantOutcome, _now: number): void {
+    this.noteOutcome(outcome)
   }
 
   isPending (_now: number): boolean {
@@ -272,8 +274,8 @@
     return !this.hasAnswered || this.inFlight.hasOutside(this.wanted.slices)
   }
 
-  loss (now: number): ServerLoss | null {
-    this.noteLoss(now, true)
+  loss (_now: number): ServerLoss | null {
+    this.noteLoss(true)
     if (!this.isLost() || this.wanted === null) return null
     return { token: this.wanted.token, held: this.#held(this.wanted) }
   }
--- a/src/host/create_host.ts
+++ b/src/host/create_host.ts
@@ -3,10 +3,10 @@
  * clock. All decisions are made elsewhere; this module passes messages.
  */
 import type { FastifyInstance } from 'fastify'
-import { createCell, type CellAction, type CellMessage, type CellRow, type CellView, type KnownRow } from '../cell/mod.ts'
+import type { CellMessage, CellRow, CellView, KnownRow } from '../cell/mod.ts'
 import { createConfigurationHolder } from '../configuration/mod.ts'
 import {
-  createBackendClient, createClaimStore, createDispatcher, createGrantKeeper, type DispatchEvent, type Suspect
+  createBackendClient, createClaimStore, createDispatcher, type DispatchEvent, type GrantAction, type Suspect
 } from '../dispatch/mod.ts'
 import { createEdge, createPeerClient } from '../edge/mod.ts'
 import type { Logger } from '../logging/mod.ts'
@@ -14,10 +14,11 @@
 import type { TableRow } from '../ports/mod.ts'
 import type { DaemonSettings } from '../settings/mod.ts'
 import { sliceOfKey } from '../slices/mod.ts'
-import { createPeerSocket } from '../transport/mod.ts'
+import { createPeerSocket, splitAddress } from '../transport/mod.ts'
 import { createCallerListener } from './caller_listener.ts'
 import { buildCellInput, cellName, createListTracker } from './cell_input.ts'
 import { createControlClients, createControlRouter } from './control_router.ts'
+import { createHostCore, type HostAction } from './host_core.ts'
 import { createHostMetrics } from './metrics.ts'
 import { createOperatorListener } from './operator_listener.ts'
 import { createPeerListener } from './peer_listener.ts'
@@ -25,7 +26,6 @@
 import { createPlatformSync } from './platform_sync.ts'
 import { CELLS_PREFIX, createRoutes, HOMES_PREFIX, placementIn, readHomes } from './routes.ts'
 import { createSharedRows } from './shared_rows.ts'
-import { splitAddress } from '../transport/mod.ts'
 
 /** Interval between two turns of the host's timer, in milliseconds. */
 const TICK_MS = 25
@@ -77,8 +77,8 @@
   const configuration = createConfigurationHolder()
   const tracker = createListTracker()
   const peer = createControlClients(settings.peerSecret)
-  const cell = createCell({ self, startedAt: now(), seeds: settings.seeds })
-  const keeper = createGrantKeeper(self.host)
+  const core = createHostCore({ self, startedAt: now(), seeds: settings.seeds })
+  const { cell, keeper } = core
   const client = createBackendClient()
   const loads: Record<string, Map<number, number>> = {}
   let leaving = false
@@ -157,34 +157,17 @@
   }
 
   function receive (from: string, message: CellMessage): void {
-    perform(cell.onMessage(from, message, now()))
-    apply()
+    perform(core.onMessage(from, message, now()))
   }
 
   function turn (): void {
     const time = now()
     refreshInput(time)
-    perform(cell.tick(time))
-    apply()
+    perform(core.tick(time))
     if (time >= nextPollAt) poll(time)
     if (cell.isLeading(time) && time >= nextLoadsAt) collectLoads(time)
   }
 
-  /** Carries the state of the cell over to the keeper and the dispatcher. */
-  function apply (): void {
-    const time = now()
-    noteChanges(time)
-    keeper.setRight(cell.right(time), time)
-    for (const action of keeper.due(time)) {
-      client.grant(action).then((outcome) => {
-        keeper.onOutcome(action, outcome, now())
-        apply()
-      }, () => {})
-    }
-    perform(cell.setReport(keeper.report(time, leaving), time))
-    dispatcher.pump()
-  }
-
   function noteChanges (time: number): void {
     const view = cell.view()
     if (view !== lastView && view !== null) {
@@ -194,13 +177,13 @@
     const isLeading = cell.isLeading(time)
     if (isLeading !== wasLeading) logger.info({ cell: cellId, epoch: cell.dump(time).epoch }, isLeading ? 'leadership-gained' : 'leadership-ended')
     wasLeading = isLeading
-    cell.setRowsRevision(rows.revision())
+    core.setRowsRevision(rows.revision())
   }
 
   function refreshInput (time: number): void {
     const view = cell.heldView()
     const members = view?.row.members.map((member) => member.host) ?? []
-    cell.setInput(buildCellInput({
+    core.setInput(buildCellInput({
       cell: cellId,
       cellsInZone: settings.cellsInZone,
       services: configuration.services(),
@@ -256,7 +239,8 @@
     }
   }
 
-  function perform (actions: readonly CellAction[]): void {
+  function perform (actions: readonly HostAction[]): void {
+    noteChanges(now())
     for (const action of actions) {
       switch (action.kind) {
         case 'send':
@@ -267,8 +251,14 @@
         case 'pull-rows': sync.pullFrom(action.from).then(adoptSuspects).catch(onFault); break
         case 'read-row': readRow().catch(onFault); break
         case 'write-row': writeRow(action.expectedRevision, action.row).catch(onFault); break
+        case 'grant': sendGrant(action.grant); break
       }
     }
+    dispatcher.pump()
+  }
+
+  function sendGrant (grant: GrantAction): void {
+    client.grant(grant).then((outcome) => { perform(core.onGrantOutcome(grant, outcome, now())) }, onFault)
   }
 
   const pullsRunning = new Set<string>()
@@ -277,24 +267,21 @@
     if (pullsRunning.has(from)) return
     pullsRunning.add(from)
     peer(from).view.query().then((view) => {
-      if (view !== null) perform(cell.onView(view as CellView, now()))
-      apply()
+      if (view !== null) perform(core.onView(view as CellView, now()))
     }, () => {}).finally(() => { pullsRunning.delete(from) })
   }
 
   async function readRow (): Promise<void> {
     const read = await platform.table.read(rowKey)
-    perform(cell.onRow(read.ok ? { kind: 'read', known: knownRow(read.value) } : { kind: 'unavailable' }, now()))
-    apply()
+    perform(core.onRow(read.ok ? { kind: 'read', known: knownRow(read.value) } : { kind: 'unavailable' }, now()))
   }
 
   async function writeRow (expectedRevision: number, row: CellRow): Promise<void> {
     const written = await platform.table.write([{ key: rowKey, expectedRevision, value: row }])
     metrics.platformCalls.inc({ call: 'table-write', outcome: written.ok ? 'answered' : 'failed' })
-    if (written.ok) perform(cell.onRow({ kind: 'written', known: { row, revision: written.value } }, now()))
-    else if (written.error.kind === 'unavailable') perform(cell.onRow({ kind: 'unavailable' }, now()))
-    else perform(cell.onRow({ kind: 'conflict', known: knownRow(written.error.current[0] ?? null) }, now()))
-    apply()
+    if (written.ok) perform(core.onRow({ kind: 'written', known: { row, revision: written.value } }, now()))
+    else if (written.error.kind === 'unavailable') perform(core.onRow({ kind: 'unavailable' }, now()))
+    else perform(core.onRow({ kind: 'conflict', known: knownRow(written.error.current[0] ?? null) }, now()))
   }
 
   async function shareSuspects (suspects: readonly Suspect[]): Promise<void> {
@@ -401,6 +388,7 @@
 
   async function shutDown (): Promise<void> {
     leaving = true
+    core.setLeaving(true)
     logger.info({ host: self.host }, 'shutdown-begun')
     const deadline = now() + settings.shutdownTimeoutMs
     while (!isHandedOver() && now() < deadline) await new Promise((resolve) => { setTimeout(resolve, 50) })
--- /dev/null
+++ b/src/host/host_core_test.ts
@@ -0,0 +1,104 @@
+/**
+ * Properties of several hosts' decision code under kills, pauses, cuts,
+ * outages, lost answers, delays and returning servers, in any interleaving.
+ */
+import fc from 'fast-check'
+import { suite } from 'uvu'
+import * as assert from 'uvu/assert'
+import { allSteps, hostSteps, LONGEST_FAULT_MS, propertyParameters } from '../../testing/arbitrary_steps.ts'
+import { createFakeWorld, type FakeWorld, type FakeWorldOptions, type Step } from '../../testing/fake_world.ts'
+
+const test = suite('createHostCore')
+
+/** Time in which a cell of hosts that have all just started serves every slice, in milliseconds. */
+const START_MS = 4000
+
+/** Time after the last fault in which every slice is served, in milliseconds. */
+const RECOVERY_MS = 6000
+
+/** Longest time that a planned change of dispatcher takes, in milliseconds. */
+const HANDOVER_MS = 500
+
+/** Time after which a leaving server gets nothing new, in milliseconds. */
+const LEAVING_BOUND_MS = 3000
+
+const CHECKED = (): boolean => true
+const MIXED = (server: number): boolean => server % 2 === 0
+
+function startWorld (options: Partial<FakeWorldOptions> & { readonly seed: number }): FakeWorld {
+  const world = createFakeWorld({ hosts: 3, servers: 4, slices: 8, checksGrants: CHECKED, ...options })
+  world.advance(START_MS)
+  return world
+}
+
+function runSteps (world: FakeWorld, steps: readonly Step[]): void {
+  for (const step of steps) {
+    world.advance(step.afterMs)
+    world.inject(step.fault)
+  }
+}
+
+/** Slices that no host may send to at any moment of the time that follows. */
+function neverServedWithin (world: FakeWorld, lengthMs: number): number[] {
+  let unserved = world.unserved()
+  for (const until = world.now() + lengthMs; world.now() < until; world.advance(20)) {
+    const now = world.unserved()
+    unserved = unserved.filter((slice) => now.includes(slice))
+  }
+  return unserved
+}
+
+function describe (world: FakeWorld): string {
+  return JSON.stringify(world.violations.slice(0, 3))
+}
+
+test('createHostCore() keeps one owner for each key, when all servers check grants and any fault comes', () => {
+  fc.assert(fc.property(fc.nat(), fc.integer({ min: 1, max: 5 }), allSteps, (seed, hosts, steps) => {
+    const world = startWorld({ seed, hosts })
+    runSteps(world, steps)
+    world.advance(LONGEST_FAULT_MS)
+    assert.is(world.violations.length, 0, describe(world))
+  }), propertyParameters(40))
+})
+
+test('createHostCore() keeps one owner for each key, when some servers do not check grants and any fault comes', () => {
+  fc.assert(fc.property(fc.nat(), fc.integer({ min: 1, max: 5 }), allSteps, (seed, hosts, steps) => {
+    const world = startWorld({ seed, hosts, checksGrants: MIXED })
+    runSteps(world, steps)
+    world.advance(LONGEST_FAULT_MS)
+    assert.is(world.violations.length, 0, describe(world))
+  }), propertyParameters(40))
+})
+
+test('createHostCore() never loses an announced assignment, when hosts and the platform fail', () => {
+  fc.assert(fc.property(fc.nat(), fc.integer({ min: 2, max: 5 }), hostSteps, (seed, hosts, steps) => {
+    const world = startWorld({ seed, hosts, keepsAnnounced: true })
+    runSteps(world, steps)
+    world.heal()
+    world.advance(LONGEST_FAULT_MS + RECOVERY_MS)
+    assert.is(world.violations.length, 0, describe(world))
+  }), propertyParameters(40))
+})
+
+test('createHostCore() serves every slice again, when the faults have ended', () => {
+  fc.assert(fc.property(fc.nat(), fc.integer({ min: 1, max: 5 }), allSteps, (seed, hosts, steps) => {
+    const world = startWorld({ seed, hosts, checksGrants: MIXED })
+    runSteps(world, steps)
+    world.heal()
+    world.advance(LONGEST_FAULT_MS + RECOVERY_MS)
+    assert.equal(neverServedWithin(world, HANDOVER_MS), [])
+  }), propertyParameters(40))
+})
+
+test('createHostCore() gives a leaving server nothing new after the bound, when hosts fail', () => {
+  fc.assert(fc.property(fc.nat(), hostSteps, (seed, steps) => {
+    const world = startWorld({ seed, hosts: 3 })
+    world.inject({ kind: 'drain', server: 0 })
+    const drainedAt = world.now()
+    runSteps(world, steps.filter((step) => step.fault.kind !== 'platform-down' && step.fault.kind !== 'drain'))
+    world.advance(LONGEST_FAULT_MS)
+    assert.equal(world.startedAfter('server-0', drainedAt + LEAVING_BOUND_MS), [])
+  }), propertyParameters(40))
+})
+
+test.run()
--- /dev/null
+++ b/testing/fake_world.ts
@@ -0,0 +1,599 @@
+/**
+ * Fakes at the ports of several hosts' decision code: a clock, a network, the
+ * durable row and backend servers. It decides nothing; it delays, loses,
+ * repeats and cuts what the decision code sends, and records what servers did.
+ * World time is in milliseconds; every host and server has a clock of its own.
+ */
+import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus'
+import { uniformInt } from 'pure-rand/distribution/uniformInt'
+import type { AssignmentInput, CellRow, CellServer, CellView, KnownRow, RowOutcome } from '../src/cell/mod.ts'
+import type { GrantAction, GrantOutcome } from '../src/dispatch/mod.ts'
+import { createHostCore, type HostAction, type HostCore } from '../src/host/host_core.ts'
+
+/** One fault or healing; what cannot be done is passed over. */
+export type Fault =
+  | { readonly kind: 'kill', readonly host: number }
+  | { readonly kind: 'restart', readonly host: number }
+  | { readonly kind: 'pause', readonly host: number, readonly lengthMs: number }
+  | { readonly kind: 'cut', readonly hosts: readonly number[], readonly lengthMs: number }
+  | { readonly kind: 'platform-down', readonly hosts: readonly number[], readonly lengthMs: number }
+  | { readonly kind: 'lose-answers', readonly count: number }
+  | { readonly kind: 'slow-network', readonly lengthMs: number }
+  | { readonly kind: 'freeze-server', readonly server: number, readonly lengthMs: number }
+  | { readonly kind: 'kill-server', readonly server: number }
+  | { readonly kind: 'restart-server', readonly server: number }
+  | { readonly kind: 'cut-server', readonly server: number, readonly hosts: readonly number[], readonly lengthMs: number }
+  | { readonly kind: 'drain', readonly server: number }
+
+/** A fault with the pause before it, in milliseconds. */
+export interface Step {
+  readonly afterMs: number
+  readonly fault: Fault
+}
+
+/** A run of a request at a server. Times are world milliseconds. */
+export interface Run {
+  readonly slice: number
+  readonly server: string
+  readonly token: number
+  readonly startedAt: number
+  endedAt: number
+}
+
+/** A broken rule, with the time at which it was seen. */
+export interface Violation {
+  readonly rule: string
+  readonly at: number
+  readonly detail: string
+}
+
+/** Options of {@link createFakeWorld}. */
+export interface FakeWorldOptions {
+  readonly seed: number
+  readonly hosts: number
+  readonly servers: number
+  readonly slices: number
+  /** Whether each server checks grants; a function of its number. */
+  readonly checksGrants: (server: number) => boolean
+  /** Whether the owner that was announced may change only for a drained server. Default: false. */
+  readonly keepsAnnounced?: boolean
+  /** Interval between two requests, in milliseconds. Default: 7. */
+  readonly requestEveryMs?: number
+}
+
+/** The fakes. */
+export interface FakeWorld {
+  readonly violations: readonly Violation[]
+  readonly runs: readonly Run[]
+  now (): number
+  advance (lengthMs: number): void
+  inject (fault: Fault): void
+  /** Ends every fault but pauses and freezes, which run out; servers and hosts that are down are started. */
+  heal (): void
+  /** Slices to which no host may send now. */
+  unserved (): number[]
+  /** Requests that started at a server after a time. */
+  startedAfter (server: string, time: number): Run[]
+  hosts (): readonly string[]
+  leaderCount (): number
+  announcedOwner (slice: number): string | undefined
+  /** State of each host that is up, to explain a failure. */
+  dump (): unknown
+}
+
+interface FakeHost {
+  readonly name: string
+  readonly index: number
+  core: HostCore
+  isUp: boolean
+  pausedUntil: number
+  offset: number
+  rate: number
+  life: number
+  platformDownUntil: number
+}
+
+interface FakeServer {
+  readonly id: string
+  readonly index: number
+  readonly checksGrants: boolean
+  isUp: boolean
+  frozenUntil: number
+  boot: number
+  offset: number
+  rate: number
+  highest: number
+  ownedSince: Map<number, number>
+  until: number
+  unreachableFrom: Set<number>
+  unreachableUntil: number
+  drainedAt: number
+}
+
+interface Event { readonly at: number, readonly order: number, readonly act: () => void }
+
+const SERVICE = 'keys'
+const TICK_MS = 25
+const SERVER_ADDRESS = '127.0.0.1:1'
+
+/**
+ * Creates the fakes, with every host and server up.
+ *
+ * @param options Sizes and seed.
+ * @returns The world, at time 0.
+ */
+export function createFakeWorld (options: FakeWorldOptions): FakeWorld {
+  const random = xoroshiro128plus(options.seed)
+  const events: Event[] = []
+  const violations: Violation[] = []
+  const runs: Run[] = []
+  const lastStart = new Map<number, Run>()
+  const announced = new Map<number, string>()
+  const cuts: Array<{ readonly side: ReadonlySet<number>, readonly until: number }> = []
+  let time = 0
+  let order = 0
+  let row: KnownRow | null = null
+  let revision = 0
+  let lostAnswers = 0
+  let slowUntil = 0
+  let lifeCount = 0
+  const servers: FakeServer[] = Array.from({ length: options.servers }, (_, index) => createServer(index))
+  const hosts: FakeHost[] = Array.from({ length: options.hosts }, (_, index) => createHost(index))
+  for (const host of hosts) schedule(pick(0, TICK_MS), () => { tick(host, host.life) })
+  schedule(0, sendRequests)
+
+  function pick (from: number, to: number): number {
+    return uniformInt(random, from, to)
+  }
+
+  function schedule (delayMs: number, act: () => void): void {
+    const event = { at: time + delayMs, order: order++, act }
+    let low = 0
+    let high = events.length
+    while (low < high) {
+      const middle = (low + high) >> 1
+      const other = events[middle]
+      if (other !== undefined && (other.at < event.at || (other.at === event.at && other.order < event.order))) low = middle + 1
+      else high = middle
+    }
+    events.splice(low, 0, event)
+  }
+
+  function createServer (index: number): FakeServer {
+    return {
+      id: `server-${index}`,
+      index,
+      checksGrants: options.checksGrants(index),
+      isUp: true,
+      frozenUntil: 0,
+      boot: 1,
+      offset: pick(0, 100_000),
+      rate: 1 + pick(-5, 5) / 1000,
+      highest: 0,
+      ownedSince: new Map(),
+      until: 0,
+      unreachableFrom: new Set(),
+      unreachableUntil: 0,
+      drainedAt: Infinity
+    }
+  }
+
+  function createHost (index: number): FakeHost {
+    const name = `10.0.0.${index + 1}:7100`
+    const host = {
+      name, index, isUp: true, pausedUntil: 0, offset: pick(0, 100_000), rate: 1 + pick(-5, 5) / 1000, life: 0, platformDownUntil: 0
+    } as unknown as FakeHost
+    beginLife(host)
+    return host
+  }
+
+  function beginLife (host: FakeHost): void {
+    host.isUp = true
+    host.pausedUntil = 0
+    host.life = ++lifeCount
+    host.offset = pick(0, 100_000)
+    host.core = createHostCore({
+      self: { host: host.name, incarnation: host.life },
+      startedAt: clock(host),
+      seeds: Array.from({ length: options.hosts }, (_, index) => `10.0.0.${index + 1}:7100`).filter((name) => name !== host.name)
+    })
+  }
+
+  function clock (owner: { readonly offset: number, readonly rate: number }): number {
+    return Math.floor(owner.offset + time * owner.rate)
+  }
+
+  function violate (rule: string, detail: string): void {
+    violations.push({ rule, at: time, detail })
+  }
+
+  /** Runs `act` when the host can: at once, or when its pause ends; never in another life. */
+  function whenAwake (host: FakeHost, life: number, act: () => void): void {
+    if (!host.isUp || host.life !== life) return
+    if (time < host.pausedUntil) schedule(host.pausedUntil - time, () => { whenAwake(host, life, act) })
+    else act()
+  }
+
+  function tick (host: FakeHost, life: number): void {
+    whenAwake(host, life, () => {
+      host.core.setInput(inputOf(host), time >= host.platformDownUntil)
+      perform(host, host.core.tick(clock(host)))
+      schedule(TICK_MS, () => { tick(host, life) })
+    })
+  }
+
+  function inputOf (host: FakeHost): AssignmentInput {
+    const knowsDrains = time >= host.platformDownUntil
+    return {
+      servers: servers.map((server): CellServer => ({
+        id: server.id,
+        service: SERVICE,
+        address: SERVER_ADDRESS,
+        checksGrants: server.checksGrants,
+        keyed: true,
+        leaving: knowsDrains && time > server.drainedAt
+      })),
+      homes: { [SERVICE]: Array.from({ length: options.slices }, (_, slice) => slice) },
+      loads: {},
+      listedHosts: new Set(hosts.map((other) => other.name)),
+      goneHosts: new Set()
+    }
+  }
+
+  function delayOf (): number {
+    if (time < slowUntil) return pick(1, 600)
+    return pick(0, 40) === 0 ? pick(1, 120) : pick(1, 4)
+  }
+
+  function isCut (left: number, right: number): boolean {
+    return cuts.some((cut) => time < cut.until && cut.side.has(left) !== cut.side.has(right))
+  }
+
+  /** Everything that a host decides leaves it a little later, or after a pause that falls in between. */
+  function perform (host: FakeHost, actions: readonly HostAction[]): void {
+    const life = host.life
+    for (const action of actions) {
+      schedule(pick(0, 1), () => { whenAwake(host, life, () => { performOne(host, action) }) })
+    }
+    noteView(host)
+  }
+
+  function performOne (host: FakeHost, action: HostAction): void {
+    switch (action.kind) {
+      case 'send': {
+        const target = hosts.find((other) => other.name === action.to)
+        if (target === undefined) return
+        deliver(host, target, () => { perform(target, target.core.onMessage(host.name, action.message, clock(target))) })
+        if (pick(0, 30) === 0) deliver(host, target, () => { perform(target, target.core.onMessage(host.name, action.message, clock(target))) })
+        return
+      }
+      case 'pull-view': pullView(host, action.from); return
+      case 'pull-rows': return
+      case 'read-row': callPlatform(host, () => ({ kind: 'read', known: row })); return
+      case 'write-row': callPlatform(host, () => writeRow(action.expectedRevision, action.row), true); return
+      case 'grant': sendGrant(host, action.grant)
+    }
+  }
+
+  function deliver (from: FakeHost, to: FakeHost, act: () => void): void {
+    if (from !== to && (isCut(from.index, to.index) || pick(0, 60) === 0)) return
+    schedule(from === to ? 0 : delayOf(), () => {
+      if (from !== to && isCut(from.index, to.index)) return
+      whenAwake(to, to.life, act)
+    })
+  }
+
+  function pullView (host: FakeHost, from: string): void {
+    const source = hosts.find((other) => other.name === from)
+    if (source === undefined) return
+    deliver(host, source, () => {
+      const view = source.core.cell.heldView()
+      if (view === null) return
+      deliver(source, host, () => { perform(host, host.core.onView(view, clock(host))) })
+    })
+  }
+
+  function writeRow (expectedRevision: number, next: CellRow): RowOutcome {
+    if ((row?.revision ?? 0) !== expectedRevision) return { kind: 'conflict', known: row }
+    row = { row: next, revision: ++revision }
+    return { kind: 'written', known: row }
+  }
+
+  function callPlatform (host: FakeHost, act: () => RowOutcome, isWrite = false): void {
+    const { life } = host
+    const answer = (outcome: RowOutcome): void => {
+      whenAwake(host, life, () => { perform(host, host.core.onRow(outcome, clock(host))) })
+    }
+    schedule(delayOf() + 3, () => {
+      const isDown = time < host.platformDownUntil
+      const outcome: RowOutcome = isDown ? { kind: 'unavailable' } : act()
+      const isLost = isWrite && lostAnswers > 0 && outcome.kind === 'written'
+      if (isLost) lostAnswers--
+      if (isDown || isLost) schedule(200, () => { answer({ kind: 'unavailable' }) })
+      else schedule(delayOf(), () => { answer(outcome) })
+    })
+  }
+
+  function canReach (host: FakeHost, server: FakeServer): boolean {
+    return !(time < server.unreachableUntil && server.unreachableFrom.has(host.index))
+  }
+
+  /** Runs `act` when the server can; a frozen server finds its messages when it returns. */
+  function whenThawed (server: FakeServer, boot: number, act: () => void): void {
+    if (!server.isUp || server.boot !== boot) return
+    if (time < server.frozenUntil) schedule(server.frozenUntil - time, () => { whenThawed(server, boot, act) })
+    else act()
+  }
+
+  function sendGrant (host: FakeHost, grant: GrantAction): void {
+    const server = servers.find((other) => other.id === grant.server)
+    if (server === undefined) return
+    let isOver = false
+    const { life } = host
+    const finish = (outcome: GrantOutcome): void => {
+      if (isOver) return
+      isOver = true
+      whenAwake(host, life, () => { perform(host, host.core.onGrantOutcome(grant, outcome, clock(host))) })
+    }
+    schedule(300, () => { finish({ kind: 'no-answer' }) })
+    if (!canReach(host, server)) return
+    schedule(delayOf(), () => {
+      if (!server.isUp) {
+        schedule(1, () => { finish({ kind: 'connection-refused' }) })
+        return
+      }
+      whenThawed(server, server.boot, () => {
+        const outcome = takeGrant(server, grant)
+        if (canReach(host, server)) schedule(delayOf(), () => { finish(outcome) })
+      })
+    })
+  }
+
+  function takeGrant (server: FakeServer, { request }: GrantAction): GrantOutcome {
+    const now = clock(server)
+    const answer = { kind: 'answered', answer: { boot: String(server.boot), now } } as const
+    if (!server.checksGrants) return answer
+    if (request.token < server.highest) return { kind: 'superseded' }
+    const until = request.boot === String(server.boot) ? request.basis + request.duration : 0
+    const kept = now < server.until ? server.ownedSince : new Map<number, number>()
+    server.until = request.token === server.highest ? Math.max(server.until, until) : until
+    server.highest = request.token
+    server.ownedSince = new Map(request.slices.map((slice) => [slice, kept.get(slice) ?? now]))
+    checkBeliefs()
+    return answer
+  }
+
+  function believes (server: FakeServer, slice: number): boolean {
+    return server.isUp && server.checksGrants && clock(server) < server.until && server.ownedSince.has(slice)
+  }
+
+  function checkBeliefs (): void {
+    for (let slice = 0; slice < options.slices; slice++) {
+      const owners = servers.filter((server) => believes(server, slice))
+      if (owners.length > 1) violate('one owner', `slice ${slice}: ${owners.map((server) => server.id).join(' and ')} hold a grant`)
+    }
+  }
+
+  function sendRequests (): void {
+    const host = hosts[pick(0, hosts.length - 1)]
+    const slice = pick(0, options.slices - 1)
+    if (host !== undefined && host.isUp && time >= host.pausedUntil) sendRequest(host, slice)
+    schedule(options.requestEveryMs ?? 7, sendRequests)
+  }
+
+  /** Admission, and the write to the socket after a moment in which the host may be paused or killed. */
+  function sendRequest (host: FakeHost, slice: number): void {
+    const admission = host.core.keeper.admitSlice(SERVICE, slice, clock(host))
+    if (admission === null) return
+    const server = servers.find((other) => other.id === admission.server.id)
+    if (server === undefined) return
+    const { life } = host
+    let isOver = false
+    host.core.keeper.begin(server.id, slice)
+    const end = (): void => {
+      if (isOver) return
+      isOver = true
+      whenAwake(host, life, () => { host.core.keeper.end(server.id, slice) })
+    }
+    schedule(1, () => {
+      whenAwake(host, life, () => {
+        if (!canReach(host, server)) {
+          schedule(1500, end)
+          return
+        }
+        const { boot } = server
+        schedule(delayOf(), () => {
+          if (!server.isUp || server.boot !== boot) end()
+          else whenThawed(server, boot, () => { runRequest(server, { slice, token: admission.token, end }) })
+          watchForCrash(server, boot, end)
+        })
+      })
+    })
+  }
+
+  /** A connection to a server that dies is reset. */
+  function watchForCrash (server: FakeServer, boot: number, end: () => void): void {
+    if (!server.isUp || server.boot !== boot) end()
+    else if (time < server.frozenUntil) schedule(50, () => { watchForCrash(server, boot, end) })
+  }
+
+  function runRequest (server: FakeServer, request: { readonly slice: number, readonly token: number, readonly end: () => void }): void {
+    if (server.checksGrants && (request.token !== server.highest || !believes(server, request.slice))) {
+      schedule(1, request.end)
+      return
+    }
+    const run: Run = { slice: request.slice, server: server.id, token: request.token, startedAt: time, endedAt: Infinity }
+    const before = lastStart.get(run.slice)
+    if (before !== undefined && before.server !== run.server) {
+      if (run.token <= before.token) violate('one owner', `slice ${run.slice}: ${run.server} at token ${run.token} ran after ${before.server} at ${before.token}`)
+      if (!isFenced(before) && before.endedAt > time) violate('one owner', `slice ${run.slice}: ${run.server} ran beside ${before.server}`)
+    }
+    lastStart.set(run.slice, run)
+    runs.push(run)
+    const { boot } = server
+    schedule(pick(1, 30), () => {
+      whenThawed(server, boot, () => {
+        run.endedAt = time
+        schedule(1, request.end)
+      })
+    })
+    whenServerDies(server, boot, () => {
+      if (run.endedAt === Infinity) run.endedAt = time
+      request.end()
+    })
+  }
+
+  /** A server that checks grants discards, at its end, work whose grant has ended. */
+  function isFenced (run: Run): boolean {
+    return servers.find((server) => server.id === run.server)?.checksGrants === true
+  }
+
+  const deathWatches: Array<{ readonly server: FakeServer, readonly boot: number, readonly act: () => void }> = []
+
+  function whenServerDies (server: FakeServer, boot: number, act: () => void): void {
+    if (deathWatches.length > 5000) deathWatches.splice(0, 2500)
+    deathWatches.push({ server, boot, act })
+  }
+
+  /** An assignment is announced once a host applies a view that says it is durable. */
+  function noteView (host: FakeHost): void {
+    const view = host.core.cell.view()
+    if (view === null || seenViews.has(view)) return
+    seenViews.add(view)
+    for (const [text, owner] of Object.entries(view.owners[SERVICE] ?? {})) noteOwner(Number(text), owner, view)
+  }
+
+  const seenViews = new WeakSet<CellView>()
+  const newestView = new Map<number, { readonly epoch: number, readonly version: number }>()
+
+  function noteOwner (slice: number, owner: string, view: CellView): void {
+    const newest = newestView.get(slice)
+    if (newest !== undefined && (view.epoch < newest.epoch || (view.epoch === newest.epoch && view.version < newest.version))) return
+    newestView.set(slice, view)
+    const told = announced.get(slice)
+    const wasDrained = servers.some((server) => server.id === told && time > server.drainedAt)
+    if (options.keepsAnnounced === true && told !== undefined && told !== owner && !wasDrained) {
+      violate('announced assignment', `slice ${slice}: ${told} was announced, view ${view.epoch}/${view.version} names ${owner}`)
+    }
+    if (view.durable || told !== owner) announced.delete(slice)
+    if (view.durable) announced.set(slice, owner)
+  }
+
+  function inject (fault: Fault): void {
+    switch (fault.kind) {
+      case 'kill': killHost(hosts[fault.host % hosts.length]); return
+      case 'restart': restartHost(hosts[fault.host % hosts.length]); return
+      case 'pause': {
+        const host = hosts[fault.host % hosts.length]
+        if (host !== undefined) host.pausedUntil = Math.max(host.pausedUntil, time + fault.lengthMs)
+        return
+      }
+      case 'cut':
+        cuts.push({ side: new Set(fault.hosts.map((host) => host % hosts.length)), until: time + fault.lengthMs })
+        return
+      case 'platform-down':
+        for (const index of fault.hosts) {
+          const host = hosts[index % hosts.length]
+          if (host !== undefined) host.platformDownUntil = time + fault.lengthMs
+        }
+        return
+      case 'lose-answers': lostAnswers += fault.count; return
+      case 'slow-network': slowUntil = time + fault.lengthMs; return
+      default: injectAtServer(fault)
+    }
+  }
+
+  function injectAtServer (fault: Extract<Fault, { readonly server: number }>): void {
+    const server = servers[fault.server % servers.length]
+    if (server === undefined) return
+    switch (fault.kind) {
+      case 'freeze-server': server.frozenUntil = Math.max(server.frozenUntil, time + fault.lengthMs); return
+      case 'kill-server': killServer(server); return
+      case 'restart-server': startServer(server); return
+      case 'cut-server':
+        server.unreachableFrom = new Set(fault.hosts.map((host) => host % hosts.length))
+        server.unreachableUntil = time + fault.lengthMs
+        return
+      case 'drain':
+        if (servers.filter((other) => other.drainedAt === Infinity).length > 2) server.drainedAt = Math.min(server.drainedAt, time)
+    }
+  }
+
+  function killHost (host: FakeHost | undefined): void {
+    if (host !== undefined) host.isUp = false
+  }
+
+  function restartHost (host: FakeHost | undefined): void {
+    if (host === undefined || host.isUp) return
+    beginLife(host)
+    const { life } = host
+    schedule(1, () => { tick(host, life) })
+  }
+
+  function killServer (server: FakeServer): void {
+    if (!server.isUp) return
+    server.isUp = false
+    server.ownedSince = new Map()
+    server.until = 0
+    server.highest = 0
+    for (const watch of deathWatches) {
+      if (watch.server === server && watch.boot === server.boot) watch.act()
+    }
+  }
+
+  function startServer (server: FakeServer): void {
+    if (server.isUp) return
+    server.isUp = true
+    server.boot++
+    server.frozenUntil = 0
+  }
+
+  return {
+    violations,
+    runs,
+    now: () => time,
+    advance (lengthMs) {
+      const until = time + lengthMs
+      for (;;) {
+        const event = events[0]
+        if (event === undefined || event.at > until) break
+        events.shift()
+        time = event.at
+        event.act()
+      }
+      time = until
+    },
+    inject,
+    heal () {
+      for (const host of hosts) {
+        host.platformDownUntil = Math.min(host.platformDownUntil, time)
+        restartHost(host)
+      }
+      for (const server of servers) {
+        startServer(server)
+        server.unreachableUntil = Math.min(server.unreachableUntil, time)
+      }
+      cuts.length = 0
+      slowUntil = 0
+      lostAnswers = 0
+    },
+    unserved: () => Array.from({ length: options.slices }, (_, slice) => slice)
+      .filter((slice) => !hosts.some((host) => host.isUp && time >= host.pausedUntil &&
+        host.core.keeper.admitSlice(SERVICE, slice, clock(host)) !== null)),
+    startedAfter: (server, after) => runs.filter((run) => run.server === server && run.startedAt > after),
+    hosts: () => hosts.map((host) => host.name),
+    leaderCount: () => hosts.filter((host) => host.isUp && host.core.cell.isLeading(clock(host))).length,
+    announcedOwner: (slice) => announced.get(slice),
+    dump: () => ({
+      row,
+      hosts: hosts.filter((host) => host.isUp).map((host) => ({
+        now: clock(host),
+        cell: host.core.cell.dump(clock(host)),
+        view: host.core.cell.view(),
+        report: host.core.keeper.report(clock(host), false),
+        grants: host.core.keeper.dump(clock(host))
+      })),
+      servers
+    })
+  }
+}
