A lapsed dispatch lease is not given again for an old view; a candidate votes for itself last

Cause 1: a leader that had waited out a dispatcher's lease gave the slices to another server; when the cut healed it renewed the lease, and the dispatcher, which still held the old view, granted the slices again. Seen with cuts that name both sides:, cut [1,2] from [0] for 418 ms, drain of server 0, restart of host 0: slice 5 held by server-0 and server-2. Change: a ping carries a floor, the lowest view version the lease may be used with; it rises whenever a release is taken from the end of a lease.

Cause 2: two hosts of a two-member cell promised themselves to their own candidacies in turn and refused each other for over 11 s (slow network, cut, lost answer). Ruled out: the succession's stagger, which differs by 100 ms. Change: a candidate collects the others' promises first and its own last.

--- a/src/cell/assignment.ts
+++ b/src/cell/assignment.ts
@@ -210,8 +210,9 @@
     if (known !== undefined && reportsRelease(known, retirement)) return true
     const leaseEnded = known === undefined || context.now > known.leaseUntil
     const checks = servers.get(retirement.server)?.spec.checksGrants ?? false
-    if (checks) return leaseEnded
-    return leaseEnded && input.goneHosts.has(retirement.dispatcher)
+    if (!leaseEnded || !(checks || input.goneHosts.has(retirement.dispatcher))) return false
+    if (known !== undefined) known.floor = Math.max(known.floor, retirement.version)
+    return true
   }
 
   function reportsRelease (known: KnownHost, retirement: Retirement): boolean {
--- a/src/cell/cell.ts
+++ b/src/cell/cell.ts
@@ -104,7 +104,7 @@
   const ledger = createPromiseLedger(options.startedAt)
   let held: CellView | null = null
   let applied: CellView | null = null
-  let lease = { epoch: 0, until: 0 }
+  let lease = { epoch: 0, until: 0, floor: 0 }
   let known: KnownRow | null = null
   let isRowKnown = false
   let leader: Leader | null = null
@@ -153,8 +153,8 @@
   function takeLease (ping: Ping): void {
     if (ping.incarnation !== self.incarnation || ping.lease <= 0) return
     const until = ping.echo + ping.lease - CellTiming.DRIFT_MARGIN_MS
-    if (lease.epoch !== ping.epoch) lease = { epoch: ping.epoch, until }
-    else if (until > lease.until) lease = { epoch: ping.epoch, until }
+    if (lease.epoch !== ping.epoch) lease = { epoch: ping.epoch, until, floor: ping.floor }
+    else if (until > lease.until) lease = { epoch: ping.epoch, until, floor: Math.max(lease.floor, ping.floor) }
   }
 
   function applyCommitted (ping: Ping): void {
@@ -207,13 +207,24 @@
     if (candidacy === null || answer.epoch !== candidacy.epoch) return []
     if (!answer.granted) return answer.behind ? [{ kind: 'pull-view', from }, { kind: 'read-row' }] : []
     candidacy.granted.set(from, answer)
-    const members = candidacy.known.row.members.map((member) => member.host)
-    const valid = members.filter((host) => {
-      const promise = candidacy?.granted.get(host)
+    return tryToLead(candidacy, now) ?? []
+  }
+
+  /** Leads once the others' promises and its own make a majority; its own comes last, so that losing binds it to nothing. */
+  function tryToLead (candidate: Candidacy, now: number): CellAction[] | null {
+    const members = candidate.known.row.members.map((member) => member.host)
+    const others = members.filter((host) => {
+      const promise = candidate.granted.get(host)
       return promise !== undefined && promise.echo + CellTiming.PROMISE_MS - CellTiming.DRIFT_MARGIN_MS > now
     })
-    if (valid.length <= members.length / 2) return []
-    return lead(candidacy, now)
+    const isMember = members.includes(self.host)
+    if (!isMember || others.length + 1 <= members.length / 2) return null
+    if (!ledger.mayPromise(candidate.epoch, self.host, now)) return null
+    ledger.promise(candidate.epoch, self.host, now)
+    candidate.granted.set(self.host, {
+      kind: 'promise', epoch: candidate.epoch, incarnation: self.incarnation, sentAt: now, echo: now, granted: true, behind: false
+    })
+    return lead(candidate, now)
   }
 
   function lead (won: Candidacy, now: number): CellAction[] {
@@ -301,7 +312,9 @@
       viewVersion: held?.version ?? 0,
       rowRevision: candidacy.known.revision
     }
-    return candidacy.known.row.members.map((member) => send(member.host, ask))
+    const won = tryToLead(candidacy, now)
+    if (won !== null) return won
+    return candidacy.known.row.members.filter((member) => member.host !== self.host).map((member) => send(member.host, ask))
   }
 
   /**
@@ -398,7 +411,7 @@
     view: () => applied,
     heldView: () => leader?.view() ?? held,
     right (now) {
-      if (applied === null || lease.epoch !== applied.epoch || now >= lease.until) return null
+      if (applied === null || lease.epoch !== applied.epoch || applied.version < lease.floor || now >= lease.until) return null
       return { view: applied, until: lease.until }
     },
     leader: (now) => followedLeader(now),
--- a/src/cell/host_table.ts
+++ b/src/cell/host_table.ts
@@ -18,6 +18,8 @@
   promisedUntil: number
   /** No dispatch lease issued to the host lasts beyond this time. */
   leaseUntil: number
+  /** Leases issued from now on require this view version; what older views gave has been given to others. */
+  floor: number
   held: number
   applied: number
   pending: readonly string[]
@@ -49,13 +51,15 @@
 /**
  * Creates an empty table.
  *
+ * @param currentVersion Returns the leader's newest view version; a host that
+ *   is met anew may act on no older one.
  * @returns The table of a leader that has just begun.
  * @example
  * ```ts
- * createHostTable().authorityUntil(['127.0.0.1:7100']) // 0
+ * createHostTable(() => 0).authorityUntil(['127.0.0.1:7100']) // 0
  * ```
  */
-export function createHostTable (): HostTable {
+export function createHostTable (currentVersion: () => number): HostTable {
   const hosts = new Map<string, KnownHost>()
 
   function add (host: string, incarnation: number, heard: { readonly echo: number, readonly now: number }): KnownHost {
@@ -71,6 +75,7 @@
       receivedAt: heard.now,
       promisedUntil: known?.promisedUntil ?? 0,
       leaseUntil: known?.leaseUntil ?? 0,
+      floor: known?.floor ?? currentVersion(),
       held: 0,
       applied: 0,
       pending: [],
--- a/src/cell/leader.ts
+++ b/src/cell/leader.ts
@@ -60,7 +60,7 @@
  */
 export function createLeader (options: LeaderOptions): Leader {
   const { self, epoch } = options
-  const hosts = createHostTable()
+  const hosts = createHostTable(() => version)
   let known = options.known
   let input: AssignmentInput = { servers: [], homes: {}, loads: {}, listedHosts: new Set(), goneHosts: new Set() }
   let platformReachable = true
@@ -115,6 +115,7 @@
         incarnation: target?.incarnation ?? 0,
         echo: target?.echo ?? 0,
         lease: hosts.issueLease(host, authorityUntil()),
+        floor: target?.floor ?? 0,
         view: version,
         committed: committed(),
         rows: rowsRevision
@@ -212,6 +213,7 @@
       return members.map((member) => member === restarted ? lifeOf(member.host, member.incarnation) : member)
     }
     const joining = hosts.all().find((host) => hosts.isAlive(host.host, now) && !host.leaving &&
+      host.promisedUntil > now + CellTiming.PING_INTERVAL_MS &&
       input.listedHosts.has(host.host) && members.length < MAXIMUM_MEMBERS &&
       members.every((member) => member.host !== host.host))
     if (joining !== undefined) return [...members, lifeOf(joining.host, joining.incarnation)]
--- a/src/cell/types.ts
+++ b/src/cell/types.ts
@@ -81,6 +81,8 @@
   readonly echo: number
   /** Length of the dispatch lease in milliseconds. */
   readonly lease: number
+  /** The lease may be used only with this view version of the epoch or a newer one. */
+  readonly floor: number
   readonly view: number
   /** Newest view version that a majority of the members holds. */
   readonly committed: number
--- a/src/edge/create_edge.ts
+++ b/src/edge/create_edge.ts
@@ -47,6 +47,9 @@
 /** Pause before another host is tried, in milliseconds. */
 const RETRY_PAUSE_MS = 15
 
+/** Hints to another host that are followed without a pause. */
+const FREE_HINTS = 2
+
 /** Reasons for which another try at another moment or host may succeed. */
 const PASSING_REASONS: ReadonlySet<string> = new Set([
   NotRunReason.wrongDispatcher, NotRunReason.noDispatcher, NotRunReason.peerUnreachable, NotRunReason.shuttingDown
@@ -103,7 +106,7 @@
       const isLastTry = !mayTryAgain(request, outcome)
       if (isLastTry) return outcome
       hint = outcome.kind === 'not-run' && outcome.dispatcher !== host ? outcome.dispatcher : undefined
-      if (hint === undefined) await delay(RETRY_PAUSE_MS * (0.5 + Math.random()))
+      if (hint === undefined || tries >= FREE_HINTS) await delay(RETRY_PAUSE_MS * (0.5 + Math.random()))
     }
   }
 
--- a/testing/arbitrary_steps.ts
+++ b/testing/arbitrary_steps.ts
@@ -13,13 +13,14 @@
   fc.record({ kind: fc.constant('kill' as const), host: number }),
   fc.record({ kind: fc.constant('restart' as const), host: number }),
   fc.record({ kind: fc.constant('pause' as const), host: number, lengthMs: length }),
-  fc.record({ kind: fc.constant('cut' as const), hosts: some, lengthMs: length }),
+  fc.record({ kind: fc.constant('cut' as const), hosts: some, others: fc.oneof(fc.constant([]), some), servers: fc.constant([]), lengthMs: length }),
   fc.record({ kind: fc.constant('platform-down' as const), hosts: some, lengthMs: length }),
   fc.record({ kind: fc.constant('lose-answers' as const), count: fc.integer({ min: 1, max: 3 }) }),
   fc.record({ kind: fc.constant('drain' as const), server: number })
 ]
 
 const serverFaults: Array<fc.Arbitrary<Fault>> = [
+  fc.record({ kind: fc.constant('cut' as const), hosts: some, others: fc.oneof(fc.constant([]), some), servers: some, lengthMs: length }),
   fc.record({ kind: fc.constant('slow-network' as const), lengthMs: length }),
   fc.record({ kind: fc.constant('freeze-server' as const), server: number, lengthMs: length }),
   fc.record({ kind: fc.constant('kill-server' as const), server: number }),
--- a/testing/fake_world.ts
+++ b/testing/fake_world.ts
@@ -15,7 +15,8 @@
   | { readonly kind: 'kill', readonly host: number }
   | { readonly kind: 'restart', readonly host: number }
   | { readonly kind: 'pause', readonly host: number, readonly lengthMs: number }
-  | { readonly kind: 'cut', readonly hosts: readonly number[], readonly lengthMs: number }
+  /** Cuts `hosts` from `others`, and `others` from `servers`; where `others` is empty, from everyone else. */
+  | { readonly kind: 'cut', readonly hosts: readonly number[], readonly others: readonly number[], readonly servers: readonly number[], readonly lengthMs: number }
   | { readonly kind: 'platform-down', readonly hosts: readonly number[], readonly lengthMs: number }
   | { readonly kind: 'lose-answers', readonly count: number }
   | { readonly kind: 'slow-network', readonly lengthMs: number }
@@ -110,6 +111,13 @@
   drainedAt: number
 }
 
+interface Cut {
+  readonly side: ReadonlySet<number>
+  readonly others: ReadonlySet<number>
+  readonly servers: ReadonlySet<number>
+  readonly until: number
+}
+
 interface Event { readonly at: number, readonly order: number, readonly act: () => void }
 
 const SERVICE = 'keys'
@@ -129,7 +137,7 @@
   const runs: Run[] = []
   const lastStart = new Map<number, Run>()
   const announced = new Map<number, string>()
-  const cuts: Array<{ readonly side: ReadonlySet<number>, readonly until: number }> = []
+  const cuts: Cut[] = []
   let time = 0
   let order = 0
   let row: KnownRow | null = null
@@ -246,7 +254,8 @@
   }
 
   function isCut (left: number, right: number): boolean {
-    return cuts.some((cut) => time < cut.until && cut.side.has(left) !== cut.side.has(right))
+    return cuts.some((cut) => time < cut.until &&
+      ((cut.side.has(left) && cut.others.has(right)) || (cut.side.has(right) && cut.others.has(left))))
   }
 
   /** Everything that a host decides leaves it a little later, or after a pause that falls in between. */
@@ -315,7 +324,8 @@
   }
 
   function canReach (host: FakeHost, server: FakeServer): boolean {
-    return !(time < server.unreachableUntil && server.unreachableFrom.has(host.index))
+    if (time < server.unreachableUntil && server.unreachableFrom.has(host.index)) return false
+    return !cuts.some((cut) => time < cut.until && cut.others.has(host.index) && cut.servers.has(server.index))
   }
 
   /** Runs `act` when the server can; a frozen server finds its messages when it returns. */
@@ -489,7 +499,7 @@
         return
       }
       case 'cut':
-        cuts.push({ side: new Set(fault.hosts.map((host) => host % hosts.length)), until: time + fault.lengthMs })
+        cutOff(fault)
         return
       case 'platform-down':
         for (const index of fault.hosts) {
@@ -503,6 +513,18 @@
     }
   }
 
+  function cutOff (fault: Extract<Fault, { readonly kind: 'cut' }>): void {
+    const side = new Set(fault.hosts.map((host) => host % hosts.length))
+    const named = fault.others.map((host) => host % hosts.length)
+    const others = (named.length > 0 ? named : [...hosts.keys()]).filter((host) => !side.has(host))
+    cuts.push({
+      side,
+      others: new Set(others),
+      servers: new Set(fault.servers.map((server) => server % servers.length)),
+      until: time + fault.lengthMs
+    })
+  }
+
   function injectAtServer (fault: Extract<Fault, { readonly server: number }>): void {
     const server = servers[fault.server % servers.length]
     if (server === undefined) return
