--- a/src/dispatch/create_dispatcher.ts
+++ b/src/dispatch/create_dispatcher.ts
@@ -3,7 +3,7 @@
  * given. It queues within the servers' slots, checks its right immediately
  * before each send, and says `not-run` only where that is certain.
  */
-import { createHash } from 'node:crypto'
+import { createHash, randomUUID } from 'node:crypto'
 import { setTimeout as delay } from 'node:timers/promises'
 import type { ServiceConfiguration } from '../configuration/mod.ts'
 import type { BackendClient, BackendOutcome } from './backend_client.ts'
@@ -63,7 +63,10 @@
   readonly request: DispatchRequest
   readonly fingerprint: string
   readonly finish: (outcome: DispatchOutcome) => void
+  /** Identifier of this attempt in the claim on the request's idempotency key. */
+  readonly attempt: string
   tries: number
+  hasClaimed: boolean
 }
 
 /** Pause before a refused request is offered to a server again, in milliseconds. */
@@ -146,10 +149,12 @@
         lane: laneOf(request),
         enqueuedAt: time,
         deadline: request.deadline,
+        attempt: randomUUID(),
         tries: 0,
+        hasClaimed: false,
         finish (outcome) {
           request.signal.removeEventListener('abort', onAbort)
-          resolve(outcome)
+          resolve(release(entry, outcome))
         }
       }
       function onAbort (): void {
@@ -161,6 +166,15 @@
     })
   }
 
+  /** Gives the claim of a request that was not run back, so that its caller may send it again. */
+  async function release (entry: Entry, outcome: DispatchOutcome): Promise<DispatchOutcome> {
+    const { service, claimKey } = entry.request
+    if (outcome.kind === 'not-run' && claimKey !== null && entry.hasClaimed) {
+      await options.claims.release(service, claimKey, entry.attempt)
+    }
+    return outcome
+  }
+
   function refuse (request: DispatchRequest): DispatchOutcome | null {
     const placement = options.placement(request.service, request.slice)
     if (placement.kind === 'elsewhere') return notRun(NotRunReason.wrongDispatcher, placement.dispatcher)
@@ -265,7 +279,8 @@
   async function claim (entry: Entry): Promise<DispatchOutcome | null> {
     const { request } = entry
     if (request.claimKey === null) return null
-    const outcome = await options.claims.claim(request.service, request.claimKey, request.id)
+    const outcome = await options.claims.claim(request.service, request.claimKey, entry.attempt)
+    entry.hasClaimed ||= outcome.kind !== 'held'
     if (outcome.kind === 'claimed') return null
     if (outcome.kind === 'unavailable') return notRun(NotRunReason.claimUnavailable)
     return lost(outcome.done ? UnknownReason.alreadyRun : UnknownReason.alreadyClaimed)
@@ -340,7 +355,7 @@
       if (hasFailed) return
       pool.onSuccess(server)
       suspects.onSuccess(entry.fingerprint)
-      if (request.claimKey !== null) options.claims.complete(request.service, request.claimKey, request.id).catch(() => {})
+      if (request.claimKey !== null) options.claims.complete(request.service, request.claimKey, entry.attempt).catch(() => {})
     })
     entry.finish({ kind: 'answer', status: answer.status, headers: answer.headers, body: answer.body, server, dispatcher: options.host })
   }
--- a/src/dispatch/server_pool.ts
+++ b/src/dispatch/server_pool.ts
@@ -8,7 +8,7 @@
 /** How long a server is left out, in milliseconds. */
 const EJECTION_MS = 2000
 
-interface Track { limit: SlotLimit, slots: number, failures: number, ejectedUntil: number }
+interface Track { limit: SlotLimit, slots: number, failures: number, ejectedUntil: number, lastChosen: number }
 
 /** Servers of one host. */
 export interface ServerPool {
@@ -28,15 +28,22 @@
  */
 export function createServerPool (): ServerPool {
   const tracks = new Map<string, Track>()
+  let choices = 0
 
   function track (server: string, slots: number): Track {
     const known = tracks.get(server)
     if (known !== undefined && known.slots === slots) return known
-    const fresh = { limit: createSlotLimit({ slots }), slots, failures: 0, ejectedUntil: 0 }
+    const fresh = { limit: createSlotLimit({ slots }), slots, failures: 0, ejectedUntil: 0, lastChosen: 0 }
     tracks.set(server, fresh)
     return fresh
   }
 
+  /** The server with the smaller share of its slots in use; of two alike, the one that was chosen longer ago. */
+  function ranksBefore (left: Track, right: Track): boolean {
+    const difference = left.limit.inFlight() / left.limit.limit() - right.limit.inFlight() / right.limit.limit()
+    return difference < 0 || (difference === 0 && left.lastChosen < right.lastChosen)
+  }
+
   /** Never leaves out more than half of the servers. */
   function withoutEjected (admissions: readonly Admission[], now: number): readonly Admission[] {
     const kept = admissions.filter((admission) => (tracks.get(admission.server.id)?.ejectedUntil ?? 0) <= now)
@@ -46,17 +53,14 @@
   return {
     limitOf: (server, slots) => track(server, slots).limit,
     choose (admissions, slots, now) {
-      let best: Admission | null = null
-      let bestShare = Infinity
+      let best: { readonly admission: Admission, readonly track: Track } | null = null
       for (const admission of withoutEjected(admissions, now)) {
-        const { limit } = track(admission.server.id, slots)
-        const share = limit.inFlight() / limit.limit()
-        if (limit.hasRoom() && share < bestShare) {
-          best = admission
-          bestShare = share
-        }
+        const candidate = { admission, track: track(admission.server.id, slots) }
+        if (candidate.track.limit.hasRoom() && (best === null || ranksBefore(candidate.track, best.track))) best = candidate
       }
-      return best
+      if (best === null) return null
+      best.track.lastChosen = ++choices
+      return best.admission
     },
     onFailure (server, now) {
       const known = tracks.get(server)
--- a/src/edge/peer_client.ts
+++ b/src/edge/peer_client.ts
@@ -1,5 +1,6 @@
 /** Client of the dispatch interface of other entry hosts. */
 import { errors, Pool } from 'undici'
+import { createPeerHealth } from './peer_health.ts'
 import {
   NotRunReason, UnknownReason, withoutOwnHeaders,
   type DispatchNotRun, type DispatchOutcome, type DispatchRequest, type DispatchUnknown
@@ -24,6 +25,9 @@
 /** What a peer's deadline may fall behind ours, in milliseconds. */
 const DEADLINE_GRACE_MS = 100
 
+/** Time in which a peer must say that it is alive, in milliseconds. */
+const PROBE_TIMEOUT_MS = 300
+
 const UNSENT_CODES: ReadonlySet<string> = new Set(['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'UND_ERR_CONNECT_TIMEOUT'])
 
 /**
@@ -34,17 +38,31 @@
  */
 export function createPeerClient (options: PeerClientOptions): PeerClient {
   const pools = new Map<string, Pool>()
+  const probePools = new Map<string, Pool>()
+  const health = createPeerHealth({ probe, now: options.now })
 
-  function poolFor (host: string): Pool {
-    const existing = pools.get(host)
+  function poolFor (host: string, kept = pools, connections = options.connections ?? 128): Pool {
+    const existing = kept.get(host)
     if (existing !== undefined) return existing
     const pool = new Pool(`http://${host}`, {
-      connections: options.connections ?? 128, pipelining: 1, connectTimeout: 300, headersTimeout: 0, bodyTimeout: 0
+      connections, pipelining: 1, connectTimeout: 300, headersTimeout: 0, bodyTimeout: 0
     })
-    pools.set(host, pool)
+    kept.set(host, pool)
     return pool
   }
 
+  async function probe (host: string): Promise<boolean> {
+    try {
+      const response = await poolFor(host, probePools, 1).request({
+        method: 'GET', path: '/alive', headers: { 'gooseberryfold-secret': options.secret }, signal: AbortSignal.timeout(PROBE_TIMEOUT_MS)
+      })
+      await response.body.dump()
+      return true
+    } catch {
+      return false
+    }
+  }
+
   async function send (host: string, request: DispatchRequest, signal: AbortSignal): Promise<DispatchOutcome> {
     const response = await poolFor(host).request({
       method: request.method as 'GET',
@@ -80,20 +98,30 @@
 
   return {
     async dispatch (host, request) {
-      const deadline = new AbortController()
-      const timer = setTimeout(() => { deadline.abort() }, Math.max(0, request.deadline - options.now()) + DEADLINE_GRACE_MS)
+      if (health.isFrozen(host)) return { kind: 'not-run', reason: NotRunReason.peerUnreachable }
+      const cancel = new AbortController()
+      const timer = setTimeout(() => { cancel.abort() }, Math.max(0, request.deadline - options.now()) + DEADLINE_GRACE_MS)
+      let isFrozen = false
+      const unwatch = health.watch(host, () => {
+        if (!request.isIdempotent) return
+        isFrozen = true
+        cancel.abort()
+      })
       try {
-        const outcome = await send(host, request, AbortSignal.any([request.signal, deadline.signal]))
+        const outcome = await send(host, request, AbortSignal.any([request.signal, cancel.signal]))
         if (outcome.kind === 'answer') outcome.body.once('close', () => { clearTimeout(timer) })
         else clearTimeout(timer)
         return outcome
       } catch (error) {
         clearTimeout(timer)
+        if (isFrozen && !request.signal.aborted) return { kind: 'unknown', reason: UnknownReason.peerLost }
         return describeFailure(error, request.signal)
+      } finally {
+        unwatch()
       }
     },
     async close () {
-      await Promise.all([...pools.values()].map(async (pool) => { await pool.destroy() }))
+      await Promise.all([...pools.values(), ...probePools.values()].map(async (pool) => { await pool.destroy() }))
     }
   }
 }
--- a/src/host/create_host.ts
+++ b/src/host/create_host.ts
@@ -100,11 +100,12 @@
       logger.info({ version, digest }, 'configuration-in-force')
     }
   })
+  const claims = createClaimStore({ table: platform.table, now })
   const dispatcher = createDispatcher({
     host: self.host,
     keeper,
     client,
-    claims: createClaimStore(platform.table),
+    claims,
     service: (name) => configuration.service(name),
     placement: (service, slice) => placementIn(cell.view(), { service, slice, host: self.host }),
     shareSuspects,
@@ -165,6 +166,7 @@
     refreshInput(time)
     perform(core.tick(time))
     if (time >= nextPollAt) poll(time)
+    claims.retryReleases().catch(onFault)
     if (cell.isLeading(time) && time >= nextLoadsAt) collectLoads(time)
   }
 
--- a/src/host/peer_listener.ts
+++ b/src/host/peer_listener.ts
@@ -27,6 +27,7 @@
   app.addHook('onRequest', async (request, reply) => {
     if (!hasSecret(request.raw, options.secret)) await reply.code(403).send({ error: 'The secret of the entry hosts is missing or wrong' })
   })
+  app.get('/alive', async () => ({}))
   await app.register(fastifyTRPCPlugin, { prefix: '/control', trpcOptions: { router: options.router } })
   await app.register(async (scope) => {
     scope.removeAllContentTypeParsers()
--- a/src/platform/create_platform_client.ts
+++ b/src/platform/create_platform_client.ts
@@ -24,6 +24,9 @@
   close (): Promise<void>
 }
 
+/** Connections to the platform at most. */
+const CONNECTIONS = 16
+
 const rowSchema = z.object({ key: z.string(), revision: z.number(), value: z.unknown() })
 const changesSchema = z.object({ revision: z.number(), rows: z.array(rowSchema) })
 const stateSchema = z.enum(['live', 'leaving'])
@@ -47,7 +50,7 @@
  * @returns The services; no call throws.
  */
 export function createPlatformClient (options: PlatformClientOptions): PlatformClient {
-  const pool = new Pool(options.url, { connections: 4 })
+  const pool = new Pool(options.url, { connections: CONNECTIONS })
   const timeoutMs = options.timeoutMs ?? 400
   const headers = options.zone === undefined ? {} : { 'x-zone': options.zone }
 
--- a/tools/faults.ts
+++ b/tools/faults.ts
@@ -19,13 +19,13 @@
 const ORDERS_PERIOD_MS = 40
 const OBSERVED_MS = 8000
 const SETTLE_MS = 4000
-const TIMEOUT_MS = 5000
+const TIMEOUT_MS = 6000
 const SLICES = { catalogue: 320, permits: 256 } as const
 
 /** Unavailable time that the users ask for after a loss, in milliseconds. */
 const TARGET_MS = 2000
 
-interface Tally { answered: number, notRun: number, unknown: number, cut: number, wrong: number }
+interface Tally { answered: number, notRun: number, unknown: number, refused: number, cut: number, timedOut: number, wrong: number }
 
 interface Load {
   readonly tally: Tally
@@ -48,7 +48,7 @@
 const agent = new Agent({ connections: 64, pipelining: 1, headersTimeout: TIMEOUT_MS, bodyTimeout: TIMEOUT_MS })
 
 function startLoad (cluster: Cluster): Load {
-  const tally: Tally = { answered: 0, notRun: 0, unknown: 0, cut: 0, wrong: 0 }
+  const tally: Tally = { answered: 0, notRun: 0, unknown: 0, refused: 0, cut: 0, timedOut: 0, wrong: 0 }
   const lastServed = new Map<string, number>()
   const gaps = new Map<string, number>()
   const timers: NodeJS.Timeout[] = []
@@ -79,12 +79,19 @@
       })
       const text = await response.body.text()
       classify(JSON.parse(text), { status: response.statusCode, path, key })
-    } catch {
-      tally.cut++
+    } catch (error) {
+      tally[failureOf(error)]++
       avoided.set(host.name, Date.now() + 1000)
     }
   }
 
+  /** A refused connection or one closed while it was idle is the balancer's to avoid; a cut lost a request. */
+  function failureOf (error: unknown): 'refused' | 'cut' | 'timedOut' {
+    const code = (error as { readonly code?: string }).code
+    if (code === 'ECONNREFUSED') return 'refused'
+    return code === 'UND_ERR_HEADERS_TIMEOUT' || code === 'UND_ERR_BODY_TIMEOUT' ? 'timedOut' : 'cut'
+  }
+
   function classify (answer: { path?: string, outcome?: string }, sent: { status: number, path: string, key: string | null }): void {
     if (sent.status === 200 && answer.path === sent.path) {
       tally.answered++
@@ -305,7 +312,7 @@
   const { tally } = load
   const figures = [
     gaps.p50, gaps.p99, gaps.worst, moved, tally.answered - tallyBefore.answered, tally.notRun - tallyBefore.notRun,
-    tally.unknown - tallyBefore.unknown, tally.cut - tallyBefore.cut, tally.wrong + broken
+    tally.unknown - tallyBefore.unknown, tally.refused - tallyBefore.refused, tally.cut - tallyBefore.cut, tally.timedOut - tallyBefore.timedOut, tally.wrong + broken
   ]
   return `| ${fault.name} | ${figures.join(' | ')} | ${gaps.worst <= TARGET_MS ? 'met' : 'NOT MET'} |`
 }
@@ -324,8 +331,8 @@
     ]
   })
   const lines = [
-    '| fault | unavailable p50 ms | p99 ms | worst key ms | slices moved | answered | not-run | unknown | connection cut | wrong | 2 s |',
-    '| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |'
+    '| fault | unavailable p50 ms | p99 ms | worst key ms | slices moved | answered | not-run | unknown | refused | cut | timed out | wrong | 2 s |',
+    '| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |'
   ]
   for (const line of lines) console.log(line)
   try {
