--- a/src/host/create_host.ts
+++ b/src/host/create_host.ts
@@ -22,9 +22,9 @@
 import { createHostMetrics } from './metrics.ts'
 import { createOperatorListener } from './operator_listener.ts'
 import { createPeerListener } from './peer_listener.ts'
-import { planHomes } from './plan_homes.ts'
+import { createHomeKeeper } from './home_keeper.ts'
 import { createPlatformSync } from './platform_sync.ts'
-import { CELLS_PREFIX, createRoutes, HOMES_PREFIX, placementIn, readHomes } from './routes.ts'
+import { CELLS_PREFIX, createRoutes, placementIn, readHomes } from './routes.ts'
 import { createSharedRows } from './shared_rows.ts'
 
 /** Interval between two turns of the host's timer, in milliseconds. */
@@ -86,7 +86,8 @@
   let nextLoadsAt = 0
   let lastView: CellView | null = null
   let wasLeading = false
-  let homesWritten = new Set<string>()
+  let homesTrusted = false
+  const homeKeeper = createHomeKeeper({ table: platform.table, rows, cell: cellId, cellsInZone: settings.cellsInZone })
   const sync = createPlatformSync({
     platform,
     rows,
@@ -182,14 +183,24 @@
     core.setRowsRevision(rows.revision())
   }
 
+  /**
+   * The slices of a cell whose members are all gone get other homes. A host
+   * that was no member could claim such a cell with rows from before, so it
+   * trusts its homes only after it has read the platform as leader.
+   */
+  function noteTrust (members: readonly string[], time: number): void {
+    if (!cell.isLeading(time)) homesTrusted = members.includes(self.host)
+  }
+
   function refreshInput (time: number): void {
     const view = cell.heldView()
     const members = view?.row.members.map((member) => member.host) ?? []
+    noteTrust(members, time)
     core.setInput(buildCellInput({
       cell: cellId,
       cellsInZone: settings.cellsInZone,
       services: configuration.services(),
-      homes: readHomes(rows),
+      homes: homesTrusted ? readHomes(rows) : new Map(),
       drained: new Set(rows.withPrefix(DRAINS_PREFIX).filter((row) => row.value === true).map((row) => row.key.slice(DRAINS_PREFIX.length))),
       loads,
       listing: tracker.listing(),
@@ -205,21 +216,20 @@
     if (!isLeading && hasLeader) return
     sync.poll().then(() => {
       adoptSuspects()
-      return isLeading ? createHomes() : undefined
+      homesTrusted ||= isLeading && sync.isReachable()
+      return isLeading ? keepHomes() : undefined
     }).catch(onFault)
   }
 
-  async function createHomes (): Promise<void> {
+  async function keepHomes (): Promise<void> {
     const listing = tracker.listing()
     if (listing === null) return
-    const known = readHomes(rows)
-    for (const service of configuration.services()) {
-      if (service.key === undefined || known.has(service.name) || homesWritten.has(service.name)) continue
-      const homes = planHomes(listing, { service: service.name, slices: service.key.slices, cellsInZone: settings.cellsInZone })
-      if (homes === null) continue
-      const written = await platform.table.write([{ key: HOMES_PREFIX + service.name, expectedRevision: 0, value: homes }])
-      if (written.ok) homesWritten = new Set([...homesWritten, service.name])
-    }
+    const moved = await homeKeeper.run({
+      listing,
+      services: configuration.services(),
+      gone: (hosts) => tracker.gone(hosts, now())
+    })
+    for (const service of moved) logger.info({ service }, 'homes-written')
   }
 
   function collectLoads (time: number): void {
--- a/src/host/plan_homes.ts
+++ b/src/host/plan_homes.ts
@@ -47,3 +47,32 @@
   }
   return { cells, homeOfSlice }
 }
+
+/** Options of {@link moveHomes}. */
+export interface MoveHomesOptions extends PlanHomesOptions {
+  /** Cells of which no host is left. */
+  readonly goneCells: ReadonlySet<string>
+}
+
+/**
+ * Moves the slices of cells that are gone to the cells that are left, in
+ * proportion to their servers. No other slice changes its home.
+ *
+ * @param homes The homes so far.
+ * @param listing The platform's list.
+ * @param options Service and the cells that are gone.
+ * @returns The new homes, or `null` where nothing can or need be moved.
+ */
+export function moveHomes (homes: Homes, listing: HostListing, options: MoveHomesOptions): Homes | null {
+  const isGone = (home: number): boolean => options.goneCells.has(homes.cells[home] ?? '')
+  const homeless = homes.homeOfSlice.flatMap((home, slice) => isGone(home) ? [slice] : [])
+  const servers = listing.servers.filter((server) => !options.goneCells.has(cellOfServer(server, options.cellsInZone)))
+  const shares = planHomes({ hosts: [], servers }, { ...options, slices: homeless.length })
+  if (homeless.length === 0 || shares === null) return null
+  const cells = [...new Set([...homes.cells, ...shares.cells])]
+  const homeOfSlice = [...homes.homeOfSlice]
+  for (const [index, slice] of homeless.entries()) {
+    homeOfSlice[slice] = cells.indexOf(shares.cells[shares.homeOfSlice[index] ?? 0] ?? '')
+  }
+  return { cells, homeOfSlice }
+}
--- a/standins/backend_server.ts
+++ b/standins/backend_server.ts
@@ -5,6 +5,7 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import { randomUUID } from 'node:crypto'
 import { setTimeout as delay } from 'node:timers/promises'
+import { countBytes } from './count_bytes.ts'
 
 /** How the stand-in behaves; every field can be changed while it runs. */
 export interface BackendBehaviour {
@@ -186,6 +187,7 @@
   async function control (request: IncomingMessage, response: ServerResponse): Promise<void> {
     if (request.url === '/.gooseberryfold/grant') return await takeGrant(request, response)
     if (request.url === '/health') return sendJson(response, { healthy: behaviour.saysHealthy, load: behaviour.saysLoad })
+    if (request.url === '/standin/traffic') return sendJson(response, { bytes: traffic() })
     if (request.url === '/standin/records') return sendJson(response, records)
     if (request.url === '/standin/behaviour') {
       Object.assign(behaviour, JSON.parse(await readBody(request)))
@@ -198,6 +200,7 @@
     control(request, response).catch(() => { response.destroy() })
   })
   server.keepAliveTimeout = 60_000
+  const traffic = countBytes(server)
   return { server, behaviour, records }
 }
 
--- a/standins/platform.ts
+++ b/standins/platform.ts
@@ -1,6 +1,7 @@
 /** Stand-in of the platform: table service, object store and lagging host list, with outages on request. */
 import fastify, { type FastifyInstance } from 'fastify'
 import { setTimeout as delay } from 'node:timers/promises'
+import { countBytes } from './count_bytes.ts'
 
 /** Faults that the stand-in shows. */
 export interface PlatformFaults {
@@ -13,7 +14,7 @@
 }
 
 /** Counts of the calls that the stand-in has served. */
-export interface PlatformCounts { reads: number, writes: number }
+export interface PlatformCounts { reads: number, writes: number, bytes: number }
 
 interface Row { key: string, revision: number, value: unknown }
 interface Write { key: string, expectedRevision: number, value: unknown }
@@ -38,7 +39,7 @@
   const rows = new Map<string, Row>()
   const objects = new Map<string, string>()
   const faults: PlatformFaults = { cutZones: [], slowMs: 0, loseWriteAnswers: 0 }
-  const counts: PlatformCounts = { reads: 0, writes: 0 }
+  const counts: PlatformCounts = { reads: 0, writes: 0, bytes: 0 }
   const hosts = new Map<string, ListedHost>()
   const servers = new Map<string, ListedServer>()
   const history: Array<{ at: number, listing: Listing }> = [{ at: 0, listing: { hosts: [], servers: [] } }]
@@ -98,7 +99,8 @@
   })
 
   app.post<{ Body: Partial<PlatformFaults> }>('/standin/faults', async (request) => Object.assign(faults, request.body))
-  app.get('/standin/counts', async () => counts)
+  const closedBytes = countBytes(app.server)
+  app.get('/standin/counts', async () => ({ ...counts, bytes: closedBytes() }))
   app.get('/standin/rows', async () => [...rows.values()])
   app.post<{ Body: { hosts?: ListedHost[], servers?: ListedServer[], gone?: string[] } }>('/standin/hosts', async (request) => {
     for (const host of request.body.hosts ?? []) hosts.set(host.host, host)
--- a/tools/faults.ts
+++ b/tools/faults.ts
@@ -5,7 +5,9 @@
  * by two servers at once and that no order was run twice.
  */
 import { randomUUID } from 'node:crypto'
-import { writeFileSync } from 'node:fs'
+import { mkdtempSync, readFileSync, writeFileSync } from 'node:fs'
+import { tmpdir } from 'node:os'
+import { join } from 'node:path'
 import { setTimeout as delay } from 'node:timers/promises'
 import { fileURLToPath } from 'node:url'
 import { Agent, request } from 'undici'
@@ -19,9 +21,13 @@
 const ORDERS_PERIOD_MS = 40
 const OBSERVED_MS = 8000
 const SETTLE_MS = 4000
+const WARM_UP_MS = 8000
 const TIMEOUT_MS = 6000
 const SLICES = { catalogue: 320, permits: 256 } as const
 
+/** Time in which the users ask for a configuration to be in force everywhere, in milliseconds. */
+const CONFIGURATION_TARGET_MS = 4000
+
 /** Unavailable time that the users ask for after a loss, in milliseconds. */
 const TARGET_MS = 2000
 
@@ -41,6 +47,7 @@
 
 interface Dump {
   readonly cell: string
+  readonly configuration: { readonly version: number }
   readonly leadership: { readonly role: string }
   readonly view: { readonly owners: Record<string, Record<string, string>>, readonly servers: ReadonlyArray<{ readonly id: string, readonly dispatcher: string | null }> } | null
 }
@@ -214,6 +221,14 @@
   undoLater.push(() => { cluster.startServer(server.id) })
 }
 
+async function killZone (cluster: Cluster, zone: string): Promise<void> {
+  const hosts = cluster.hosts.filter((host) => host.zone === zone)
+  const servers = cluster.servers.filter((server) => server.zone === zone)
+  for (const server of servers) await killServer(cluster, server)
+  for (const host of hosts) await killHost(cluster, host)
+  await cluster.listHosts({ gone: [...hosts.map((host) => host.name), ...servers.map((server) => server.id)] })
+}
+
 async function freeze (target: ClusterHost | ClusterServer, lengthMs: number): Promise<void> {
   target.process.kill('SIGSTOP')
   await delay(lengthMs)
@@ -275,6 +290,16 @@
       undoLater.push(() => { cluster.startHost(cluster.hosts.indexOf(host)) })
     }
   },
+  {
+    name: 'loss of a whole availability zone, hosts and servers',
+    act: async (cluster) => { await killZone(cluster, 'zone-3') },
+    undo: async (cluster) => {
+      await cluster.listHosts({
+        hosts: cluster.hosts.map((host) => ({ host: host.name, zone: host.zone, state: 'live' })),
+        servers: cluster.servers.map(({ id, service, zone, address }) => ({ id, service, zone, address, state: 'live' }))
+      })
+    }
+  },
   {
     name: 'SIGTERM of a cell leader',
     act: async (cluster) => {
@@ -291,6 +316,13 @@
   return { p50: histogram.getValueAtPercentile(50), p99: histogram.getValueAtPercentile(99), worst: histogram.maxValue }
 }
 
+/** New processes compile their code under the first load; that is not what a fault is to show. */
+async function warmUp (cluster: Cluster): Promise<void> {
+  const load = startLoad(cluster)
+  await delay(WARM_UP_MS)
+  await load.stop()
+}
+
 async function runFault (cluster: Cluster, fault: FaultRun): Promise<string> {
   undoLater = []
   const before = await owners(cluster)
@@ -317,6 +349,78 @@
   return `| ${fault.name} | ${figures.join(' | ')} | ${gaps.worst <= TARGET_MS ? 'met' : 'NOT MET'} |`
 }
 
+interface ConfigurationRun {
+  readonly name: string
+  /** Returns the exit codes of the publications. */
+  readonly act: (cluster: Cluster, folder: (deadlineMs: number) => string) => Promise<number[]>
+}
+
+const CONFIGURATION_RUNS: readonly ConfigurationRun[] = [
+  { name: 'one publication', act: async (cluster, folder) => [(await cluster.command('publish', folder(4100))).code] },
+  {
+    name: 'two operators change one service at once',
+    act: async (cluster, folder) => {
+      const base = String(await configurationVersion(cluster))
+      const outcomes = await Promise.all([4200, 4300].map(async (deadline) => await cluster.command('publish', folder(deadline), '--base', base)))
+      return outcomes.map((outcome) => outcome.code)
+    }
+  },
+  {
+    name: 'the answer to the pointer write is lost',
+    act: async (cluster, folder) => {
+      await cluster.setFaults({ loseWriteAnswers: 1 })
+      return [(await cluster.command('publish', folder(4400))).code]
+    }
+  },
+  {
+    name: 'one zone is cut from the platform for 2 s',
+    act: async (cluster, folder) => {
+      await cluster.setFaults({ cutZones: ['zone-1'] })
+      const outcome = await cluster.command('publish', folder(4500))
+      await delay(2000)
+      await cluster.setFaults({ cutZones: [] })
+      return [outcome.code]
+    }
+  }
+]
+
+function writeCatalogue (deadlineMs: number): string {
+  const folder = mkdtempSync(join(tmpdir(), 'publish-'))
+  const text = readFileSync(join(EXAMPLES, 'leiria', 'catalogue.toml'), 'utf8')
+  writeFileSync(join(folder, 'catalogue.toml'), text.replace('deadline_ms = 4000', `deadline_ms = ${deadlineMs}`))
+  return folder
+}
+
+async function configurationVersion (cluster: Cluster): Promise<number> {
+  const versions = await configurationVersions(cluster)
+  return Math.max(...versions)
+}
+
+async function configurationVersions (cluster: Cluster): Promise<number[]> {
+  return [...(await dumps(cluster)).values()].map((dump) => dump.configuration.version)
+}
+
+/** Time from the end of the publications until every host has the newest version in force, and whether one went back. */
+async function runConfiguration (cluster: Cluster, run: ConfigurationRun): Promise<string> {
+  const before = await configurationVersion(cluster)
+  const codes = await run.act(cluster, writeCatalogue)
+  const startedAt = performance.now()
+  const highest = new Map<number, number>()
+  let wentBack = 0
+  for (;;) {
+    const versions = await configurationVersions(cluster)
+    for (const [index, version] of versions.entries()) {
+      if (version < (highest.get(index) ?? 0)) wentBack++
+      highest.set(index, Math.max(version, highest.get(index) ?? 0))
+    }
+    const isEverywhere = versions.length === cluster.hosts.length && versions.every((version) => version > before)
+    if (isEverywhere || performance.now() - startedAt > 20_000) break
+    await delay(50)
+  }
+  const length = Math.round(performance.now() - startedAt)
+  return `| ${run.name} | ${codes.join(', ')} | ${length} | ${wentBack} | ${length <= CONFIGURATION_TARGET_MS ? 'met' : 'NOT MET'} |`
+}
+
 async function main (): Promise<void> {
   const cluster = await startCluster({
     zones: 3,
@@ -338,12 +442,22 @@
   try {
     for (const deployment of ['leiria', 'luzon']) await cluster.command('publish', `${EXAMPLES}/${deployment}`)
     if (!await cluster.ready(SLICES, 30_000)) throw new Error('The hosts were not ready within 30 s')
+    await warmUp(cluster)
     const only = process.argv[2]
     for (const fault of FAULTS.filter((candidate) => only === undefined || candidate.name.includes(only))) {
       const line = await runFault(cluster, fault)
       lines.push(line)
       console.log(line)
     }
+    if (only !== undefined) return
+    const header = ['', '| publication | exit codes | in force on every host after ms | hosts that went back | 4 s |', '| --- | --- | --- | --- | --- |']
+    lines.push(...header)
+    console.log(header.join('\n'))
+    for (const run of CONFIGURATION_RUNS) {
+      const line = await runConfiguration(cluster, run)
+      lines.push(line)
+      console.log(line)
+    }
   } finally {
     await cluster.stop()
   }
