Streams follow a moved dispatcher; one silent probe no longer gives up a request

Change: two probes in a row must be silent, and only requests that can be sent again are given up; a peer that gets an untouched stream by mistake passes it on, once, and tries until it is taken.

--- a/src/edge/peer_client.ts
+++ b/src/edge/peer_client.ts
@@ -2,14 +2,20 @@
 import { errors, Pool } from 'undici'
 import { createPeerHealth } from './peer_health.ts'
 import {
-  NotRunReason, UnknownReason, withoutOwnHeaders,
+  isReplayable, NotRunReason, UnknownReason, withoutOwnHeaders,
   type DispatchNotRun, type DispatchOutcome, type DispatchRequest, type DispatchUnknown
 } from '../dispatch/mod.ts'
 
+/** Options of {@link PeerClient.dispatch}. */
+export interface PeerDispatchOptions {
+  /** Whether the request has come from another host already and must not go on to a third. Default: false. */
+  readonly isForwarded?: boolean
+}
+
 /** Client of the other hosts. */
 export interface PeerClient {
   /** Has a request dispatched by another host. */
-  dispatch (host: string, request: DispatchRequest): Promise<DispatchOutcome>
+  dispatch (host: string, request: DispatchRequest, options?: PeerDispatchOptions): Promise<DispatchOutcome>
   close (): Promise<void>
 }
 
@@ -63,7 +69,7 @@
     }
   }
 
-  async function send (host: string, request: DispatchRequest, signal: AbortSignal): Promise<DispatchOutcome> {
+  async function send (host: string, request: DispatchRequest, sending: PeerDispatchOptions & { readonly signal: AbortSignal }): Promise<DispatchOutcome> {
     const response = await poolFor(host).request({
       method: request.method as 'GET',
       path: `/dispatch${request.path}`,
@@ -74,11 +80,12 @@
         'gooseberryfold-request-id': request.id,
         'gooseberryfold-deadline-ms': String(Math.max(1, Math.floor(request.deadline - options.now()))),
         'gooseberryfold-idempotent': String(request.isIdempotent),
+        ...(sending.isForwarded === true ? { 'gooseberryfold-forwarded': 'true' } : {}),
         ...(request.slice === null ? {} : { 'gooseberryfold-slice': String(request.slice) }),
         ...(request.claimKey === null ? {} : { 'gooseberryfold-claim-key': encodeURIComponent(request.claimKey) })
       },
       body: request.body,
-      signal
+      signal: sending.signal
     })
     const { headers } = response
     const outcome = headers['gooseberryfold-outcome']
@@ -97,18 +104,18 @@
   }
 
   return {
-    async dispatch (host, request) {
+    async dispatch (host, request, { isForwarded } = {}) {
       if (health.isFrozen(host)) return { kind: 'not-run', reason: NotRunReason.peerUnreachable }
       const cancel = new AbortController()
       const timer = setTimeout(() => { cancel.abort() }, Math.max(0, request.deadline - options.now()) + DEADLINE_GRACE_MS)
       let isFrozen = false
       const unwatch = health.watch(host, () => {
-        if (!request.isIdempotent) return
+        if (!request.isIdempotent || !isReplayable(request.body)) return
         isFrozen = true
         cancel.abort()
       })
       try {
-        const outcome = await send(host, request, AbortSignal.any([request.signal, cancel.signal]))
+        const outcome = await send(host, request, { isForwarded, signal: AbortSignal.any([request.signal, cancel.signal]) })
         if (outcome.kind === 'answer') outcome.body.once('close', () => { clearTimeout(timer) })
         else clearTimeout(timer)
         return outcome
--- a/src/edge/peer_health.ts
+++ b/src/edge/peer_health.ts
@@ -3,6 +3,9 @@
  * answer makes it ask the peer whether it is alive, and silence to that counts.
  */
 
+/** Probes without an answer in a row after which requests in flight are given up. */
+const CONFIRMING_SILENCES = 2
+
 /** Options of {@link createPeerHealth}. */
 export interface PeerHealthOptions {
   /** Asks a peer whether it is alive; `false` where it does not answer in time. */
@@ -54,12 +57,14 @@
     },
     watch (host, onFrozen) {
       let isOver = false
+      let silences = 0
       let timer: NodeJS.Timeout
       const schedule = (): void => {
         timer = setTimeout(() => {
           ask(host).then((isAlive) => {
             if (isOver) return
-            if (isAlive) schedule()
+            silences = isAlive ? 0 : silences + 1
+            if (silences < CONFIRMING_SILENCES) schedule()
             else onFrozen()
           }, () => {})
         }, options.askAfterMs ?? 300)
--- a/src/host/create_host.ts
+++ b/src/host/create_host.ts
@@ -136,7 +136,7 @@
   logger.info({ host: self.host, cell: cellId, incarnation: self.incarnation }, 'host-started')
 
   async function listen (): Promise<FastifyInstance[]> {
-    const peerListener = await createPeerListener({ secret: settings.peerSecret, dispatcher, router, bodyBytes: settings.bodyBytes })
+    const peerListener = await createPeerListener({ secret: settings.peerSecret, dispatcher, peers, router, bodyBytes: settings.bodyBytes })
     const operatorListener = createOperatorListener({ metrics, dump, refreshMetrics, locate, suspects: dispatcher.suspects, now, clearSuspect })
     const callerListener = createCallerListener({
       edge,
--- a/src/host/peer_listener.ts
+++ b/src/host/peer_listener.ts
@@ -3,8 +3,9 @@
 import fastify, { type FastifyInstance } from 'fastify'
 import { timingSafeEqual } from 'node:crypto'
 import type { IncomingMessage } from 'node:http'
-import { withoutOwnHeaders, type DispatchOutcome, type Dispatcher, type DispatchRequest } from '../dispatch/mod.ts'
-import { describeProblem } from '../edge/mod.ts'
+import { setTimeout as delay } from 'node:timers/promises'
+import { isReplayable, withoutOwnHeaders, type DispatchNotRun, type DispatchOutcome, type Dispatcher, type DispatchRequest } from '../dispatch/mod.ts'
+import { describeProblem, type PeerClient } from '../edge/mod.ts'
 import type { createControlRouter } from './control_router.ts'
 import { senderSignal, takeBody, writeAnswer, writeProblem } from './_write_outcome.ts'
 
@@ -12,10 +13,14 @@
 export interface PeerListenerOptions {
   readonly secret: string
   readonly dispatcher: Dispatcher
+  readonly peers: PeerClient
   readonly router: ReturnType<typeof createControlRouter>
   readonly bodyBytes: number
 }
 
+/** Pause before a host that cannot be reached is tried again, in milliseconds. */
+const FORWARD_PAUSE_MS = 50
+
 /**
  * Creates the listener; the host makes it listen.
  *
@@ -53,15 +58,36 @@
     try {
       const taken = await takeBody(request, options.bodyBytes)
       if (taken.kind === 'too-large') return { kind: 'not-run', reason: 'body-too-large' }
-      return await options.dispatcher.dispatch(decodeRequest(request, { ...context, body: taken.body }))
+      const decoded = decodeRequest(request, { ...context, body: taken.body })
+      const outcome = await options.dispatcher.dispatch(decoded)
+      return mayForward(outcome, decoded, request) ? await forward(outcome.dispatcher, decoded) : outcome
     } catch {
       return { kind: 'not-run', reason: 'caller-gone' }
     }
   }
 
+  /** Tries until the body has been touched: the host that sent it here cannot send it again. */
+  async function forward (host: string, request: DispatchRequest): Promise<DispatchOutcome> {
+    for (;;) {
+      const outcome = await options.peers.dispatch(host, request, { isForwarded: true })
+      const isLast = outcome.kind !== 'not-run' || !isReplayable(request.body) || performance.now() + FORWARD_PAUSE_MS > request.deadline
+      if (isLast || request.signal.aborted) return outcome
+      await delay(FORWARD_PAUSE_MS)
+    }
+  }
+
   return app
 }
 
+type Redirected = DispatchNotRun & { readonly dispatcher: string }
+
+/** A stream that the edge cannot send again goes on to the dispatcher from here, once. */
+function mayForward (outcome: DispatchOutcome, decoded: DispatchRequest, request: IncomingMessage): outcome is Redirected {
+  const isStream = decoded.body !== null && !Buffer.isBuffer(decoded.body)
+  return outcome.kind === 'not-run' && outcome.dispatcher !== undefined && isStream && isReplayable(decoded.body) &&
+    request.headers['gooseberryfold-forwarded'] === undefined
+}
+
 function decodeRequest (
   request: IncomingMessage,
   context: Pick<DispatchRequest, 'id' | 'signal' | 'body'>
