--- a/src/host/create_host.ts
+++ b/src/host/create_host.ts
@@ -26,6 +26,7 @@
 import { createPlatformSync } from './platform_sync.ts'
 import { CELLS_PREFIX, createRoutes, placementIn, readHomes } from './routes.ts'
 import { createSharedRows } from './shared_rows.ts'
+import { createSliceLoads } from './slice_loads.ts'
 
 /** Interval between two turns of the host's timer, in milliseconds. */
 const TICK_MS = 25
@@ -39,9 +40,6 @@
 /** Interval between two collections of slice loads, in milliseconds. */
 const LOADS_INTERVAL_MS = 5000
 
-/** Share of the newest collection in the smoothed loads. */
-const LOADS_WEIGHT = 0.5
-
 /** Longest time that a caller waits for the other hosts to learn of a suspect, in milliseconds. */
 const SHARE_TIMEOUT_MS = 500
 
@@ -80,7 +78,7 @@
   const core = createHostCore({ self, startedAt: now(), seeds: settings.seeds })
   const { cell, keeper } = core
   const client = createBackendClient()
-  const loads: Record<string, Map<number, number>> = {}
+  const loads = createSliceLoads()
   let leaving = false
   let nextPollAt = 0
   let nextLoadsAt = 0
@@ -202,7 +200,7 @@
       services: configuration.services(),
       homes: homesTrusted ? readHomes(rows) : new Map(),
       drained: new Set(rows.withPrefix(DRAINS_PREFIX).filter((row) => row.value === true).map((row) => row.key.slice(DRAINS_PREFIX.length))),
-      loads,
+      loads: loads.byService(),
       listing: tracker.listing(),
       goneHosts: tracker.gone(members, time),
       view
@@ -234,21 +232,9 @@
 
   function collectLoads (time: number): void {
     nextLoadsAt = time + LOADS_INTERVAL_MS
-    for (const host of lastView?.hosts ?? []) {
-      const taken = host === self.host ? Promise.resolve(dispatcher.takeLoads()) : peer(host).loads.mutate()
-      taken.then(mergeLoads, () => {})
-    }
-  }
-
-  function mergeLoads (taken: Readonly<Record<string, Readonly<Record<string, number>>>>): void {
-    for (const [service, counts] of Object.entries(taken)) {
-      const smoothed = loads[service] ?? new Map<number, number>()
-      for (const [slice, count] of Object.entries(counts)) {
-        const before = smoothed.get(Number(slice)) ?? 0
-        smoothed.set(Number(slice), before + (count - before) * LOADS_WEIGHT)
-      }
-      loads[service] = smoothed
-    }
+    const taken = (lastView?.hosts ?? []).map(async (host) =>
+      host === self.host ? dispatcher.takeLoads() : await peer(host).loads.mutate().catch(() => ({})))
+    Promise.all(taken).then((counts) => { loads.merge(counts) }).catch(onFault)
   }
 
   function perform (actions: readonly HostAction[]): void {
--- a/tools/faults.ts
+++ b/tools/faults.ts
@@ -28,6 +28,12 @@
 /** Time in which the users ask for a configuration to be in force everywhere, in milliseconds. */
 const CONFIGURATION_TARGET_MS = 4000
 
+/** Time after which a leaving server gets nothing new, in milliseconds. */
+const LEAVING_BOUND_MS = 4000
+
+/** Lag of the platform's list, in milliseconds. */
+const LIST_LAG_MS = 1000
+
 /** Unavailable time that the users ask for after a loss, in milliseconds. */
 const TARGET_MS = 2000
 
@@ -178,7 +184,21 @@
   }
   const overlaps = [...byKey.values()].filter(hasOverlap).length
   const doubled = [...orders.values()].filter((count) => count > 1).length
-  return overlaps + doubled
+  return overlaps + doubled + await countLateWork(cluster)
+}
+
+const left = new Map<string, number>()
+
+/** Counts the requests that began at a leaving server after the bound. */
+async function countLateWork (cluster: Cluster): Promise<number> {
+  let late = 0
+  for (const [id, since] of left) {
+    const server = cluster.servers.find((candidate) => candidate.id === id)
+    if (server === undefined) continue
+    late += (await records(server)).filter((record) => record.startedAt > since + LEAVING_BOUND_MS).length
+  }
+  left.clear()
+  return late
 }
 
 function hasOverlap (runs: ReadonlyArray<RunRecord & { readonly server: string }>): boolean {
@@ -279,9 +299,19 @@
     act: async (cluster) => {
       const server = await ownerOf(cluster, 'permits')
       await cluster.command('drain', server.id)
+      left.set(server.id, Date.now())
       undoLater.push(() => { cluster.command('undrain', server.id).catch(() => {}) })
     }
   },
+  {
+    name: 'server that checks grants is listed as leaving',
+    act: async (cluster) => {
+      const { id, service, zone, address } = await ownerOf(cluster, 'catalogue')
+      await cluster.listHosts({ servers: [{ id, service, zone, address, state: 'leaving' }] })
+      left.set(id, Date.now() + LIST_LAG_MS)
+      undoLater.push(() => { cluster.listHosts({ servers: [{ id, service, zone, address, state: 'live' }] }).catch(() => {}) })
+    }
+  },
   {
     name: 'SIGTERM of an entry host that does not lead',
     act: async (cluster) => {
