--- a/src/cell/assignment.ts
+++ b/src/cell/assignment.ts
@@ -76,7 +76,7 @@
   readonly epoch: number
   /** Owners under the last leader, or in the durable row. */
   readonly owners: OwnersByService
-  /** Owners in the last view; where they are not those to be granted, the slice was between two owners. */
+  /** Owners in the last view; a slice that it gives no owner was between two owners. */
   readonly settledOwners: OwnersByService
   /** Servers of the last leader's view. Default: none. */
   readonly servers?: readonly ViewServer[]
@@ -100,8 +100,8 @@
   const inherited = new Map<string, string>()
   const retirements = new Map<string, Retirement>()
   const unproven = new Set(options.unprovenHosts)
-  /** Slices that were between two owners when the last leader's authority ended. */
-  const inTransit = new Set<string>()
+  /** Slices that this leader has granted. */
+  const granted = new Set<string>()
   let input: AssignmentInput = { servers: [], homes: {}, loads: {}, listedHosts: new Set(), goneHosts: new Set() }
   let changed = false
   inherit()
@@ -110,11 +110,7 @@
     for (const [service, owners] of Object.entries(options.owners)) {
       for (const [slice, server] of Object.entries(owners)) targets.set(formatUnit(service, Number(slice)), server)
     }
-    for (const [unit, server] of targets) {
-      const { service, slice } = parseUnit(unit)
-      inherited.set(unit, server)
-      if (options.settledOwners[service]?.[String(slice)] !== server) inTransit.add(unit)
-    }
+    for (const [unit, server] of targets) inherited.set(unit, server)
     for (const server of options.servers ?? []) {
       servers.set(server.id, { spec: server, dispatcher: null, token: 0, lost: false })
     }
@@ -349,13 +345,19 @@
       if (state.lost || state.dispatcher === null) continue
       const written = context.durable[service]?.[String(slice)] === target || inherited.get(unit) === target
       if (!written && !context.mayActUnwritten) continue
-      if (inTransit.has(unit) && mayBeAtWork(service, target, context)) continue
-      inTransit.delete(unit)
+      if (!isSettled(unit, target) && mayBeAtWork(service, target, context)) continue
+      granted.add(unit)
       current.set(unit, target)
       touch(state, context.version)
     }
   }
 
+  /** Whether the slice was not between two owners when the last leader's authority ended, or has been granted since. */
+  function isSettled (unit: string, target: string): boolean {
+    const { service, slice } = parseUnit(unit)
+    return granted.has(unit) || options.settledOwners[service]?.[String(slice)] === target
+  }
+
   /** Whether requests of an earlier epoch may still be at a server that does not check grants. */
   function mayBeAtWork (service: string, target: string, context: DecideOptions): boolean {
     const others = [...servers.values()]
--- a/src/cell/leader.ts
+++ b/src/cell/leader.ts
@@ -77,7 +77,7 @@
   let settled = false
   const settleUntil = options.now + CellTiming.SETTLE_MS
   for (const [host, answer] of options.promises) hosts.onPromise(host, answer, options.now)
-  let assignment = inheritAssignment(options.view?.owners ?? known.row.owners)
+  let assignment = inheritAssignment(mergeOwners())
 
   function inheritAssignment (owners: OwnersByService): ReturnType<typeof createAssignment> {
     const lives = new Set([...(options.view?.hosts ?? []), ...known.row.members.map((member) => member.host)])
@@ -129,13 +129,15 @@
 
   function settle (): void {
     settled = true
-    if (known.revision > (options.view?.rowRevision ?? 0)) assignment = inheritAssignment(mergeOwners())
+    assignment = inheritAssignment(mergeOwners())
   }
 
-  /** The durable row is newer than the view: what it says stands, and the view fills in the rest. */
+  /** Of the durable row and the view the newer one stands, and the other fills in the rest. */
   function mergeOwners (): OwnersByService {
     const merged: Record<string, Record<string, string>> = {}
-    for (const source of [options.view?.owners ?? {}, known.row.owners]) {
+    const inView = options.view?.owners ?? {}
+    const isRowNewer = known.revision > (options.view?.rowRevision ?? 0)
+    for (const source of isRowNewer ? [inView, known.row.owners] : [known.row.owners, inView]) {
       for (const [service, owners] of Object.entries(source)) merged[service] = { ...merged[service], ...owners }
     }
     return merged
