Reports in order, hosts of earlier epochs first; renewals without slices; decisions only when something changed

Pongs now bear a sequence number. The input of a cell is built, and slices are planned, only when something changed; a leader decides each 50 ms at most without news; a renewal leaves the slices out.

--- a/src/cell/assignment.ts
+++ b/src/cell/assignment.ts
@@ -103,7 +103,11 @@
   /** Slices that this leader has granted. */
   const granted = new Set<string>()
   let input: AssignmentInput = { servers: [], homes: {}, loads: {}, listedHosts: new Set(), goneHosts: new Set() }
+  let listedServers: ReadonlySet<string> = new Set()
   let changed = false
+  let targetsByService: OwnersByService | null = null
+  let plannedFor = ''
+  let plannedHomes: AssignmentInput['homes'] = {}
   inherit()
 
   function inherit (): void {
@@ -220,9 +224,9 @@
     return true
   }
 
-  /** Whether a host that sent to the server before still has requests there. */
+  /** Whether a host that sent to the server before still has requests there, or has not said so yet. */
   function isAtWorkElsewhere (retirement: Retirement, context: DecideOptions): boolean {
-    return context.hosts.all().some((known) =>
+    return unproven.size > 0 || context.hosts.all().some((known) =>
       known.host !== retirement.dispatcher && known.pending.includes(retirement.server) && !input.goneHosts.has(known.host))
   }
 
@@ -256,7 +260,7 @@
   }
 
   function isListed (id: string): boolean {
-    return input.servers.some((server) => server.id === id)
+    return listedServers.has(id)
   }
 
   /** Servers of a service without keys share one queue, so they share one dispatcher. */
@@ -293,7 +297,13 @@
     }
   }
 
+  /** The plan is made again when what it works from has changed. */
   function planOwners (context: DecideOptions): void {
+    const planFor = [unproven.size, ...[...servers.values()].map((state) =>
+      `${state.spec.id}${state.lost ? '-' : ''}${state.spec.leaving ? '/' : ''}${isListed(state.spec.id) ? '' : '?'}`)].join()
+    if (planFor === plannedFor && input.homes === plannedHomes && !context.rebalance) return
+    plannedFor = planFor
+    plannedHomes = input.homes
     for (const [service, slices] of Object.entries(input.homes)) {
       const able = [...servers.values()]
         .filter((state) => state.spec.service === service && !state.lost && !state.spec.leaving && isListed(state.spec.id))
@@ -309,6 +319,7 @@
         if (targets.get(unit) === server) continue
         if (isBoundByUnproven(targets.get(unit))) continue
         targets.set(unit, server)
+        targetsByService = null
       }
     }
   }
@@ -372,7 +383,10 @@
   }
 
   return {
-    setInput (next) { input = next },
+    setInput (next) {
+      if (next !== input) listedServers = new Set(next.servers.map((server) => server.id))
+      input = next
+    },
     decide (context) {
       changed = false
       syncServers(context)
@@ -388,7 +402,10 @@
     },
     servers: () => [...servers.values()].map((state) => ({ ...state.spec, dispatcher: state.dispatcher, token: state.token })),
     owners: () => group(current),
-    targets: () => group(targets)
+    targets () {
+      targetsByService ??= group(targets)
+      return targetsByService
+    }
   }
 }
 
--- a/src/cell/cell.ts
+++ b/src/cell/cell.ts
@@ -117,6 +117,7 @@
   let nextSearchAt = options.startedAt
   let searchCount = 0
   let rowsRevision = 0
+  let pongsSent = 0
   let claiming = false
   let claimAt = 0
   let lastLedEpoch = 0
@@ -167,6 +168,7 @@
     return {
       kind: 'pong',
       epoch: ping.epoch,
+      sequence: ++pongsSent,
       incarnation: self.incarnation,
       sentAt: now,
       echo: ping.sentAt,
--- a/src/cell/host_table.ts
+++ b/src/cell/host_table.ts
@@ -20,6 +20,8 @@
   leaseUntil: number
   /** Leases issued from now on require this view version; what older views gave has been given to others. */
   floor: number
+  /** Number of the pong that the report below is from. */
+  sequence: number
   held: number
   applied: number
   pending: readonly string[]
@@ -76,6 +78,7 @@
       promisedUntil: known?.promisedUntil ?? 0,
       leaseUntil: known?.leaseUntil ?? 0,
       floor: known?.floor ?? currentVersion(),
+      sequence: 0,
       held: 0,
       applied: 0,
       pending: [],
@@ -121,7 +124,8 @@
         const until = pong.echo + CellTiming.PROMISE_MS - CellTiming.DRIFT_MARGIN_MS
         known.promisedUntil = Math.max(known.promisedUntil, until)
       }
-      if (pong.sentAt < known.echo) return
+      if (pong.sequence <= known.sequence) return
+      known.sequence = pong.sequence
       known.held = pong.held
       known.applied = pong.applied
       known.pending = pong.pending
--- a/src/cell/host_table_test.ts
+++ b/src/cell/host_table_test.ts
@@ -24,7 +24,7 @@
     for (const [index, version] of held.entries()) {
       if (version === 0) continue
       table.onPong(members[index] ?? '', {
-        kind: 'pong', epoch: 64, incarnation: 1, sentAt: 1, echo: version, promised: true, held: version, applied: 0, pending: [], lost: [], leaving: false
+        kind: 'pong', epoch: 64, sequence: 1, incarnation: 1, sentAt: 1, echo: version, promised: true, held: version, applied: 0, pending: [], lost: [], leaving: false
       }, 1)
     }
     const committed = table.committed(members)
--- a/src/cell/leader.ts
+++ b/src/cell/leader.ts
@@ -72,6 +72,7 @@
   let retryWriteAt = 0
   const reports = new Map<string, string>()
   let nextPingAt = options.now
+  let nextDecisionAt = options.now
   let lastCommitted = 0
   let nextRebalanceAt = options.now + REBALANCE_INTERVAL_MS
   let settled = false
@@ -161,6 +162,12 @@
     if (changed || view === null || isViewStale()) publish()
   }
 
+  function decideAndWrite (now: number): CellAction[] {
+    nextDecisionAt = now + CellTiming.DECISION_INTERVAL_MS
+    decide(now)
+    return write(now)
+  }
+
   function isViewStale (): boolean {
     return view === null || view.rowRevision !== known.revision || view.durable !== isDurable() ||
       view.hosts.join() !== hostNames().join()
@@ -186,7 +193,7 @@
   }
 
   function isDurable (): boolean {
-    return JSON.stringify(sortOwners(known.row.owners)) === JSON.stringify(sortOwners(assignment.targets()))
+    return ownersText(known.row.owners) === ownersText(assignment.targets())
   }
 
   /** A row with other members bears another term, so that no deputy's epoch is ever used twice. */
@@ -257,6 +264,7 @@
     committed,
     hosts: () => hosts,
     setInput (next, reachable) {
+      if (next !== input) nextDecisionAt = 0
       input = next
       platformReachable = reachable
     },
@@ -266,6 +274,7 @@
       const reached = committed()
       const isNews = reportText(from) !== reports.get(from)
       reports.set(from, reportText(from))
+      if (isNews || reached !== lastCommitted) nextDecisionAt = 0
       if (reached === lastCommitted) return isNews ? this.tick(now) : []
       lastCommitted = reached
       return [...pingAll(now), ...this.tick(now)]
@@ -282,6 +291,7 @@
       }
       if (outcome.kind !== 'read') writing = null
       if (!settled && outcome.kind !== 'unavailable') settle()
+      nextDecisionAt = 0
       return this.tick(now)
     },
     tick (now) {
@@ -290,8 +300,7 @@
         if (isForgettable(host, now)) hosts.remove(host.host)
       }
       const before = version
-      decide(now)
-      const actions = write(now)
+      const actions = now >= nextDecisionAt ? decideAndWrite(now) : []
       if (version !== before || now >= nextPingAt) actions.push(...pingAll(now))
       return actions
     }
@@ -303,8 +312,19 @@
 }
 
 function sameRow (left: CellRow, right: CellRow): boolean {
-  return JSON.stringify([left.term, left.leader, left.members, sortOwners(left.owners)]) ===
-    JSON.stringify([right.term, right.leader, right.members, sortOwners(right.owners)])
+  return left.term === right.term && sameLives([left.leader], [right.leader]) && sameLives(left.members, right.members) &&
+    ownersText(left.owners) === ownersText(right.owners)
+}
+
+const ownersTexts = new WeakMap<OwnersByService, string>()
+
+/** Text that is the same for the same owners; each object is written out once. */
+function ownersText (owners: OwnersByService): string {
+  const known = ownersTexts.get(owners)
+  if (known !== undefined) return known
+  const text = JSON.stringify(sortOwners(owners))
+  ownersTexts.set(owners, text)
+  return text
 }
 
 function sortOwners (owners: OwnersByService): unknown {
--- a/src/cell/timing.ts
+++ b/src/cell/timing.ts
@@ -9,7 +9,7 @@
   /** How long a grant to a backend server lasts. */
   GRANT_MS: 800,
   /** Interval between two renewals of a grant. */
-  GRANT_RENEWAL_MS: 200,
+  GRANT_RENEWAL_MS: 250,
   /** What a lease holder takes off for clock drift. */
   DRIFT_MARGIN_MS: 40,
   /** Silence after which a host gets no backend server to dispatch for. */
@@ -22,6 +22,8 @@
   CLAIM_DELAY_MS: 1500,
   /** How long a leader waits for a durable write before it acts on the succession written in advance. */
   DURABLE_WAIT_MS: 300,
+  /** Interval between two decisions of a leader where nothing has happened. */
+  DECISION_INTERVAL_MS: 50,
   /** How long a new leader waits for the durable row before it starts from its own view. */
   SETTLE_MS: 150
 } as const
--- a/src/cell/types.ts
+++ b/src/cell/types.ts
@@ -94,6 +94,8 @@
 export interface Pong extends DispatchReport {
   readonly kind: 'pong'
   readonly epoch: number
+  /** Grows with every pong of a life, so that an older report never replaces a newer one. */
+  readonly sequence: number
   readonly incarnation: number
   readonly sentAt: number
   readonly echo: number
--- a/src/dispatch/create_dispatcher.ts
+++ b/src/dispatch/create_dispatcher.ts
@@ -407,7 +407,7 @@
       address: admission.server.address,
       checksGrants: false,
       sentAt: now(),
-      request: { token: 0, slices: [], boot: '', basis: 0, duration: 0 }
+      request: { token: 0, boot: '', basis: 0, duration: 0 }
     })
     if (probe.kind !== 'connection-refused') return false
     const noted = suspects.onCrash([...fingerprints], now())
--- a/src/dispatch/grant_types.ts
+++ b/src/dispatch/grant_types.ts
@@ -4,8 +4,8 @@
 export interface GrantRequest {
   /** Fencing token; a server refuses one lower than the highest it has seen. */
   readonly token: number
-  /** Slices that the server may serve until the grant ends. */
-  readonly slices: readonly number[]
+  /** Slices that the server may serve until the grant ends; absent in a renewal, which leaves them as they are. */
+  readonly slices?: readonly number[]
   /** Life of the server that `basis` belongs to; empty in the first message. */
   readonly boot: string
   /** The server's own monotonic time, in milliseconds, from its previous answer. */
--- a/src/dispatch/server_grant.ts
+++ b/src/dispatch/server_grant.ts
@@ -168,7 +168,7 @@
       address: this.server.address,
       checksGrants: true,
       sentAt: now,
-      request: { token: target.token, slices: [...target.slices], boot: this.#boot, basis: this.#basis, duration }
+      request: { token: target.token, ...this.#slicesToSend(target), boot: this.#boot, basis: this.#basis, duration }
     }
   }
 
@@ -217,6 +217,11 @@
     return { token: isRelease ? this.#sending.token : this.#sending.token + 1, slices: kept }
   }
 
+  /** Slices go along until the server has confirmed them, and then no more. */
+  #slicesToSend (target: Assigned): { readonly slices?: readonly number[] } {
+    return this.#confirmed?.token === target.token ? {} : { slices: [...target.slices] }
+  }
+
   #mustWait (kept: ReadonlySet<number>): boolean {
     return this.wanted === null ? this.inFlight.total > 0 : this.inFlight.hasOutside(kept)
   }
@@ -261,7 +266,7 @@
       address: this.server.address,
       checksGrants: false,
       sentAt: now,
-      request: { token: this.wanted.token, slices: [], boot: '', basis: 0, duration: 0 }
+      request: { token: this.wanted.token, boot: '', basis: 0, duration: 0 }
     }
   }
 
--- a/src/host/cell_input.ts
+++ b/src/host/cell_input.ts
@@ -27,6 +27,7 @@
 /** Keeps track of hosts that were listed and are listed no more. */
 export interface ListTracker {
   update (listing: HostListing, now: number): void
+  /** The newest list; the same object while it says the same. */
   listing (): HostListing | null
   gone (members: readonly string[], now: number): Set<string>
 }
@@ -39,12 +40,15 @@
 export function createListTracker (): ListTracker {
   const lastListed = new Map<string, number>()
   let latest: HostListing | null = null
+  let latestText = ''
   let firstAt = 0
   let latestAt = 0
   return {
     update (listing, now) {
       if (latest === null) firstAt = now
-      latest = listing
+      const text = JSON.stringify(listing)
+      if (latest === null || text !== latestText) latest = listing
+      latestText = text
       latestAt = now
       for (const host of listing.hosts) lastListed.set(host.host, now)
     },
--- a/src/host/create_host.ts
+++ b/src/host/create_host.ts
@@ -16,9 +16,10 @@
 import { sliceOfKey } from '../slices/mod.ts'
 import { createPeerSocket, splitAddress } from '../transport/mod.ts'
 import { createCallerListener } from './caller_listener.ts'
-import { buildCellInput, cellName, createListTracker } from './cell_input.ts'
+import { cellName, createListTracker } from './cell_input.ts'
 import { createControlClients, createControlRouter } from './control_router.ts'
 import { createHostCore, type HostAction } from './host_core.ts'
+import { createInputSource } from './input_source.ts'
 import { createHostMetrics } from './metrics.ts'
 import { createOperatorListener } from './operator_listener.ts'
 import { createPeerListener } from './peer_listener.ts'
@@ -29,7 +30,7 @@
 import { createSliceLoads } from './slice_loads.ts'
 
 /** Interval between two turns of the host's timer, in milliseconds. */
-const TICK_MS = 25
+const TICK_MS = 50
 
 /** Interval between two readings of the platform by a leader, in milliseconds. */
 const POLL_INTERVAL_MS = 500
@@ -43,9 +44,6 @@
 /** Longest time that a caller waits for the other hosts to learn of a suspect, in milliseconds. */
 const SHARE_TIMEOUT_MS = 500
 
-/** Start of the keys of the rows of drained servers. */
-export const DRAINS_PREFIX = 'gooseberryfold/drains/'
-
 /** Start of the keys of the rows of suspects. */
 export const SUSPECTS_PREFIX = 'gooseberryfold/suspects/'
 
@@ -86,6 +84,7 @@
   let wasLeading = false
   let homesTrusted = false
   const homeKeeper = createHomeKeeper({ table: platform.table, rows, cell: cellId, cellsInZone: settings.cellsInZone })
+  const inputs = createInputSource({ cell: cellId, cellsInZone: settings.cellsInZone, configuration, rows, tracker, loads })
   const sync = createPlatformSync({
     platform,
     rows,
@@ -192,26 +191,18 @@
 
   function refreshInput (time: number): void {
     const view = cell.heldView()
-    const members = view?.row.members.map((member) => member.host) ?? []
-    noteTrust(members, time)
-    core.setInput(buildCellInput({
-      cell: cellId,
-      cellsInZone: settings.cellsInZone,
-      services: configuration.services(),
-      homes: homesTrusted ? readHomes(rows) : new Map(),
-      drained: new Set(rows.withPrefix(DRAINS_PREFIX).filter((row) => row.value === true).map((row) => row.key.slice(DRAINS_PREFIX.length))),
-      loads: loads.byService(),
-      listing: tracker.listing(),
-      goneHosts: tracker.gone(members, time),
-      view
-    }), sync.isReachable())
+    noteTrust(view?.row.members.map((member) => member.host) ?? [], time)
+    core.setInput(inputs.current({ now: time, view, homesTrusted }), sync.isReachable())
   }
 
   function poll (time: number): void {
     const isLeading = cell.isLeading(time)
     const hasLeader = cell.leader(time) !== null
     nextPollAt = time + (isLeading ? POLL_INTERVAL_MS : LEADERLESS_POLL_INTERVAL_MS)
-    if (!isLeading && hasLeader) return
+    if (!isLeading && hasLeader) {
+      if (sync.isBehind()) sync.pullFrom(cell.leader(time) ?? self.host).catch(onFault)
+      return
+    }
     sync.poll().then(() => {
       adoptSuspects()
       homesTrusted ||= isLeading && sync.isReachable()
--- a/src/host/platform_sync.ts
+++ b/src/host/platform_sync.ts
@@ -3,7 +3,7 @@
  * list. The leader of a cell reads the platform for its cell; the other hosts
  * take the rows from the leader.
  */
-import { decodeBundle, pointerSchema, POINTER_KEY, type ConfigurationHolder } from '../configuration/mod.ts'
+import { decodeBundle, pointerSchema, POINTER_KEY, type ConfigurationHolder, type Pointer } from '../configuration/mod.ts'
 import type { PlatformClient } from '../platform/mod.ts'
 import type { TableRow } from '../ports/mod.ts'
 import type { ListTracker } from './cell_input.ts'
@@ -30,6 +30,8 @@
   /** Takes changed rows from a peer. */
   pullFrom (host: string): Promise<void>
   isReachable (): boolean
+  /** Whether the rows name a newer configuration than the one in force. */
+  isBehind (): boolean
   /** Text of a bundle that this host holds. */
   bundleText (digest: string): string | null
 }
@@ -62,10 +64,15 @@
     await adoptPointer()
   }
 
-  async function adoptPointer (): Promise<void> {
+  /** The pointer to a configuration that is newer than the one in force. */
+  function newerPointer (): Pointer | null {
     const pointer = pointerSchema.safeParse(rows.get(POINTER_KEY)?.value)
-    if (!pointer.success || pointer.data.version <= configuration.bundle().version) return
-    const { digest } = pointer.data
+    return pointer.success && pointer.data.version > configuration.bundle().version ? pointer.data : null
+  }
+
+  async function adoptPointer (): Promise<void> {
+    const digest = newerPointer()?.digest
+    if (digest === undefined) return
     const text = await bundleFromPeer(digest) ?? await bundleFromStore(digest)
     const bundle = text === null ? null : decodeBundle(text, digest)
     if (text === null || bundle === null || !configuration.offer(bundle)) return
@@ -123,6 +130,7 @@
       }
     },
     isReachable: () => reachable,
+    isBehind: () => newerPointer() !== null,
     bundleText: (digest) => held?.digest === digest ? held.text : null
   }
 }
--- a/src/host/slice_loads.ts
+++ b/src/host/slice_loads.ts
@@ -7,6 +7,8 @@
 export interface SliceLoads {
   /** Takes in one collection from every dispatcher; slices that none names had no requests. */
   merge (collection: readonly SliceCounts[]): void
+  /** Grows with every collection. */
+  version (): number
   byService (): Readonly<Record<string, ReadonlyMap<number, number>>>
 }
 
@@ -23,6 +25,7 @@
  */
 export function createSliceLoads (): SliceLoads {
   const loads: Record<string, Map<number, number>> = {}
+  let version = 0
 
   function decay (): void {
     for (const slices of Object.values(loads)) {
@@ -35,7 +38,9 @@
   }
 
   return {
+    version: () => version,
     merge (collection) {
+      version++
       decay()
       for (const counts of collection) {
         for (const [service, slices] of Object.entries(counts)) {
--- a/src/transport/encode_message.ts
+++ b/src/transport/encode_message.ts
@@ -6,7 +6,7 @@
 /** Fields of each kind of message, in wire order; the place in the list is the kind's number. */
 const SHAPES = [
   ['ping', ['epoch', 'sentAt', 'incarnation', 'echo', 'lease', 'floor', 'view', 'committed', 'rows']],
-  ['pong', ['epoch', 'incarnation', 'sentAt', 'echo', 'promised', 'held', 'applied', 'pending', 'lost', 'leaving']],
+  ['pong', ['epoch', 'sequence', 'incarnation', 'sentAt', 'echo', 'promised', 'held', 'applied', 'pending', 'lost', 'leaving']],
   ['ask', ['epoch', 'sentAt', 'viewEpoch', 'viewVersion', 'rowRevision']],
   ['promise', ['epoch', 'incarnation', 'sentAt', 'echo', 'granted', 'behind']],
   ['join', ['incarnation', 'sentAt']],
@@ -17,7 +17,7 @@
 const lost = z.object({ server: z.string(), token: z.number(), held: z.array(z.number()) })
 const messageSchema = z.discriminatedUnion('kind', [
   z.object({ kind: z.literal('ping'), epoch: wholeNumber, sentAt: wholeNumber, incarnation: wholeNumber, echo: wholeNumber, lease: wholeNumber, floor: wholeNumber, view: wholeNumber, committed: wholeNumber, rows: wholeNumber }),
-  z.object({ kind: z.literal('pong'), epoch: wholeNumber, incarnation: wholeNumber, sentAt: wholeNumber, echo: wholeNumber, promised: z.boolean(), held: wholeNumber, applied: wholeNumber, pending: z.array(z.string()), lost: z.array(lost), leaving: z.boolean() }),
+  z.object({ kind: z.literal('pong'), epoch: wholeNumber, sequence: wholeNumber, incarnation: wholeNumber, sentAt: wholeNumber, echo: wholeNumber, promised: z.boolean(), held: wholeNumber, applied: wholeNumber, pending: z.array(z.string()), lost: z.array(lost), leaving: z.boolean() }),
   z.object({ kind: z.literal('ask'), epoch: wholeNumber, sentAt: wholeNumber, viewEpoch: wholeNumber, viewVersion: wholeNumber, rowRevision: wholeNumber }),
   z.object({ kind: z.literal('promise'), epoch: wholeNumber, incarnation: wholeNumber, sentAt: wholeNumber, echo: wholeNumber, granted: z.boolean(), behind: z.boolean() }),
   z.object({ kind: z.literal('join'), incarnation: wholeNumber, sentAt: wholeNumber }),
--- a/standins/backend_server.ts
+++ b/standins/backend_server.ts
@@ -106,17 +106,19 @@
   }
 
   async function takeGrant (request: IncomingMessage, response: ServerResponse): Promise<void> {
-    const body = JSON.parse(await readBody(request)) as { token: number, slices: number[], boot: string, basis: number, duration: number }
+    const body = JSON.parse(await readBody(request)) as { token: number, slices?: number[], boot: string, basis: number, duration: number }
     if (body.token < grant.highest) {
       response.writeHead(409).end()
       return
     }
     const now = performance.now()
+    if (body.slices === undefined && body.token !== grant.highest) return sendJson(response, { boot, now })
     const until = body.boot === boot ? body.basis + body.duration : 0
     const kept = now < grant.until ? grant.ownedSince : new Map<number, number>()
     grant.until = body.token === grant.highest ? Math.max(grant.until, until) : until
     grant.highest = body.token
-    grant.ownedSince = new Map(body.slices.map((slice) => [slice, kept.get(slice) ?? now]))
+    const slices = body.slices ?? [...grant.ownedSince.keys()]
+    grant.ownedSince = new Map(slices.map((slice) => [slice, kept.get(slice) ?? now]))
     sendJson(response, { boot, now: performance.now() })
   }
 
--- a/testing/fake_world.ts
+++ b/testing/fake_world.ts
@@ -148,6 +148,7 @@
   let lostAnswers = 0
   let slowUntil = 0
   let lifeCount = 0
+  const homes = { [SERVICE]: Array.from({ length: options.slices }, (_, slice) => slice) }
   const servers: FakeServer[] = Array.from({ length: options.servers }, (_, index) => createServer(index))
   const hosts: FakeHost[] = Array.from({ length: options.hosts }, (_, index) => createHost(index))
   for (const host of hosts) schedule(pick(0, TICK_MS), () => { tick(host, host.life) })
@@ -249,7 +250,7 @@
         keyed: true,
         leaving: knowsDrains && time > server.drainedAt
       })),
-      homes: { [SERVICE]: Array.from({ length: options.slices }, (_, slice) => slice) },
+      homes,
       loads: {},
       listedHosts: new Set(hosts.map((other) => other.name)),
       goneHosts: new Set()
@@ -373,11 +374,13 @@
     const answer = { kind: 'answered', answer: { boot: String(server.boot), now } } as const
     if (!server.checksGrants) return answer
     if (request.token < server.highest) return { kind: 'superseded' }
+    if (request.slices === undefined && request.token !== server.highest) return answer
     const until = request.boot === String(server.boot) ? request.basis + request.duration : 0
     const kept = now < server.until ? server.ownedSince : new Map<number, number>()
     server.until = request.token === server.highest ? Math.max(server.until, until) : until
     server.highest = request.token
-    server.ownedSince = new Map(request.slices.map((slice) => [slice, kept.get(slice) ?? now]))
+    const slices = request.slices ?? [...server.ownedSince.keys()]
+    server.ownedSince = new Map(slices.map((slice) => [slice, kept.get(slice) ?? now]))
     checkBeliefs()
     return answer
   }
--- a/tools/capacity.ts
+++ b/tools/capacity.ts
@@ -1,7 +1,7 @@
 /**
  * Control cost of an entry host, measured on loopback with no callers: CPU,
  * memory, datagrams, and traffic with the platform and the backend servers, at
- * several sizes of a cell. Writes a table with the slopes between the sizes.
+ * several sizes of a cell: `npm run capacity [hosts]`.
  */
 import { spawn } from 'node:child_process'
 import { readFileSync, writeFileSync } from 'node:fs'
@@ -157,7 +157,8 @@
 ]
 console.log(lines.join('\n'))
 const idle = await idleMegabytes()
-for (const size of SIZES) {
+const only = process.argv[2] === undefined ? null : Number(process.argv[2])
+for (const size of SIZES.filter((candidate) => only === null || candidate.hosts === only)) {
   for (const cost of await measure(size)) {
     const figures = [
       cost.cpuMsPerSecond.toFixed(1), cost.datagramsPerSecond.toFixed(1), cost.datagramBytesPerSecond.toFixed(0),
