--- a/src/cell/assignment.ts
+++ b/src/cell/assignment.ts
@@ -104,6 +104,7 @@
   const granted = new Set<string>()
   let input: AssignmentInput = { servers: [], homes: {}, loads: {}, listedHosts: new Set(), goneHosts: new Set() }
   let listedServers: ReadonlySet<string> = new Set()
+  let homeUnits: ReadonlySet<string> = new Set()
   let changed = false
   let targetsByService: OwnersByService | null = null
   let plannedFor = ''
@@ -259,6 +260,12 @@
     if (context.rebalance) evenOut(counts, context)
   }
 
+  function index (next: AssignmentInput): void {
+    listedServers = new Set(next.servers.map((server) => server.id))
+    homeUnits = new Set(Object.entries(next.homes)
+      .flatMap(([service, slices]) => slices.map((slice) => formatUnit(service, slice))))
+  }
+
   function isListed (id: string): boolean {
     return listedServers.has(id)
   }
@@ -332,10 +339,8 @@
   }
 
   function releaseMoved (context: DecideOptions): void {
-    const homes = new Set(Object.entries(input.homes)
-      .flatMap(([service, slices]) => slices.map((slice) => formatUnit(service, slice))))
     for (const [unit, owner] of current) {
-      if (targets.get(unit) === owner && homes.has(unit)) continue
+      if (targets.get(unit) === owner && homeUnits.has(unit)) continue
       const state = servers.get(owner)
       current.delete(unit)
       changed = true
@@ -352,7 +357,7 @@
       if (current.has(unit) || retirements.has(unit)) continue
       const { service, slice } = parseUnit(unit)
       const state = servers.get(target)
-      if (state === undefined || !isHome(service, slice)) continue
+      if (state === undefined || !homeUnits.has(unit)) continue
       if (state.lost || state.dispatcher === null) continue
       const written = context.durable[service]?.[String(slice)] === target || inherited.get(unit) === target
       if (!written && !context.mayActUnwritten) continue
@@ -378,13 +383,9 @@
     return unproven.size > 0 || context.hosts.all().some((known) => known.pending.some((server) => others.includes(server)))
   }
 
-  function isHome (service: string, slice: number): boolean {
-    return input.homes[service]?.includes(slice) ?? false
-  }
-
   return {
     setInput (next) {
-      if (next !== input) listedServers = new Set(next.servers.map((server) => server.id))
+      if (next !== input) index(next)
       input = next
     },
     decide (context) {
--- a/src/transport/encode_message.ts
+++ b/src/transport/encode_message.ts
@@ -1,5 +1,5 @@
 /** Wire form of the messages between hosts of a cell: MessagePack arrays in one datagram each. */
-import { decode, encode } from '@msgpack/msgpack'
+import { Decoder, Encoder } from '@msgpack/msgpack'
 import { z } from 'zod'
 import type { CellMessage } from '../cell/mod.ts'
 
@@ -13,6 +13,10 @@
   ['redirect', ['leader']]
 ] as const
 
+/** Both keep their buffers from one message to the next. */
+const encoder = new Encoder()
+const decoder = new Decoder()
+
 const wholeNumber = z.number().int().min(0)
 const lost = z.object({ server: z.string(), token: z.number(), held: z.array(z.number()) })
 const messageSchema = z.discriminatedUnion('kind', [
@@ -35,7 +39,7 @@
   const number = SHAPES.findIndex(([kind]) => kind === message.kind)
   const fields = SHAPES[number]?.[1] ?? []
   const values = message as unknown as Readonly<Record<string, unknown>>
-  return encode([secret, number, ...fields.map((field) => values[field])])
+  return encoder.encode([secret, number, ...fields.map((field) => values[field])])
 }
 
 /**
@@ -48,7 +52,7 @@
 export function decodeMessage (secret: number, datagram: Uint8Array): CellMessage | null {
   let parts: unknown
   try {
-    parts = decode(datagram)
+    parts = decoder.decode(datagram)
   } catch {
     return null
   }
