A server that does not check is served again after its dispatcher is lost; releases in a module of their own

Cause: read as a newcomer: a server that does not check grants waited for its killed dispatcher until the platform listed that host as gone, although the server stays the owner of its slices. Change: the server goes to another dispatcher at the end of the lease; its slices stay with it until the old host has reported or is listed as gone. Releases, suspects' exchange and the descriptions for operators have modules of their own; grants are split by kind of server.

--- a/src/cell/assignment.ts
+++ b/src/cell/assignment.ts
@@ -9,7 +9,8 @@
  */
 import { hashText, planSlices } from '../slices/mod.ts'
 import { formatUnit, parseUnit } from './_unit.ts'
-import type { HostTable, KnownHost } from './host_table.ts'
+import type { HostTable } from './host_table.ts'
+import { createReleases } from './releases.ts'
 import type { CellServer, OwnersByService, ViewServer } from './types.ts'
 
 /** What the assignment works from; taken from the platform's list, the configuration and measurements. */
@@ -49,14 +50,6 @@
   lost: boolean
 }
 
-/** A holder that has been told to let go. */
-interface Retirement {
-  readonly dispatcher: string | null
-  readonly server: string
-  readonly version: number
-  readonly slice: number | null
-}
-
 /** The assignment of one leader in one epoch. */
 export interface Assignment {
   /** Replaces the input; takes effect at the next {@link decide}. */
@@ -98,8 +91,7 @@
   const current = new Map<string, string>()
   const targets = new Map<string, string>()
   const inherited = new Map<string, string>()
-  const retirements = new Map<string, Retirement>()
-  const unproven = new Set(options.unprovenHosts)
+  const releases = createReleases(options.unprovenHosts)
   /** Slices that this leader has granted. */
   const granted = new Set<string>()
   let input: AssignmentInput = { servers: [], homes: {}, loads: {}, listedHosts: new Set(), goneHosts: new Set() }
@@ -148,23 +140,17 @@
       retireServer(id, state, context)
       return
     }
-    if (retirements.has(id)) return
+    if (releases.has(id)) return
     servers.delete(id)
     changed = true
   }
 
   function retireServer (id: string, state: ServerState, context: DecideOptions): void {
-    retirements.set(id, { dispatcher: state.dispatcher, server: id, version: context.version, slice: null })
+    releases.begin(id, { dispatcher: state.dispatcher, server: id, version: context.version, slice: null })
     state.dispatcher = null
     touch(state, context.version)
   }
 
-  function noteProof (context: DecideOptions): void {
-    for (const host of unproven) {
-      if (input.goneHosts.has(host) || context.hosts.get(host)?.proven === true) unproven.delete(host)
-    }
-  }
-
   function noteLosses (context: DecideOptions): void {
     for (const state of servers.values()) {
       const report = reportedLoss(state, context)
@@ -176,7 +162,7 @@
         const { slice } = parseUnit(unit)
         current.delete(unit)
         if (report.held.includes(slice) || !state.spec.checksGrants) {
-          retirements.set(unit, { dispatcher: state.dispatcher, server: owner, version: context.version, slice })
+          releases.begin(unit, { dispatcher: state.dispatcher, server: owner, version: context.version, slice })
         }
       }
       touch(state, context.version)
@@ -207,37 +193,6 @@
     }
   }
 
-  function settleRetirements (context: DecideOptions): void {
-    for (const [unit, retirement] of retirements) {
-      if (hasLetGo(retirement, context)) retirements.delete(unit)
-    }
-  }
-
-  function hasLetGo (retirement: Retirement, context: DecideOptions): boolean {
-    const checks = servers.get(retirement.server)?.spec.checksGrants ?? false
-    if (!checks && isAtWorkElsewhere(retirement, context)) return false
-    if (retirement.dispatcher === null) return true
-    const known = context.hosts.get(retirement.dispatcher)
-    if (known !== undefined && reportsRelease(known, retirement)) return true
-    const leaseEnded = known === undefined || context.now > known.leaseUntil
-    if (!leaseEnded || !(checks || input.goneHosts.has(retirement.dispatcher))) return false
-    if (known !== undefined) known.floor = Math.max(known.floor, retirement.version)
-    return true
-  }
-
-  /** Whether a host that sent to the server before still has requests there, or has not said so yet. */
-  function isAtWorkElsewhere (retirement: Retirement, context: DecideOptions): boolean {
-    return unproven.size > 0 || context.hosts.all().some((known) =>
-      known.host !== retirement.dispatcher && known.pending.includes(retirement.server) && !input.goneHosts.has(known.host))
-  }
-
-  function reportsRelease (known: KnownHost, retirement: Retirement): boolean {
-    if (known.applied < retirement.version) return false
-    if (!known.pending.includes(retirement.server)) return true
-    const lost = known.lost.find((entry) => entry.server === retirement.server)
-    return lost !== undefined && retirement.slice !== null && !lost.held.includes(retirement.slice)
-  }
-
   function assignDispatchers (context: DecideOptions): void {
     const able = context.hosts.all()
       .filter((known) => context.members.includes(known.host) && context.hosts.isAlive(known.host, context.now) && !known.leaving)
@@ -250,7 +205,7 @@
       if (state.dispatcher !== null) counts.set(state.dispatcher, (counts.get(state.dispatcher) ?? 0) + 1)
     }
     for (const [id, state] of servers) {
-      if (state.dispatcher !== null || retirements.has(id) || !isListed(id)) continue
+      if (state.dispatcher !== null || releases.has(id) || !isListed(id)) continue
       const host = chooseDispatcher(state, counts)
       if (host === undefined) continue
       state.dispatcher = host
@@ -292,7 +247,7 @@
 
   /** Moves one keyed server from the host with most to the host with fewest, where they are two or more apart. */
   function evenOut (counts: ReadonlyMap<string, number>, context: DecideOptions): void {
-    if (retirements.size > 0 || counts.size < 2) return
+    if (releases.size() > 0 || counts.size < 2) return
     const ordered = [...counts].sort((left, right) => left[1] - right[1])
     const [, least] = ordered[0] ?? ['', 0]
     const [busiest, most] = ordered[ordered.length - 1] ?? ['', 0]
@@ -306,7 +261,7 @@
 
   /** The plan is made again when what it works from has changed. */
   function planOwners (context: DecideOptions): void {
-    const planFor = [unproven.size, ...[...servers.values()].map((state) =>
+    const planFor = [releases.unprovenCount(), ...[...servers.values()].map((state) =>
       `${state.spec.id}${state.lost ? '-' : ''}${state.spec.leaving ? '/' : ''}${isListed(state.spec.id) ? '' : '?'}`)].join()
     if (planFor === plannedFor && input.homes === plannedHomes && !context.rebalance) return
     plannedFor = planFor
@@ -333,7 +288,7 @@
 
   /** Whether an unknown sender may still reach the server, so that its slices must stay. */
   function isBoundByUnproven (server: string | undefined): boolean {
-    if (server === undefined || unproven.size === 0) return false
+    if (server === undefined || releases.unprovenCount() === 0) return false
     const state = servers.get(server)
     return state !== undefined && !state.spec.checksGrants
   }
@@ -346,15 +301,15 @@
       changed = true
       if (state === undefined) continue
       const { slice } = parseUnit(unit)
-      const holder = state.dispatcher ?? retirements.get(owner)?.dispatcher ?? null
-      retirements.set(unit, { dispatcher: holder, server: owner, version: context.version, slice })
+      const holder = state.dispatcher ?? releases.get(owner)?.dispatcher ?? null
+      releases.begin(unit, { dispatcher: holder, server: owner, version: context.version, slice })
       touch(state, context.version)
     }
   }
 
   function grantTargets (context: DecideOptions): void {
     for (const [unit, target] of targets) {
-      if (current.has(unit) || retirements.has(unit)) continue
+      if (current.has(unit) || releases.has(unit)) continue
       const { service, slice } = parseUnit(unit)
       const state = servers.get(target)
       if (state === undefined || !homeUnits.has(unit)) continue
@@ -380,7 +335,7 @@
       .filter((state) => state.spec.service === service && !state.spec.checksGrants && state.spec.id !== target)
       .map((state) => state.spec.id)
     if (others.length === 0) return false
-    return unproven.size > 0 || context.hosts.all().some((known) => known.pending.some((server) => others.includes(server)))
+    return releases.mayBeAtWork(others, context.hosts)
   }
 
   return {
@@ -391,10 +346,14 @@
     decide (context) {
       changed = false
       syncServers(context)
-      noteProof(context)
       noteLosses(context)
       noteReturns(context)
-      settleRetirements(context)
+      releases.settle({
+        now: context.now,
+        hosts: context.hosts,
+        goneHosts: input.goneHosts,
+        checksGrants: (server) => servers.get(server)?.spec.checksGrants ?? false
+      })
       assignDispatchers(context)
       planOwners(context)
       releaseMoved(context)
--- a/src/cell/host_table.ts
+++ b/src/cell/host_table.ts
@@ -27,8 +27,6 @@
   pending: readonly string[]
   lost: readonly LostServer[]
   leaving: boolean
-  /** Whether this life of the host has put a view of this epoch into effect. */
-  proven: boolean
 }
 
 /** Table of the hosts that a leader knows. */
@@ -83,8 +81,7 @@
       applied: 0,
       pending: [],
       lost: [],
-      leaving: false,
-      proven: false
+      leaving: false
     }
     hosts.set(host, fresh)
     return fresh
@@ -131,7 +128,6 @@
       known.pending = pong.pending
       known.lost = pong.lost
       known.leaving = pong.leaving
-      if (pong.applied > 0) known.proven = true
     },
     authorityUntil: (members) => majorityValue(members, (known) => known.promisedUntil),
     committed: (members) => majorityValue(members, (known) => known.held),
--- a/src/cell/timing.ts
+++ b/src/cell/timing.ts
@@ -23,7 +23,7 @@
   /** How long a leader waits for a durable write before it acts on the succession written in advance. */
   DURABLE_WAIT_MS: 300,
   /** Interval between two decisions of a leader where nothing has happened. */
-  DECISION_INTERVAL_MS: 50,
+  DECISION_INTERVAL_MS: 100,
   /** How long a new leader waits for the durable row before it starts from its own view. */
   SETTLE_MS: 150
 } as const
--- a/src/dispatch/grant_keeper.ts
+++ b/src/dispatch/grant_keeper.ts
@@ -4,7 +4,9 @@
  */
 import type { DispatchRight, EpochReport, ViewServer } from '../cell/mod.ts'
 import type { GrantAction, GrantOutcome } from './grant_types.ts'
-import { CheckedServerGrant, UncheckedServerGrant, type ServerGrant, type ServerGrantDump } from './server_grant.ts'
+import { CheckedServerGrant } from './checked_server_grant.ts'
+import type { ServerGrant, ServerGrantDump } from './server_grant.ts'
+import { UncheckedServerGrant } from './unchecked_server_grant.ts'
 
 /** A server that a request may be sent to now. */
 export interface Admission {
--- a/src/dispatch/mod.ts
+++ b/src/dispatch/mod.ts
@@ -1,5 +1,6 @@
 /** Dispatch of requests to backend servers, and the grants that allow it. */
 export * from './backend_client.ts'
+export * from './checked_server_grant.ts'
 export * from './claim_store.ts'
 export * from './create_dispatcher.ts'
 export * from './dispatch_types.ts'
@@ -12,3 +13,4 @@
 export * from './server_pool.ts'
 export * from './slot_limit.ts'
 export * from './suspect_ledger.ts'
+export * from './unchecked_server_grant.ts'
--- a/src/dispatch/server_grant_test.ts
+++ b/src/dispatch/server_grant_test.ts
@@ -5,7 +5,8 @@
 import { propertyParameters } from '../../testing/arbitrary_steps.ts'
 import { CellTiming, type ViewServer } from '../cell/mod.ts'
 import type { GrantAction, GrantOutcome } from './grant_types.ts'
-import { CheckedServerGrant, UncheckedServerGrant } from './server_grant.ts'
+import { CheckedServerGrant } from './checked_server_grant.ts'
+import { UncheckedServerGrant } from './unchecked_server_grant.ts'
 
 const test = suite('ServerGrant')
 const SLICES = [1, 2, 3]
--- a/src/host/create_host.ts
+++ b/src/host/create_host.ts
@@ -6,14 +6,13 @@
 import type { CellMessage, CellRow, CellView, KnownRow } from '../cell/mod.ts'
 import { createConfigurationHolder } from '../configuration/mod.ts'
 import {
-  createBackendClient, createClaimStore, createDispatcher, type DispatchEvent, type GrantAction, type Suspect
+  createBackendClient, createClaimStore, createDispatcher, type DispatchEvent, type GrantAction
 } from '../dispatch/mod.ts'
 import { createEdge, createPeerClient } from '../edge/mod.ts'
 import type { Logger } from '../logging/mod.ts'
 import { createPlatformClient } from '../platform/mod.ts'
 import type { TableRow } from '../ports/mod.ts'
 import type { DaemonSettings } from '../settings/mod.ts'
-import { sliceOfKey } from '../slices/mod.ts'
 import { createPeerSocket, splitAddress } from '../transport/mod.ts'
 import { createCallerListener } from './caller_listener.ts'
 import { cellName, createListTracker } from './cell_input.ts'
@@ -23,17 +22,19 @@
 import { createHostMetrics } from './metrics.ts'
 import { createOperatorListener } from './operator_listener.ts'
 import { createPeerListener } from './peer_listener.ts'
+import { createHostDescriber } from './describe_host.ts'
 import { createHomeKeeper } from './home_keeper.ts'
 import { createPlatformSync } from './platform_sync.ts'
-import { CELLS_PREFIX, createRoutes, placementIn, readHomes } from './routes.ts'
+import { CELLS_PREFIX, createRoutes, placementIn } from './routes.ts'
 import { createSharedRows } from './shared_rows.ts'
 import { createSliceLoads } from './slice_loads.ts'
+import { createSuspectExchange } from './suspect_exchange.ts'
 
 /** Interval between two turns of the host's timer, in milliseconds. */
 const TICK_MS = 50
 
 /** Interval between two readings of the platform by a leader, in milliseconds. */
-const POLL_INTERVAL_MS = 500
+const POLL_INTERVAL_MS = 1000
 
 /** Interval between two readings of the platform by a host that has no leader, in milliseconds. */
 const LEADERLESS_POLL_INTERVAL_MS = 1000
@@ -41,12 +42,6 @@
 /** Interval between two collections of slice loads, in milliseconds. */
 const LOADS_INTERVAL_MS = 5000
 
-/** Longest time that a caller waits for the other hosts to learn of a suspect, in milliseconds. */
-const SHARE_TIMEOUT_MS = 500
-
-/** Start of the keys of the rows of suspects. */
-export const SUSPECTS_PREFIX = 'gooseberryfold/suspects/'
-
 /** A running entry host. */
 export interface Host {
   /** Finishes what is in flight, hands the leases over and closes. */
@@ -99,6 +94,7 @@
     }
   })
   const claims = createClaimStore({ table: platform.table, now })
+  const exchange = createSuspectExchange({ host: self.host, table: platform.table, rows, peer, ledger: () => dispatcher.suspects, now })
   const dispatcher = createDispatcher({
     host: self.host,
     keeper,
@@ -106,7 +102,7 @@
     claims,
     service: (name) => configuration.service(name),
     placement: (service, slice) => placementIn(cell.view(), { service, slice, host: self.host }),
-    shareSuspects,
+    shareSuspects: async (suspects) => { await exchange.share(suspects) },
     now,
     onEvent
   })
@@ -127,14 +123,35 @@
     onSuspects (suspects) { for (const suspect of suspects) dispatcher.suspects.merge(suspect.fingerprint, suspect.crashes, now()) },
     onClearedSuspect (fingerprint) { dispatcher.suspects.clear(fingerprint) }
   })
-  const listeners = await listen()
   const socket = await createPeerSocket({ address: settings.peerListen, secret: settings.peerSecret, onMessage: receive })
+  const describer = createHostDescriber({
+    host: self.host,
+    incarnation: self.incarnation,
+    cell: cellId,
+    core,
+    dispatcher,
+    configuration,
+    rows,
+    isPlatformReachable: () => sync.isReachable(),
+    isLeaving: () => leaving,
+    traffic: () => socket.traffic,
+    now
+  })
+  const listeners = await listen()
   const timer = setInterval(turn, TICK_MS)
   logger.info({ host: self.host, cell: cellId, incarnation: self.incarnation }, 'host-started')
 
   async function listen (): Promise<FastifyInstance[]> {
     const peerListener = await createPeerListener({ secret: settings.peerSecret, dispatcher, peers, router, bodyBytes: settings.bodyBytes })
-    const operatorListener = createOperatorListener({ metrics, dump, refreshMetrics, locate, suspects: dispatcher.suspects, now, clearSuspect })
+    const operatorListener = createOperatorListener({
+      metrics,
+      refreshMetrics,
+      dump: describer.dump,
+      locate: describer.locate,
+      suspects: dispatcher.suspects,
+      now,
+      clearSuspect: exchange.clear
+    })
     const callerListener = createCallerListener({
       edge,
       headerBytes: settings.headerBytes,
@@ -204,7 +221,7 @@
       return
     }
     sync.poll().then(() => {
-      adoptSuspects()
+      exchange.adopt()
       homesTrusted ||= isLeading && sync.isReachable()
       return isLeading ? keepHomes() : undefined
     }).catch(onFault)
@@ -237,7 +254,7 @@
           else socket.send(action.to, action.message)
           break
         case 'pull-view': pullView(action.from); break
-        case 'pull-rows': sync.pullFrom(action.from).then(adoptSuspects).catch(onFault); break
+        case 'pull-rows': sync.pullFrom(action.from).then(exchange.adopt).catch(onFault); break
         case 'read-row': readRow().catch(onFault); break
         case 'write-row': writeRow(action.expectedRevision, action.row).catch(onFault); break
         case 'grant': sendGrant(action.grant); break
@@ -273,46 +290,6 @@
     else perform(core.onRow({ kind: 'conflict', known: knownRow(written.error.current[0] ?? null) }, now()))
   }
 
-  async function shareSuspects (suspects: readonly Suspect[]): Promise<void> {
-    const entries = suspects.map(({ fingerprint, crashes }) => ({ fingerprint, crashes }))
-    const hosts = new Set((lastView?.hosts ?? []).filter((host) => host !== self.host))
-    for (const row of rows.withPrefix(CELLS_PREFIX)) for (const member of (row.value as CellRow).members) hosts.add(member.host)
-    hosts.delete(self.host)
-    const told = [...hosts].map(async (host) => { await peer(host).suspects.mutate(entries) })
-    const kept = entries.map(async ({ fingerprint, crashes }) => {
-      const key = SUSPECTS_PREFIX + fingerprint
-      await platform.table.write([{ key, expectedRevision: rows.get(key)?.revision ?? 0, value: { crashes } }])
-    })
-    await Promise.race([
-      Promise.allSettled([...told, ...kept]),
-      new Promise((resolve) => { setTimeout(resolve, SHARE_TIMEOUT_MS).unref() })
-    ])
-  }
-
-  const adoptedSuspects = new Map<string, number>()
-
-  /** Takes each row of a suspect in once, so that a suspect cleared by success stays cleared. */
-  function adoptSuspects (): void {
-    for (const row of rows.withPrefix(SUSPECTS_PREFIX)) {
-      if (adoptedSuspects.get(row.key) === row.revision) continue
-      adoptedSuspects.set(row.key, row.revision)
-      const { crashes } = row.value as { readonly crashes: number }
-      const fingerprint = row.key.slice(SUSPECTS_PREFIX.length)
-      if (crashes > 0) dispatcher.suspects.merge(fingerprint, crashes, now())
-      else dispatcher.suspects.clear(fingerprint)
-    }
-  }
-
-  async function clearSuspect (fingerprint: string): Promise<boolean> {
-    dispatcher.suspects.clear(fingerprint)
-    const key = SUSPECTS_PREFIX + fingerprint
-    const row = await platform.table.read(key)
-    if (!row.ok) return false
-    if (row.value === null) return true
-    const written = await platform.table.write([{ key, expectedRevision: row.value.revision, value: { crashes: 0 } }])
-    return written.ok
-  }
-
   function onEvent (event: DispatchEvent): void {
     switch (event.kind) {
       case 'sent': metrics.queueWait.observe({ service: event.service }, event.waitMs / 1000); break
@@ -337,38 +314,6 @@
     metrics.isLeader.set(cell.isLeading(now()) ? 1 : 0)
   }
 
-  function locate (serviceName: string, key: string): unknown {
-    const service = configuration.service(serviceName)
-    if (service?.key === undefined) return { found: false, detail: `The service "${serviceName}" is not divided by key` }
-    const slice = sliceOfKey(key, service.key.slices)
-    const homes = readHomes(rows).get(serviceName)
-    const home = homes?.cells[homes.homeOfSlice[slice] ?? -1] ?? null
-    const view = cell.view()
-    if (home !== cellId || view === null) return { found: true, service: serviceName, key, slice, cell: home, host: self.host, owner: null }
-    const owner = view.owners[serviceName]?.[String(slice)] ?? null
-    const dispatchedBy = view.servers.find((server) => server.id === owner)?.dispatcher ?? null
-    return { found: true, service: serviceName, key, slice, cell: home, owner, dispatcher: dispatchedBy, durable: view.durable, epoch: view.epoch, version: view.version }
-  }
-
-  function dump (): unknown {
-    const time = now()
-    return {
-      host: self,
-      cell: cellId,
-      leaving,
-      configuration: { version: configuration.bundle().version, services: configuration.services().map((service) => service.name) },
-      platform: { reachable: sync.isReachable(), rowsRevision: rows.revision() },
-      leadership: cell.dump(time),
-      right: cell.right(time) === null ? null : { untilInMs: (cell.right(time)?.until ?? time) - time },
-      view: cell.view(),
-      grants: keeper.dump(time),
-      queued: dispatcher.queued(),
-      inFlight: dispatcher.inFlight(),
-      suspects: dispatcher.suspects.list(time),
-      datagrams: socket.traffic
-    }
-  }
-
   function isHandedOver (): boolean {
     const view = cell.view()
     const dispatches = view?.servers.some((server) => server.dispatcher === self.host) ?? false
@@ -390,7 +335,7 @@
     logger.info({ host: self.host, inTime: now() < deadline }, 'shutdown-done')
   }
 
-  return { shutDown, dump }
+  return { shutDown, dump: describer.dump }
 }
 
 function knownRow (row: TableRow | null): KnownRow | null {
--- a/src/host/host_core_test.ts
+++ b/src/host/host_core_test.ts
@@ -16,6 +16,9 @@
 /** Time after the last fault in which every slice is served, in milliseconds. */
 const RECOVERY_MS = 6000
 
+/** Time after a loss in which the users ask for a key to be served again, in milliseconds. */
+const LOSS_BOUND_MS = 2000
+
 /** Longest time that a planned change of dispatcher takes, in milliseconds. */
 const HANDOVER_MS = 500
 
@@ -90,6 +93,23 @@
   }), propertyParameters(40))
 })
 
+test('createHostCore() serves every slice again within 2 s, when one host, leader or server is lost or freezes', () => {
+  const loss = fc.oneof(
+    fc.record({ kind: fc.constant('kill' as const), host: fc.nat({ max: 4 }) }),
+    fc.record({ kind: fc.constant('pause' as const), host: fc.nat({ max: 4 }), lengthMs: fc.constant(LONGEST_FAULT_MS) }),
+    fc.record({ kind: fc.constant('kill-server' as const), server: fc.nat({ max: 3 }) }),
+    fc.record({ kind: fc.constant('freeze-server' as const), server: fc.constantFrom(0, 2), lengthMs: fc.constant(LONGEST_FAULT_MS) })
+  )
+  fc.assert(fc.property(fc.nat(), fc.integer({ min: 3, max: 5 }), fc.boolean(), loss, (seed, hosts, isPlatformDown, fault) => {
+    const world = startWorld({ seed, hosts, checksGrants: MIXED })
+    world.advance(START_MS)
+    if (isPlatformDown) world.inject({ kind: 'platform-down', hosts: [0, 1, 2, 3, 4], lengthMs: LONGEST_FAULT_MS })
+    world.inject(fault)
+    assert.equal(neverServedWithin(world, LOSS_BOUND_MS), [])
+    assert.is(world.violations.length, 0, describe(world))
+  }), propertyParameters(40))
+})
+
 test('createHostCore() gives a leaving server nothing new after the bound, when hosts fail', () => {
   fc.assert(fc.property(fc.nat(), hostSteps, (seed, steps) => {
     const world = startWorld({ seed, hosts: 3 })
--- a/src/host/metrics.ts
+++ b/src/host/metrics.ts
@@ -4,6 +4,9 @@
 /** Buckets of durations, in seconds. */
 const DURATION_BUCKETS_SECONDS = [0.001, 0.002, 0.004, 0.008, 0.016, 0.032, 0.064, 0.128, 0.256, 0.512, 1, 2, 5, 10]
 
+/** Resolution of the event loop's delay, in milliseconds; each sample wakes the process. */
+const EVENT_LOOP_PRECISION_MS = 100
+
 /** Metrics of one host. */
 export interface HostMetrics {
   readonly registry: Registry
@@ -28,7 +31,7 @@
  */
 export function createHostMetrics (): HostMetrics {
   const registry = new Registry()
-  collectDefaultMetrics({ register: registry })
+  collectDefaultMetrics({ register: registry, eventLoopMonitoringPrecision: EVENT_LOOP_PRECISION_MS })
   const registers = [registry]
   const buckets = DURATION_BUCKETS_SECONDS
   return {
--- a/src/host/platform_sync.ts
+++ b/src/host/platform_sync.ts
@@ -37,7 +37,7 @@
 }
 
 /** Interval between two readings of the host list, in milliseconds. */
-const LIST_INTERVAL_MS = 1000
+const LIST_INTERVAL_MS = 2000
 
 /**
  * Creates the synchronization of one host.
