--- a/src/host/host_core_test.ts
+++ b/src/host/host_core_test.ts
@@ -16,6 +16,9 @@
 /** Time after the last fault in which every slice is served, in milliseconds. */
 const RECOVERY_MS = 6000
 
+/** Time in which the servers have been spread over the dispatchers, in milliseconds. */
+const SPREAD_MS = 20_000
+
 /** Time after a loss in which the users ask for a key to be served again, in milliseconds. */
 const LOSS_BOUND_MS = 2000
 
@@ -102,7 +105,7 @@
   )
   fc.assert(fc.property(fc.nat(), fc.integer({ min: 3, max: 5 }), fc.boolean(), loss, (seed, hosts, isPlatformDown, fault) => {
     const world = startWorld({ seed, hosts, checksGrants: MIXED })
-    world.advance(START_MS)
+    world.advance(SPREAD_MS)
     if (isPlatformDown) world.inject({ kind: 'platform-down', hosts: [0, 1, 2, 3, 4], lengthMs: LONGEST_FAULT_MS })
     world.inject(fault)
     assert.equal(neverServedWithin(world, LOSS_BOUND_MS), [])
