Dispatcher in smaller parts

Change: the watch for crashes, the types and the identity of requests have files of their own; taking and giving back a slot is one function.

--- a/src/dispatch/create_dispatcher.ts
+++ b/src/dispatch/create_dispatcher.ts
@@ -3,61 +3,22 @@
  * given. It queues within the servers' slots, checks its right immediately
  * before each send, and says `not-run` only where that is certain.
  */
-import { createHash, randomUUID } from 'node:crypto'
+import { randomUUID } from 'node:crypto'
 import { setTimeout as delay } from 'node:timers/promises'
-import type { ServiceConfiguration } from '../configuration/mod.ts'
-import type { BackendClient, BackendOutcome } from './backend_client.ts'
-import type { ClaimStore } from './claim_store.ts'
+import type { BackendOutcome } from './backend_client.ts'
+import { createCrashWatch } from './crash_watch.ts'
 import {
   isReplayable, NotRunReason, UnknownReason,
-  type DispatchOutcome, type DispatchRequest, type DispatchUnknown, type HeaderValues
+  type DispatchOutcome, type DispatchRequest, type DispatchUnknown
 } from './dispatch_types.ts'
-import type { Admission, GrantKeeper } from './grant_keeper.ts'
+import type { Dispatcher, DispatcherOptions, DispatchEvent, Placement } from './dispatcher.ts'
+import type { Admission } from './grant_keeper.ts'
 import { isWellFramed, requestHeaders } from './_headers.ts'
+import { fingerprintOf, laneOf } from './_request_identity.ts'
 import { createRequestQueue, type Waiting } from './request_queue.ts'
 import { createRetryBudget } from './retry_budget.ts'
 import { createServerPool } from './server_pool.ts'
-import { createSuspectLedger, Standing, type Suspect, type SuspectLedger } from './suspect_ledger.ts'
-
-/** Where a slice or a service without keys is dispatched. */
-export type Placement =
-  | { readonly kind: 'here' }
-  | { readonly kind: 'elsewhere', readonly dispatcher: string }
-  | { readonly kind: 'unknown' }
-
-/** What a dispatcher works with. */
-export interface DispatcherOptions {
-  readonly host: string
-  readonly keeper: GrantKeeper
-  readonly client: BackendClient
-  readonly claims: ClaimStore
-  readonly service: (name: string) => ServiceConfiguration | undefined
-  readonly placement: (service: string, slice: number | null) => Placement
-  /** Tells the other hosts of suspects; resolves when they know, or after its own time limit. */
-  readonly shareSuspects: (suspects: readonly Suspect[]) => Promise<void>
-  /** Monotonic time in milliseconds. */
-  readonly now: () => number
-  readonly onEvent?: (event: DispatchEvent) => void
-}
-
-/** Something that an operator would want to count or read. */
-export type DispatchEvent =
-  | { readonly kind: 'sent', readonly service: string, readonly server: string, readonly waitMs: number }
-  | { readonly kind: 'ended', readonly service: string, readonly server: string, readonly outcome: string, readonly durationMs: number }
-  | { readonly kind: 'retried', readonly service: string, readonly reason: string }
-  | { readonly kind: 'crash', readonly server: string, readonly suspects: number }
-
-/** The dispatcher of one host. */
-export interface Dispatcher {
-  dispatch (request: DispatchRequest): Promise<DispatchOutcome>
-  /** Starts what can start; to be called after views, grants and time have moved. */
-  pump (): void
-  readonly suspects: SuspectLedger
-  /** Requests of each slice since the last call, by service. */
-  takeLoads (): Record<string, Record<string, number>>
-  queued (): number
-  inFlight (): number
-}
+import { createSuspectLedger, Standing } from './suspect_ledger.ts'
 
 interface Entry extends Waiting {
   readonly request: DispatchRequest
@@ -69,15 +30,29 @@
   hasClaimed: boolean
 }
 
+/** How work at a server ended. */
+type WorkResult = 'done' | 'shed' | 'failed'
+
+/** A request that holds a slot of a server. */
+interface Work {
+  readonly startedAt: number
+  readonly end: (result: WorkResult) => void
+}
+
+/** What a sent request came to, before its caller is told. */
+interface Settlement {
+  readonly admission: Admission
+  readonly outcome: BackendOutcome
+  readonly end: (result: WorkResult) => void
+  readonly timer: NodeJS.Timeout
+}
+
 /** Pause before a refused request is offered to a server again, in milliseconds. */
 const REFUSAL_PAUSE_MS = 8
 
 /** How long a request waits for a host or a server to take charge of its slice, in milliseconds. */
 const HOLD_MS = 3000
 
-/** Pause in which the other requests of a crashed server are noticed, in milliseconds. */
-const CRASH_PAUSE_MS = 20
-
 /**
  * Creates the dispatcher of one host.
  *
@@ -91,7 +66,16 @@
   const budget = createRetryBudget()
   const suspects = createSuspectLedger()
   const suspectsRunning = new Map<string, number>()
-  const crashChecks = new Map<string, { readonly fingerprints: Set<string>, readonly done: Promise<boolean> }>()
+  const crashes = createCrashWatch({
+    client: options.client,
+    suspects,
+    now,
+    async onCrash (server, noted) {
+      pool.forget(server)
+      emit({ kind: 'crash', server, suspects: noted.length })
+      await options.shareSuspects(noted)
+    }
+  })
   let loads: Record<string, Record<string, number>> = {}
   let inFlight = 0
 
@@ -217,54 +201,62 @@
     }
   }
 
-  async function run (entry: Entry, admission: Admission): Promise<void> {
-    const { request } = entry
+  /** Takes a slot of the server for a request; `end` gives it back, once. */
+  function beginWork (entry: Entry, admission: Admission): Work {
+    const { service, slice } = entry.request
     const server = admission.server.id
-    const limit = pool.limitOf(server, slotsOf(request.service))
+    const limit = pool.limitOf(server, slotsOf(service))
     const isSuspect = suspects.standing(entry.fingerprint, now()) === Standing.suspect
     const startedAt = now()
     let isOver = false
     inFlight++
     entry.tries++
-    keeper.begin(server, request.slice)
+    keeper.begin(server, slice)
     limit.begin()
     if (isSuspect) suspectsRunning.set(server, (suspectsRunning.get(server) ?? 0) + 1)
-
-    function end (outcome: 'done' | 'shed' | 'failed'): void {
-      if (isOver) return
-      isOver = true
-      inFlight--
-      keeper.end(server, request.slice)
-      limit.end(outcome === 'done' ? { kind: 'done', durationMs: now() - startedAt } : { kind: outcome })
-      if (isSuspect) suspectsRunning.set(server, (suspectsRunning.get(server) ?? 1) - 1)
-      emit({ kind: 'ended', service: request.service, server, outcome, durationMs: now() - startedAt })
-      setImmediate(pump)
+    return {
+      startedAt,
+      end (result) {
+        if (isOver) return
+        isOver = true
+        const durationMs = now() - startedAt
+        inFlight--
+        keeper.end(server, slice)
+        limit.end(result === 'done' ? { kind: 'done', durationMs } : { kind: result })
+        if (isSuspect) suspectsRunning.set(server, (suspectsRunning.get(server) ?? 1) - 1)
+        emit({ kind: 'ended', service, server, outcome: result, durationMs })
+        setImmediate(pump)
+      }
     }
+  }
 
+  async function run (entry: Entry, admission: Admission): Promise<void> {
+    const { request } = entry
+    const work = beginWork(entry, admission)
     const refusal = await claim(entry)
     if (refusal !== null) {
-      end('failed')
+      work.end('failed')
       entry.finish(refusal)
       return
     }
     const current = renew(admission, request)
     if (current === null) {
-      end('failed')
+      work.end('failed')
       putBack(entry)
       return
     }
-    emit({ kind: 'sent', service: request.service, server, waitMs: startedAt - entry.enqueuedAt })
+    emit({ kind: 'sent', service: request.service, server: current.server.id, waitMs: work.startedAt - entry.enqueuedAt })
     const deadline = new AbortController()
     const timer = setTimeout(() => { deadline.abort() }, Math.max(0, request.deadline - now()))
     const outcome = await options.client.send({
-      address: admission.server.address,
+      address: current.server.address,
       method: request.method,
       path: request.path,
       headers: requestHeaders(request, { token: current.token, remainingMs: request.deadline - now() }),
       body: request.body,
       signal: AbortSignal.any([request.signal, deadline.signal])
     })
-    await settle(entry, { admission: current, outcome, end, timer })
+    await settle(entry, { admission: current, outcome, end: work.end, timer })
   }
 
   /** Checks the right to send once more: time may have passed since the slot was taken. */
@@ -286,13 +278,6 @@
     return lost(outcome.done ? UnknownReason.alreadyRun : UnknownReason.alreadyClaimed)
   }
 
-  interface Settlement {
-    readonly admission: Admission
-    readonly outcome: BackendOutcome
-    readonly end: (outcome: 'done' | 'shed' | 'failed') => void
-    readonly timer: NodeJS.Timeout
-  }
-
   async function settle (entry: Entry, settlement: Settlement): Promise<void> {
     const { outcome, end, timer, admission } = settlement
     const server = admission.server.id
@@ -313,7 +298,7 @@
       entry.finish(lost(entry.request.signal.aborted ? UnknownReason.callerGone : UnknownReason.deadline))
       return
     }
-    const crashed = await noteLostConnection(entry, admission)
+    const crashed = await crashes.check({ server, address: admission.server.address, fingerprint: entry.fingerprint })
     end('failed')
     pool.onFailure(server, now())
     const failure = lost(UnknownReason.connectionLost)
@@ -386,37 +371,6 @@
     setImmediate(pump)
   }
 
-  /** Finds out whether the loss of a connection was the crash of the server, and notes the suspects. */
-  async function noteLostConnection (entry: Entry, admission: Admission): Promise<boolean> {
-    const server = admission.server.id
-    const running = crashChecks.get(server)
-    if (running !== undefined) {
-      running.fingerprints.add(entry.fingerprint)
-      return await running.done
-    }
-    const fingerprints = new Set([entry.fingerprint])
-    const done = checkCrash(admission, fingerprints).finally(() => { crashChecks.delete(server) })
-    crashChecks.set(server, { fingerprints, done })
-    return await done
-  }
-
-  async function checkCrash (admission: Admission, fingerprints: ReadonlySet<string>): Promise<boolean> {
-    await delay(CRASH_PAUSE_MS)
-    const probe = await options.client.grant({
-      server: admission.server.id,
-      address: admission.server.address,
-      checksGrants: false,
-      sentAt: now(),
-      request: { token: 0, boot: '', basis: 0, duration: 0 }
-    })
-    if (probe.kind !== 'connection-refused') return false
-    const noted = suspects.onCrash([...fingerprints], now())
-    pool.forget(admission.server.id)
-    emit({ kind: 'crash', server: admission.server.id, suspects: noted.length })
-    await options.shareSuspects(noted)
-    return true
-  }
-
   return {
     dispatch,
     pump,
@@ -434,18 +388,3 @@
 function lost (reason: UnknownReason): DispatchUnknown {
   return { kind: 'unknown', reason }
 }
-
-function laneOf (request: DispatchRequest): string {
-  return request.slice === null ? request.service : `${request.service}/${request.slice}`
-}
-
-/** Two requests that would do the same on a server have the same fingerprint. */
-function fingerprintOf (request: DispatchRequest): string {
-  const body = Buffer.isBuffer(request.body) ? request.body : headerText(request.headers, 'content-length')
-  return createHash('sha1').update(`${request.service}\n${request.method}\n${request.path}\n`).update(body).digest('base64url')
-}
-
-function headerText (headers: HeaderValues, name: string): string {
-  const value = headers[name]
-  return typeof value === 'string' ? value : ''
-}
--- a/src/dispatch/create_dispatcher_test.ts
+++ b/src/dispatch/create_dispatcher_test.ts
@@ -7,8 +7,9 @@
 import { createFakeServers, type FakeServers, type Treatment } from '../../testing/fake_servers.ts'
 import { createFakeTable, type CallFate, type FakeTable } from '../../testing/fake_table.ts'
 import { createClaimStore } from './claim_store.ts'
-import { createDispatcher, type Dispatcher } from './create_dispatcher.ts'
+import { createDispatcher } from './create_dispatcher.ts'
 import type { DispatchOutcome, DispatchRequest } from './dispatch_types.ts'
+import type { Dispatcher } from './dispatcher.ts'
 import type { Suspect } from './suspect_ledger.ts'
 
 const test = suite('createDispatcher')
