Standing for leader in a module of its own

Change: src/cell/candidate.ts holds elections; a promise that arrives when the host leads already is dropped.

--- a/src/cell/cell.ts
+++ b/src/cell/cell.ts
@@ -6,10 +6,11 @@
 import { hashText } from '../slices/mod.ts'
 import type { AssignmentInput } from './assignment.ts'
 import { createLeader, type Leader } from './leader.ts'
+import { createCandidate, type Election } from './candidate.ts'
 import { createPromiseLedger } from './promise_ledger.ts'
-import { CellTiming, RANKS_PER_TERM } from './timing.ts'
+import { CellTiming } from './timing.ts'
 import type {
-  Ask, CellAction, CellMessage, CellRow, CellView, DispatchReport, HostLife, KnownRow, Ping, PromiseAnswer, RowOutcome
+  Ask, CellAction, CellMessage, CellRow, CellView, DispatchReport, HostLife, KnownRow, Ping, RowOutcome
 } from './types.ts'
 
 /** Options of {@link createCell}. */
@@ -76,18 +77,6 @@
 /** Spread of the times at which hosts claim a term, in milliseconds. */
 const CLAIM_SPREAD_MS = 600
 
-/** How long a candidate asks before it rests, so that it can follow a leader that others follow, in milliseconds. */
-const CANDIDACY_MS = 600
-
-/** A round of asking for promises. */
-interface Candidacy {
-  readonly epoch: number
-  readonly known: KnownRow
-  readonly granted: Map<string, PromiseAnswer>
-  readonly startedAt: number
-  nextAskAt: number
-}
-
 /**
  * Creates the part of one host in its cell.
  *
@@ -108,7 +97,6 @@
   let known: KnownRow | null = null
   let isRowKnown = false
   let leader: Leader | null = null
-  let candidacy: Candidacy | null = null
   let lastPing: { readonly from: string, readonly ping: Ping, readonly promised: boolean } | null = null
   let followed = { host: '', heardAt: -Infinity }
   let input: AssignmentInput = { servers: [], homes: {}, loads: {}, listedHosts: new Set(), goneHosts: new Set() }
@@ -120,9 +108,7 @@
   let pongsSent = 0
   let claiming = false
   let claimAt = 0
-  let lastLedEpoch = 0
-  let restUntil = 0
-  const claimedTerms = new Set<number>()
+  const candidate = createCandidate({ self, ledger, known: () => known, held: () => held, onWon: lead })
 
   function send (to: string, message: CellMessage): CellAction {
     return { kind: 'send', to, message }
@@ -136,7 +122,7 @@
     const standing = ledger.follow(ping.epoch, from, now)
     if (standing === 'ignored') return []
     if (leader !== null && ping.epoch > leader.epoch) leader = null
-    candidacy = null
+    candidate.withdraw()
     followed = { host: from, heardAt: now }
     lastPing = { from, ping, promised: standing === 'promised' }
     takeLease(ping)
@@ -211,37 +197,10 @@
     })]
   }
 
-  function onPromise (from: string, answer: PromiseAnswer, now: number): CellAction[] {
-    if (candidacy === null || answer.epoch !== candidacy.epoch) return []
-    if (!answer.granted) return answer.behind ? [{ kind: 'pull-view', from }, { kind: 'read-row' }] : []
-    candidacy.granted.set(from, answer)
-    return tryToLead(candidacy, now) ?? []
-  }
-
-  /** Leads once the others' promises and its own make a majority; its own comes last, so that losing binds it to nothing. */
-  function tryToLead (candidate: Candidacy, now: number): CellAction[] | null {
-    const members = candidate.known.row.members.map((member) => member.host)
-    const others = members.filter((host) => {
-      const promise = candidate.granted.get(host)
-      return promise !== undefined && promise.echo + CellTiming.PROMISE_MS - CellTiming.DRIFT_MARGIN_MS > now
-    })
-    const isMember = members.includes(self.host)
-    if (!isMember || others.length + 1 <= members.length / 2) return null
-    if (!ledger.mayPromise(candidate.epoch, self.host, now)) return null
-    ledger.promise(candidate.epoch, self.host, now)
-    candidate.granted.set(self.host, {
-      kind: 'promise', epoch: candidate.epoch, incarnation: self.incarnation, sentAt: now, echo: now, granted: true, behind: false
-    })
-    return lead(candidate, now)
-  }
-
-  function lead (won: Candidacy, now: number): CellAction[] {
-    const promises = new Map([...won.granted].filter(([host]) => won.known.row.members.some((member) => member.host === host)))
-    leader = createLeader({ self, epoch: won.epoch, now, known: won.known, view: held, promises })
+  function lead (won: Election, now: number): CellAction[] {
+    leader = createLeader({ self, now, view: held, ...won })
     leader.setInput(input, platformReachable)
     leader.setRowsRevision(rowsRevision)
-    lastLedEpoch = won.epoch
-    candidacy = null
     return [{ kind: 'read-row' }, ...leader.tick(now)]
   }
 
@@ -278,53 +237,6 @@
     return known === null ? Math.max(quiet - CellTiming.PROMISE_MS, options.startedAt) + spread : quiet + CellTiming.CLAIM_DELAY_MS + spread
   }
 
-  /** Stands with the next epoch of the row's term that is written down for this host. */
-  function standAsDeputy (now: number): CellAction[] {
-    if (known === null) return []
-    const epoch = nextOwnEpoch(known.row)
-    if (epoch === null) return []
-    const latest = Math.max(ledger.highestEpoch(), known.row.term * RANKS_PER_TERM)
-    const waitedFor = (epoch - latest - 1) * CellTiming.DEPUTY_STAGGER_MS
-    if (now < ledger.current().until + Math.max(0, waitedFor)) return []
-    return stand(epoch, known, now)
-  }
-
-  function nextOwnEpoch (row: CellRow): number | null {
-    const base = row.term * RANKS_PER_TERM
-    for (let rank = 1; rank < RANKS_PER_TERM; rank++) {
-      const life = row.succession[(rank - 1) % row.succession.length]
-      if (life?.host !== self.host || life.incarnation !== self.incarnation) continue
-      if (base + rank === candidacy?.epoch) return base + rank
-      if (base + rank > Math.max(ledger.highestEpoch(), lastLedEpoch)) return base + rank
-    }
-    return null
-  }
-
-  function stand (epoch: number, from: KnownRow, now: number): CellAction[] {
-    if (epoch < ledger.highestEpoch() || epoch <= lastLedEpoch || now < restUntil) return []
-    if (candidacy === null || candidacy.epoch !== epoch) {
-      candidacy = { epoch, known: from, granted: new Map(), startedAt: now, nextAskAt: now }
-    }
-    if (now - candidacy.startedAt > CANDIDACY_MS) {
-      candidacy = null
-      restUntil = now + CellTiming.PROMISE_MS + hashText(`${self.host}/${epoch}`) % CLAIM_SPREAD_MS
-      return []
-    }
-    if (now < candidacy.nextAskAt) return []
-    candidacy.nextAskAt = now + CellTiming.ASK_INTERVAL_MS
-    const ask: Ask = {
-      kind: 'ask',
-      epoch,
-      sentAt: now,
-      viewEpoch: held?.epoch ?? 0,
-      viewVersion: held?.version ?? 0,
-      rowRevision: candidacy.known.revision
-    }
-    const won = tryToLead(candidacy, now)
-    if (won !== null) return won
-    return candidacy.known.row.members.filter((member) => member.host !== self.host).map((member) => send(member.host, ask))
-  }
-
   /**
    * Claims a term in the durable row. Hosts that the platform lists as gone are
    * struck from the members; a host that is no member claims only where none is left.
@@ -348,22 +260,13 @@
     return [{ kind: 'write-row', expectedRevision: current?.revision ?? 0, row }]
   }
 
-  function standOnClaim (now: number): CellAction[] {
-    if (known === null || !isOwnClaim(known.row)) return []
-    return stand(known.row.term * RANKS_PER_TERM, known, now)
-  }
-
-  function isOwnClaim (row: CellRow): boolean {
-    return row.leader.host === self.host && row.leader.incarnation === self.incarnation && claimedTerms.has(row.term)
-  }
-
   function onClaimOutcome (outcome: RowOutcome, now: number): CellAction[] {
     if (outcome.kind !== 'read') claiming = false
     if (outcome.kind === 'unavailable') return []
-    if (outcome.kind === 'written') claimedTerms.add(outcome.known.row.term)
+    if (outcome.kind === 'written') candidate.noteClaim(outcome.known.row.term)
     isRowKnown = true
     if (outcome.known !== null) learnRow(outcome.known)
-    if (outcome.kind === 'written') return standOnClaim(now)
+    if (outcome.kind === 'written') return candidate.tick(now)
     return outcome.kind === 'read' ? claim(outcome.known, now) : []
   }
 
@@ -372,7 +275,7 @@
       switch (message.kind) {
         case 'ping': return onPing(from, message, now)
         case 'ask': return onAsk(from, message, now)
-        case 'promise': return onPromise(from, message, now)
+        case 'promise': return leader === null ? candidate.onPromise(from, message, now) : []
         case 'join': return onJoin(from, message.incarnation, { echo: message.sentAt, now })
         case 'redirect':
           return [send(message.leader, { kind: 'join', incarnation: self.incarnation, sentAt: now })]
@@ -398,10 +301,7 @@
         if (now < leader.authorityUntil()) return leader.tick(now)
         leader = null
       }
-      const actions = search(now)
-      if (now < ledger.current().until && ledger.current().host !== self.host) return actions
-      const standing = standOnClaim(now)
-      return [...actions, ...(standing.length > 0 ? standing : standAsDeputy(now))]
+      return [...search(now), ...candidate.tick(now)]
     },
     setInput (next, reachable) {
       input = next
@@ -427,7 +327,7 @@
     isLeading: (now) => leader !== null && now < leader.authorityUntil(),
     dump: (now) => ({
       self,
-      role: leader !== null ? 'leader' : candidacy !== null ? 'candidate' : 'follower',
+      role: leader !== null ? 'leader' : candidate.isStanding() ? 'candidate' : 'follower',
       epoch: leader?.epoch ?? ledger.current().epoch,
       leader: followedLeader(now),
       promise: ledger.current(),
--- a/src/cell/mod.ts
+++ b/src/cell/mod.ts
@@ -1,5 +1,6 @@
 /** Membership, leadership and assignment within a cell of entry hosts. */
 export * from './assignment.ts'
+export * from './candidate.ts'
 export * from './cell.ts'
 export * from './host_table.ts'
 export * from './leader.ts'
--- a/tools/_mutation_list.ts
+++ b/tools/_mutation_list.ts
@@ -35,5 +35,5 @@
   { name: 'a lost server stays lost', file: 'src/cell/assignment.ts', find: 'if (answered) state.lost = false', replace: '', test: HOSTS },
   { name: 'a lease that lapsed is given again for an old view', file: 'src/cell/cell.ts', find: 'applied.version < lease.floor || ', replace: '', test: HOSTS },
   { name: 'slices of servers that do not check move without every report', file: 'src/cell/releases.ts', find: 'if (release.slice !== null && !checks && isAtWorkElsewhere(release, context)) return false', replace: '', test: TRACES },
-  { name: 'an epoch is led twice', file: 'src/cell/cell.ts', find: 'lastLedEpoch = won.epoch', replace: '', test: HOSTS }
+  { name: 'an epoch is led twice', file: 'src/cell/candidate.ts', find: 'lastLedEpoch = candidate.epoch', replace: '', test: HOSTS }
 ]
