--- a/src/cell/assignment.ts
+++ b/src/cell/assignment.ts
@@ -7,7 +7,8 @@
  * that was paused past its lease, so there only the report counts, or proof
  * that the old sender is gone.
  */
-import { hashText, planSlices } from '../slices/mod.ts'
+import { planSlices } from '../slices/mod.ts'
+import { chooseDispatcher, overloadedDispatcher } from './_dispatcher_choice.ts'
 import { formatUnit, parseUnit } from './_unit.ts'
 import type { HostTable } from './host_table.ts'
 import { createReleases } from './releases.ts'
@@ -206,7 +207,7 @@
     }
     for (const [id, state] of servers) {
       if (state.dispatcher !== null || releases.has(id) || !isListed(id)) continue
-      const host = chooseDispatcher(state, counts)
+      const host = chooseDispatcher(state.spec, { servers: servers.values(), counts })
       if (host === undefined) continue
       state.dispatcher = host
       counts.set(host, (counts.get(host) ?? 0) + 1)
@@ -225,35 +226,12 @@
     return listedServers.has(id)
   }
 
-  /** Servers of a service without keys share one queue, so they share one dispatcher. */
-  function chooseDispatcher (state: ServerState, counts: ReadonlyMap<string, number>): string | undefined {
-    if (!state.spec.keyed) {
-      for (const other of servers.values()) {
-        if (other.spec.service === state.spec.service && other.dispatcher !== null) return other.dispatcher
-      }
-    }
-    let best: string | undefined
-    for (const [host, count] of counts) {
-      if (best === undefined) {
-        best = host
-        continue
-      }
-      const bestCount = counts.get(best) ?? 0
-      const ranksFirst = hashText(`${host}/${state.spec.id}`) > hashText(`${best}/${state.spec.id}`)
-      if (count < bestCount || (count === bestCount && ranksFirst)) best = host
-    }
-    return best
-  }
-
-  /** Moves one keyed server from the host with most to the host with fewest, where they are two or more apart. */
+  /** Moves one keyed server away from a host that has two or more above another. */
   function evenOut (counts: ReadonlyMap<string, number>, context: DecideOptions): void {
-    if (releases.size() > 0 || counts.size < 2) return
-    const ordered = [...counts].sort((left, right) => left[1] - right[1])
-    const [, least] = ordered[0] ?? ['', 0]
-    const [busiest, most] = ordered[ordered.length - 1] ?? ['', 0]
-    if (most - least < 2) return
+    const overloaded = overloadedDispatcher(counts)
+    if (overloaded === undefined || releases.size() > 0) return
     for (const [id, state] of servers) {
-      if (state.dispatcher !== busiest || !state.spec.keyed || state.lost) continue
+      if (state.dispatcher !== overloaded || !state.spec.keyed || state.lost) continue
       retireServer(id, state, context)
       return
     }
--- a/src/cell/leader.ts
+++ b/src/cell/leader.ts
@@ -4,6 +4,7 @@
  * them as views. It acts only while its authority lasts.
  */
 import { createAssignment, type AssignmentInput } from './assignment.ts'
+import { nextMembers, STRIKE_AFTER_MS } from './_next_members.ts'
 import { createHostTable, type HostTable, type KnownHost } from './host_table.ts'
 import { CellTiming } from './timing.ts'
 import type {
@@ -40,15 +41,9 @@
   tick (now: number): CellAction[]
 }
 
-/** How long a member may be silent before it is struck from the row, in milliseconds. */
-const STRIKE_AFTER_MS = 10_000
-
 /** Interval between two rounds in which slices may move from servers that stay, in milliseconds. */
 const REBALANCE_INTERVAL_MS = 5000
 
-/** Members that a cell may have. */
-const MAXIMUM_MEMBERS = 16
-
 /** Pause before a failed write is tried again, in milliseconds. */
 const WRITE_RETRY_MS = 500
 
@@ -198,7 +193,7 @@
 
   /** A row with other members bears another term, so that no deputy's epoch is ever used twice. */
   function desiredRow (now: number): CellRow {
-    const members = nextMembers(now)
+    const members = membersNow(now)
     const succession = [...members.filter((member) => member.host !== self.host), self]
     const same = sameLives([known.row.leader], [self]) && sameLives(known.row.members, members)
     return {
@@ -210,34 +205,11 @@
     }
   }
 
-  /** Changes the members one at a time, and only once a majority holds the members so far. */
-  function nextMembers (now: number): readonly HostLife[] {
-    const members = known.row.members
+  /** Members change only once a majority holds the members so far. */
+  function membersNow (now: number): readonly HostLife[] {
+    const { members } = known.row
     if (view === null || view.rowRevision !== known.revision || committed() < view.version) return members
-    const restarted = members.find((member) => {
-      const host = hosts.get(member.host)
-      return host !== undefined && host.incarnation > member.incarnation && hosts.isAlive(member.host, now)
-    })
-    if (restarted !== undefined) {
-      return members.map((member) => member === restarted ? lifeOf(member.host, member.incarnation) : member)
-    }
-    const joining = hosts.all().find((host) => hosts.isAlive(host.host, now) && !host.leaving &&
-      host.promisedUntil > now + CellTiming.PING_INTERVAL_MS &&
-      input.listedHosts.has(host.host) && members.length < MAXIMUM_MEMBERS &&
-      members.every((member) => member.host !== host.host))
-    if (joining !== undefined) return [...members, lifeOf(joining.host, joining.incarnation)]
-    const silent = members.find((member) => isStruck(member.host, now))
-    return silent === undefined ? members : members.filter((member) => member !== silent)
-  }
-
-  function lifeOf (host: string, incarnation: number): HostLife {
-    return { host, incarnation: hosts.get(host)?.incarnation ?? incarnation }
-  }
-
-  function isStruck (host: string, now: number): boolean {
-    if (host === self.host) return false
-    const lastHeard = hosts.get(host)?.receivedAt ?? options.now
-    return input.goneHosts.has(host) || now - lastHeard > STRIKE_AFTER_MS
+    return nextMembers(members, { self, hosts, input, ledSince: options.now, now })
   }
 
   /** A host whose requests may still be at a server is remembered, however long it is silent. */
--- a/src/host/host_core_test.ts
+++ b/src/host/host_core_test.ts
@@ -6,7 +6,8 @@
 import { suite } from 'uvu'
 import * as assert from 'uvu/assert'
 import { allSteps, hostSteps, LONGEST_FAULT_MS, propertyParameters } from '../../testing/arbitrary_steps.ts'
-import { createFakeWorld, type FakeWorld, type FakeWorldOptions, type Step } from '../../testing/fake_world.ts'
+import { createFakeWorld, type FakeWorld, type FakeWorldOptions } from '../../testing/fake_world.ts'
+import type { Step } from '../../testing/fault.ts'
 
 const test = suite('createHostCore')
 
--- a/src/host/trace_replay_test.ts
+++ b/src/host/trace_replay_test.ts
@@ -3,7 +3,8 @@
 import { fileURLToPath } from 'node:url'
 import { suite } from 'uvu'
 import * as assert from 'uvu/assert'
-import { createFakeWorld, type FakeWorld, type Step } from '../../testing/fake_world.ts'
+import { createFakeWorld, type FakeWorld } from '../../testing/fake_world.ts'
+import type { Step } from '../../testing/fault.ts'
 
 const test = suite('traces')
 const FOLDER = fileURLToPath(new URL('../../traces', import.meta.url))
--- a/testing/arbitrary_steps.ts
+++ b/testing/arbitrary_steps.ts
@@ -1,6 +1,6 @@
 /** Arbitrary faults for the properties of hosts. */
 import fc from 'fast-check'
-import type { Fault, Step } from './fake_world.ts'
+import type { Fault, Step } from './fault.ts'
 
 /** Longest pause, cut, freeze or outage, in milliseconds; longer than every lease. */
 export const LONGEST_FAULT_MS = 4000
--- a/testing/fake_world.ts
+++ b/testing/fake_world.ts
@@ -6,50 +6,13 @@
  */
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus'
 import { uniformInt } from 'pure-rand/distribution/uniformInt'
-import type { AssignmentInput, CellRow, CellServer, CellView, KnownRow, RowOutcome } from '../src/cell/mod.ts'
+import type { AssignmentInput, CellRow, CellServer, KnownRow, RowOutcome } from '../src/cell/mod.ts'
 import type { GrantAction, GrantOutcome } from '../src/dispatch/mod.ts'
+import { createEventQueue } from './event_queue.ts'
+import type { Fault } from './fault.ts'
+import { createOwnershipRecord, type Run, type Violation } from './ownership_record.ts'
 import { createHostCore, type HostAction, type HostCore } from '../src/host/host_core.ts'
 
-/** One fault or healing; what cannot be done is passed over. */
-export type Fault =
-  | { readonly kind: 'kill', readonly host: number }
-  | { readonly kind: 'restart', readonly host: number }
-  | { readonly kind: 'pause', readonly host: number, readonly lengthMs: number }
-  /** Cuts `hosts` from `others`, and `others` from `servers`; where `others` is empty, from everyone else. */
-  | { readonly kind: 'cut', readonly hosts: readonly number[], readonly others: readonly number[], readonly servers: readonly number[], readonly lengthMs: number }
-  | { readonly kind: 'platform-down', readonly hosts: readonly number[], readonly lengthMs: number }
-  | { readonly kind: 'lose-answers', readonly count: number }
-  | { readonly kind: 'slow-network', readonly lengthMs: number }
-  | { readonly kind: 'freeze-server', readonly server: number, readonly lengthMs: number }
-  | { readonly kind: 'kill-server', readonly server: number }
-  | { readonly kind: 'restart-server', readonly server: number }
-  | { readonly kind: 'cut-server', readonly server: number, readonly hosts: readonly number[], readonly lengthMs: number }
-  | { readonly kind: 'drain', readonly server: number }
-  /** Kills every host and starts all of them again. */
-  | { readonly kind: 'power-cut', readonly lengthMs: number }
-
-/** A fault with the pause before it, in milliseconds. */
-export interface Step {
-  readonly afterMs: number
-  readonly fault: Fault
-}
-
-/** A run of a request at a server. Times are world milliseconds. */
-export interface Run {
-  readonly slice: number
-  readonly server: string
-  readonly token: number
-  readonly startedAt: number
-  endedAt: number
-}
-
-/** A broken rule, with the time at which it was seen. */
-export interface Violation {
-  readonly rule: string
-  readonly at: number
-  readonly detail: string
-}
-
 /** Options of {@link createFakeWorld}. */
 export interface FakeWorldOptions {
   readonly seed: number
@@ -79,7 +42,6 @@
   startedAfter (server: string, time: number): Run[]
   hosts (): readonly string[]
   leaderCount (): number
-  announcedOwner (slice: number): string | undefined
   /** State of each host that is up, to explain a failure. */
   dump (): unknown
 }
@@ -120,8 +82,6 @@
   readonly until: number
 }
 
-interface Event { readonly at: number, readonly order: number, readonly act: () => void }
-
 const SERVICE = 'keys'
 const TICK_MS = 25
 const SERVER_ADDRESS = '127.0.0.1:1'
@@ -134,20 +94,21 @@
  */
 export function createFakeWorld (options: FakeWorldOptions): FakeWorld {
   const random = xoroshiro128plus(options.seed)
-  const events: Event[] = []
-  const violations: Violation[] = []
-  const runs: Run[] = []
-  const lastStart = new Map<number, Run>()
-  const announced = new Map<number, string>()
+  const queue = createEventQueue()
+  const { schedule } = queue
   const cuts: Cut[] = []
-  let time = 0
-  let order = 0
   let row: KnownRow | null = null
-  const writtenRows = new Map<number, CellRow>()
   let revision = 0
   let lostAnswers = 0
   let slowUntil = 0
   let lifeCount = 0
+  const record = createOwnershipRecord({
+    service: SERVICE,
+    now: queue.now,
+    checksGrants: (server) => servers.find((other) => other.id === server)?.checksGrants === true,
+    isDrained: (server) => servers.some((other) => other.id === server && queue.now() > other.drainedAt),
+    keepsAnnounced: options.keepsAnnounced === true
+  })
   const homes = { [SERVICE]: Array.from({ length: options.slices }, (_, slice) => slice) }
   const servers: FakeServer[] = Array.from({ length: options.servers }, (_, index) => createServer(index))
   const hosts: FakeHost[] = Array.from({ length: options.hosts }, (_, index) => createHost(index))
@@ -158,19 +119,6 @@
     return uniformInt(random, from, to)
   }
 
-  function schedule (delayMs: number, act: () => void): void {
-    const event = { at: time + delayMs, order: order++, act }
-    let low = 0
-    let high = events.length
-    while (low < high) {
-      const middle = (low + high) >> 1
-      const other = events[middle]
-      if (other !== undefined && (other.at < event.at || (other.at === event.at && other.order < event.order))) low = middle + 1
-      else high = middle
-    }
-    events.splice(low, 0, event)
-  }
-
   /** Clocks go wrong by up to 1.5 parts in a hundred. */
   function rateOf (): number {
     return 1 + pick(-15, 15) / 1000
@@ -217,30 +165,26 @@
   }
 
   function clock (owner: { readonly offset: number, readonly rate: number }): number {
-    return Math.floor(owner.offset + time * owner.rate)
-  }
-
-  function violate (rule: string, detail: string): void {
-    violations.push({ rule, at: time, detail })
+    return Math.floor(owner.offset + queue.now() * owner.rate)
   }
 
   /** Runs `act` when the host can: at once, or when its pause ends; never in another life. */
   function whenAwake (host: FakeHost, life: number, act: () => void): void {
     if (!host.isUp || host.life !== life) return
-    if (time < host.pausedUntil) schedule(host.pausedUntil - time, () => { whenAwake(host, life, act) })
+    if (queue.now() < host.pausedUntil) schedule(host.pausedUntil - queue.now(), () => { whenAwake(host, life, act) })
     else act()
   }
 
   function tick (host: FakeHost, life: number): void {
     whenAwake(host, life, () => {
-      host.core.setInput(inputOf(host), time >= host.platformDownUntil)
+      host.core.setInput(inputOf(host), queue.now() >= host.platformDownUntil)
       perform(host, host.core.tick(clock(host)))
       schedule(TICK_MS, () => { tick(host, life) })
     })
   }
 
   function inputOf (host: FakeHost): AssignmentInput {
-    const knowsDrains = time >= host.platformDownUntil
+    const knowsDrains = queue.now() >= host.platformDownUntil
     return {
       servers: servers.map((server): CellServer => ({
         id: server.id,
@@ -248,7 +192,7 @@
         address: SERVER_ADDRESS,
         checksGrants: server.checksGrants,
         keyed: true,
-        leaving: knowsDrains && time > server.drainedAt
+        leaving: knowsDrains && queue.now() > server.drainedAt
       })),
       homes,
       loads: {},
@@ -258,12 +202,12 @@
   }
 
   function delayOf (): number {
-    if (time < slowUntil) return pick(1, 600)
+    if (queue.now() < slowUntil) return pick(1, 600)
     return pick(0, 40) === 0 ? pick(1, 120) : pick(1, 4)
   }
 
   function isCut (left: number, right: number): boolean {
-    return cuts.some((cut) => time < cut.until &&
+    return cuts.some((cut) => queue.now() < cut.until &&
       ((cut.side.has(left) && cut.others.has(right)) || (cut.side.has(right) && cut.others.has(left))))
   }
 
@@ -273,7 +217,8 @@
     for (const action of actions) {
       schedule(pick(0, 1), () => { whenAwake(host, life, () => { performOne(host, action) }) })
     }
-    noteView(host)
+    const view = host.core.cell.view()
+    if (view !== null) record.noteView(view)
   }
 
   function performOne (host: FakeHost, action: HostAction): void {
@@ -314,7 +259,7 @@
   function writeRow (expectedRevision: number, next: CellRow): RowOutcome {
     if ((row?.revision ?? 0) !== expectedRevision) return { kind: 'conflict', known: row }
     row = { row: next, revision: ++revision }
-    writtenRows.set(revision, next)
+    record.noteRow(revision, next)
     return { kind: 'written', known: row }
   }
 
@@ -324,7 +269,7 @@
       whenAwake(host, life, () => { perform(host, host.core.onRow(outcome, clock(host))) })
     }
     schedule(delayOf() + 3, () => {
-      const isDown = time < host.platformDownUntil
+      const isDown = queue.now() < host.platformDownUntil
       const outcome: RowOutcome = isDown ? { kind: 'unavailable' } : act()
       const isLost = isWrite && lostAnswers > 0 && outcome.kind === 'written'
       if (isLost) lostAnswers--
@@ -334,14 +279,14 @@
   }
 
   function canReach (host: FakeHost, server: FakeServer): boolean {
-    if (time < server.unreachableUntil && server.unreachableFrom.has(host.index)) return false
-    return !cuts.some((cut) => time < cut.until && cut.others.has(host.index) && cut.servers.has(server.index))
+    if (queue.now() < server.unreachableUntil && server.unreachableFrom.has(host.index)) return false
+    return !cuts.some((cut) => queue.now() < cut.until && cut.others.has(host.index) && cut.servers.has(server.index))
   }
 
   /** Runs `act` when the server can; a frozen server finds its messages when it returns. */
   function whenThawed (server: FakeServer, boot: number, act: () => void): void {
     if (!server.isUp || server.boot !== boot) return
-    if (time < server.frozenUntil) schedule(server.frozenUntil - time, () => { whenThawed(server, boot, act) })
+    if (queue.now() < server.frozenUntil) schedule(server.frozenUntil - queue.now(), () => { whenThawed(server, boot, act) })
     else act()
   }
 
@@ -381,7 +326,7 @@
     server.highest = request.token
     const slices = request.slices ?? [...server.ownedSince.keys()]
     server.ownedSince = new Map(slices.map((slice) => [slice, kept.get(slice) ?? now]))
-    checkBeliefs()
+    noteBeliefs()
     return answer
   }
 
@@ -389,17 +334,16 @@
     return server.isUp && server.checksGrants && clock(server) < server.until && server.ownedSince.has(slice)
   }
 
-  function checkBeliefs (): void {
+  function noteBeliefs (): void {
     for (let slice = 0; slice < options.slices; slice++) {
-      const owners = servers.filter((server) => believes(server, slice))
-      if (owners.length > 1) violate('one owner', `slice ${slice}: ${owners.map((server) => server.id).join(' and ')} hold a grant`)
+      record.noteBeliefs(slice, servers.filter((server) => believes(server, slice)).map((server) => server.id))
     }
   }
 
   function sendRequests (): void {
     const host = hosts[pick(0, hosts.length - 1)]
     const slice = pick(0, options.slices - 1)
-    if (host !== undefined && host.isUp && time >= host.pausedUntil) sendRequest(host, slice)
+    if (host !== undefined && host.isUp && queue.now() >= host.pausedUntil) sendRequest(host, slice)
     schedule(options.requestEveryMs ?? 7, sendRequests)
   }
 
@@ -436,7 +380,7 @@
   /** A connection to a server that dies is reset. */
   function watchForCrash (server: FakeServer, boot: number, end: () => void): void {
     if (!server.isUp || server.boot !== boot) end()
-    else if (time < server.frozenUntil) schedule(50, () => { watchForCrash(server, boot, end) })
+    else if (queue.now() < server.frozenUntil) schedule(50, () => { watchForCrash(server, boot, end) })
   }
 
   function runRequest (server: FakeServer, request: { readonly slice: number, readonly token: number, readonly end: () => void }): void {
@@ -444,32 +388,21 @@
       schedule(1, request.end)
       return
     }
-    const run: Run = { slice: request.slice, server: server.id, token: request.token, startedAt: time, endedAt: Infinity }
-    const before = lastStart.get(run.slice)
-    if (before !== undefined && before.server !== run.server) {
-      if (run.token <= before.token) violate('one owner', `slice ${run.slice}: ${run.server} at token ${run.token} ran after ${before.server} at ${before.token}`)
-      if (!isFenced(before) && before.endedAt > time) violate('one owner', `slice ${run.slice}: ${run.server} ran beside ${before.server}`)
-    }
-    lastStart.set(run.slice, run)
-    runs.push(run)
+    const run: Run = { slice: request.slice, server: server.id, token: request.token, startedAt: queue.now(), endedAt: Infinity }
+    record.noteRun(run)
     const { boot } = server
     schedule(pick(1, 30), () => {
       whenThawed(server, boot, () => {
-        run.endedAt = time
+        run.endedAt = queue.now()
         schedule(1, request.end)
       })
     })
     whenServerDies(server, boot, () => {
-      if (run.endedAt === Infinity) run.endedAt = time
+      if (run.endedAt === Infinity) run.endedAt = queue.now()
       request.end()
     })
   }
 
-  /** A server that checks grants discards, at its end, work whose grant has ended. */
-  function isFenced (run: Run): boolean {
-    return servers.find((server) => server.id === run.server)?.checksGrants === true
-  }
-
   const deathWatches: Array<{ readonly server: FakeServer, readonly boot: number, readonly act: () => void }> = []
 
   function whenServerDies (server: FakeServer, boot: number, act: () => void): void {
@@ -477,46 +410,13 @@
     deathWatches.push({ server, boot, act })
   }
 
-  /** An assignment is announced once a host applies a view that says it is durable. */
-  function noteView (host: FakeHost): void {
-    const view = host.core.cell.view()
-    if (view === null || seenViews.has(view)) return
-    seenViews.add(view)
-    if (view.durable) checkDurable(view)
-    for (const [text, owner] of Object.entries(view.owners[SERVICE] ?? {})) noteOwner(Number(text), owner, view)
-  }
-
-  const seenViews = new WeakSet<CellView>()
-  const newestView = new Map<number, { readonly epoch: number, readonly version: number }>()
-
-  /** A view that says it is durable names no owner that its row does not. */
-  function checkDurable (view: CellView): void {
-    const written = writtenRows.get(view.rowRevision)?.owners[SERVICE] ?? {}
-    for (const [slice, owner] of Object.entries(view.owners[SERVICE] ?? {})) {
-      if (written[slice] !== owner) violate('announced assignment', `slice ${slice}: ${owner} is called durable, the row says ${written[slice]}`)
-    }
-  }
-
-  function noteOwner (slice: number, owner: string, view: CellView): void {
-    const newest = newestView.get(slice)
-    if (newest !== undefined && (view.epoch < newest.epoch || (view.epoch === newest.epoch && view.version < newest.version))) return
-    newestView.set(slice, view)
-    const told = announced.get(slice)
-    const wasDrained = servers.some((server) => server.id === told && time > server.drainedAt)
-    if (options.keepsAnnounced === true && told !== undefined && told !== owner && !wasDrained) {
-      violate('announced assignment', `slice ${slice}: ${told} was announced, view ${view.epoch}/${view.version} names ${owner}`)
-    }
-    if (view.durable || told !== owner) announced.delete(slice)
-    if (view.durable) announced.set(slice, owner)
-  }
-
   function inject (fault: Fault): void {
     switch (fault.kind) {
       case 'kill': killHost(hosts[fault.host % hosts.length]); return
       case 'restart': restartHost(hosts[fault.host % hosts.length]); return
       case 'pause': {
         const host = hosts[fault.host % hosts.length]
-        if (host !== undefined) host.pausedUntil = Math.max(host.pausedUntil, time + fault.lengthMs)
+        if (host !== undefined) host.pausedUntil = Math.max(host.pausedUntil, queue.now() + fault.lengthMs)
         return
       }
       case 'cut':
@@ -525,7 +425,7 @@
       case 'platform-down':
         for (const index of fault.hosts) {
           const host = hosts[index % hosts.length]
-          if (host !== undefined) host.platformDownUntil = time + fault.lengthMs
+          if (host !== undefined) host.platformDownUntil = queue.now() + fault.lengthMs
         }
         return
       case 'lose-answers': lostAnswers += fault.count; return
@@ -535,7 +435,7 @@
           schedule(fault.lengthMs, () => { restartHost(host) })
         }
         return
-      case 'slow-network': slowUntil = time + fault.lengthMs; return
+      case 'slow-network': slowUntil = queue.now() + fault.lengthMs; return
       default: injectAtServer(fault)
     }
   }
@@ -548,7 +448,7 @@
       side,
       others: new Set(others),
       servers: new Set(fault.servers.map((server) => server % servers.length)),
-      until: time + fault.lengthMs
+      until: queue.now() + fault.lengthMs
     })
   }
 
@@ -556,15 +456,15 @@
     const server = servers[fault.server % servers.length]
     if (server === undefined) return
     switch (fault.kind) {
-      case 'freeze-server': server.frozenUntil = Math.max(server.frozenUntil, time + fault.lengthMs); return
+      case 'freeze-server': server.frozenUntil = Math.max(server.frozenUntil, queue.now() + fault.lengthMs); return
       case 'kill-server': killServer(server); return
       case 'restart-server': startServer(server); return
       case 'cut-server':
         server.unreachableFrom = new Set(fault.hosts.map((host) => host % hosts.length))
-        server.unreachableUntil = time + fault.lengthMs
+        server.unreachableUntil = queue.now() + fault.lengthMs
         return
       case 'drain':
-        if (servers.filter((other) => other.drainedAt === Infinity).length > 2) server.drainedAt = Math.min(server.drainedAt, time)
+        if (servers.filter((other) => other.drainedAt === Infinity).length > 2) server.drainedAt = Math.min(server.drainedAt, queue.now())
     }
   }
 
@@ -598,41 +498,30 @@
   }
 
   return {
-    violations,
-    runs,
-    now: () => time,
-    advance (lengthMs) {
-      const until = time + lengthMs
-      for (;;) {
-        const event = events[0]
-        if (event === undefined || event.at > until) break
-        events.shift()
-        time = event.at
-        event.act()
-      }
-      time = until
-    },
+    violations: record.violations,
+    runs: record.runs,
+    now: queue.now,
+    advance: queue.advance,
     inject,
     heal () {
       for (const host of hosts) {
-        host.platformDownUntil = Math.min(host.platformDownUntil, time)
+        host.platformDownUntil = Math.min(host.platformDownUntil, queue.now())
         restartHost(host)
       }
       for (const server of servers) {
         startServer(server)
-        server.unreachableUntil = Math.min(server.unreachableUntil, time)
+        server.unreachableUntil = Math.min(server.unreachableUntil, queue.now())
       }
       cuts.length = 0
       slowUntil = 0
       lostAnswers = 0
     },
     unserved: () => Array.from({ length: options.slices }, (_, slice) => slice)
-      .filter((slice) => !hosts.some((host) => host.isUp && time >= host.pausedUntil &&
+      .filter((slice) => !hosts.some((host) => host.isUp && queue.now() >= host.pausedUntil &&
         host.core.keeper.admitSlice(SERVICE, slice, clock(host)) !== null)),
-    startedAfter: (server, after) => runs.filter((run) => run.server === server && run.startedAt > after),
+    startedAfter: (server, after) => record.runs.filter((run) => run.server === server && run.startedAt > after),
     hosts: () => hosts.map((host) => host.name),
     leaderCount: () => hosts.filter((host) => host.isUp && host.core.cell.isLeading(clock(host))).length,
-    announcedOwner: (slice) => announced.get(slice),
     dump: () => ({
       row,
       hosts: hosts.filter((host) => host.isUp).map((host) => ({
