A service in force cannot change how its keys are found

Cause: read as a newcomer: hosts take a configuration over within a second, not at once; with another number of slices or another key rule two hosts would send one key to two owners in between, and no lease would notice. Shown failing first: the test published such changes and got in-force. Change: publishing refuses a change of key or checks_grants of a service in force, with a finding. Ruled out: a release of every slice around the change, which leaves the service unserved for its length.

--- a/src/configuration/bundle.ts
+++ b/src/configuration/bundle.ts
@@ -76,6 +76,7 @@
         message: `Another operator changed the service in version ${existing.changed_in}, after version ${options.base} that this publication started from`
       })
     }
+    if (existing !== undefined) findings.push(...findFixedChanges(existing.service, service))
     entries.set(service.name, { changed_in: current.version + 1, service })
     changes++
   }
@@ -86,6 +87,21 @@
   return { kind: 'merged', bundle: { version: current.version + 1, services } }
 }
 
+/**
+ * Hosts take a configuration over one after the other. If they found the keys
+ * of a service in different ways in between, a key would have two owners.
+ */
+function findFixedChanges (before: ServiceConfiguration, after: ServiceConfiguration): Finding[] {
+  const findings: Finding[] = []
+  if (JSON.stringify(before.key) !== JSON.stringify(after.key)) {
+    findings.push({ source: after.name, field: 'key', message: 'The key of a service that is in force cannot change; publish the service under another name' })
+  }
+  if (before.servers.checks_grants !== after.servers.checks_grants) {
+    findings.push({ source: after.name, field: 'servers.checks_grants', message: 'Whether servers check grants cannot change while the service is in force; publish the service under another name' })
+  }
+  return findings
+}
+
 function findContradictions (services: readonly ServiceConfiguration[]): Finding[] {
   const seen = new Map<string, string>()
   const findings: Finding[] = []
--- a/src/configuration/publish_test.ts
+++ b/src/configuration/publish_test.ts
@@ -62,6 +62,22 @@
   }), propertyParameters(60))
 })
 
+test('publish() refuses a change of how keys are found, when the service is in force', async () => {
+  const ports = { table: createFakeTable(), objects: createFakeObjects() }
+  const keyed: ServiceConfiguration = { ...serviceOf('a', 100), key: { from: 'path', segment: 1, slices: 64 } }
+  const changes: ServiceConfiguration[] = [
+    { ...keyed, key: { from: 'path', segment: 1, slices: 128 } },
+    { ...keyed, key: { from: 'query', name: 'id', slices: 64 } },
+    { ...keyed, key: undefined },
+    { ...keyed, servers: { ...keyed.servers, checks_grants: false } }
+  ]
+  await publish(ports, { services: [keyed], attempt: 'first' })
+  for (const [index, service] of changes.entries()) {
+    assert.is((await publish(ports, { services: [service], attempt: `change-${index}` })).kind, 'conflict')
+  }
+  assert.is((await publish(ports, { services: [{ ...keyed, match: { path: '/b' } }], attempt: 'last' })).kind, 'in-force')
+})
+
 test('offer() never goes back, in whatever order bundles arrive', () => {
   fc.assert(fc.property(fc.array(fc.nat({ max: 9 })), (versions) => {
     const holder = createConfigurationHolder()
