Fault run: a host that restarts while the platform is down

Cause: that a host takes its peers' newest configuration during an outage was built and not shown. Change: a fault that cuts the platform, kills and starts a host, and counts it as wrong when the host has not the others' version after 4 s.

--- a/tools/_fault_checks.ts
+++ b/tools/_fault_checks.ts
@@ -17,6 +17,14 @@
   lostRecords.set(server.id, [...(lostRecords.get(server.id) ?? []), ...await records(server)])
 }
 
+/** Rules that were seen broken otherwise since the last count. */
+let seenBroken = 0
+
+/** Notes a broken rule that no record shows. */
+export function noteBroken (): void {
+  seenBroken++
+}
+
 /** Notes that a server leaves from a moment on. */
 export function noteLeaving (server: string, since: number): void {
   leavingSince.set(server, since)
@@ -35,7 +43,9 @@
   }
   const overlaps = [...byKey.values()].filter(hasOverlap).length
   const doubled = [...orders.values()].filter((count) => count > 1).length
-  return overlaps + doubled + await countLateWork(cluster)
+  const otherwise = seenBroken
+  seenBroken = 0
+  return overlaps + doubled + otherwise + await countLateWork(cluster)
 }
 
 /** Counts the requests that began at a leaving server after the bound. */
--- a/tools/_fault_list.ts
+++ b/tools/_fault_list.ts
@@ -1,8 +1,11 @@
 /** The faults, as acts on the processes and stand-ins of a cluster. */
 import { setTimeout as delay } from 'node:timers/promises'
 import type { Cluster, ClusterHost, ClusterServer } from './_cluster.ts'
-import { findHost, ownerOf } from './_cluster_state.ts'
-import { keepRecords, noteLeaving } from './_fault_checks.ts'
+import { dumps, findHost, ownerOf } from './_cluster_state.ts'
+import { keepRecords, noteBroken, noteLeaving } from './_fault_checks.ts'
+
+/** Time that a restarted host has to take its peers' configuration, in milliseconds. */
+const RESTART_MS = 4000
 
 /** Lag of the platform's list, in milliseconds. */
 const LIST_LAG_MS = 1000
@@ -41,6 +44,13 @@
   await cluster.listHosts({ gone: [...hosts.map((host) => host.name), ...servers.map((server) => server.id)] })
 }
 
+/** Whether a host has in force what the others have. */
+async function hasNewestConfiguration (cluster: Cluster, host: ClusterHost): Promise<boolean> {
+  const states = await dumps(cluster)
+  const versions = [...states.values()].map((dump) => dump.configuration.version)
+  return states.get(host)?.configuration.version === Math.max(...versions)
+}
+
 async function freeze (target: ClusterHost | ClusterServer, lengthMs: number): Promise<void> {
   target.process.kill('SIGSTOP')
   await delay(lengthMs)
@@ -69,6 +79,19 @@
     },
     undo: async (cluster) => { await cluster.setFaults({ cutZones: [] }) }
   },
+  {
+    name: 'platform down, then restart of an entry host',
+    act: async (cluster) => {
+      const host = await findHost(cluster, { leader: false, zone: 'zone-2' })
+      await cluster.setFaults({ cutZones: ['*'] })
+      host.process.kill('SIGKILL')
+      await delay(500)
+      cluster.startHost(cluster.hosts.indexOf(host))
+      await delay(RESTART_MS)
+      if (!await hasNewestConfiguration(cluster, host)) noteBroken()
+    },
+    undo: async (cluster) => { await cluster.setFaults({ cutZones: [] }) }
+  },
   {
     name: 'platform cut from one zone, SIGKILL of a server there',
     act: async (cluster) => {
