--- a/tools/_path_bench.ts
+++ b/tools/_path_bench.ts
@@ -7,7 +7,7 @@
 import fastify from 'fastify'
 import { build as buildHistogram } from 'hdr-histogram-js'
 import { Agent, request } from 'undici'
-import { startCluster } from './_cluster.ts'
+import { startCluster, type Cluster } from './_cluster.ts'
 
 /** Times of one kind of call. */
 export interface PathResult {
@@ -17,6 +17,8 @@
   readonly perSecond: number
   readonly p50Ms: number
   readonly p99Ms: number
+  /** Processor time of all entry hosts for one call, in milliseconds; absent where there are none. */
+  readonly hostCpuMs?: number
 }
 
 const EXAMPLES = fileURLToPath(new URL('../../examples', import.meta.url))
@@ -61,6 +63,24 @@
   return response.statusCode === 200 && text.includes('served') === false && text.includes('path')
 }
 
+/** Processor time that the hosts have used so far, in milliseconds. */
+async function hostCpuMs (cluster: Cluster): Promise<number> {
+  let total = 0
+  for (const host of cluster.hosts) {
+    const response = await request(`http://${host.operator}/metrics`)
+    const seconds = /^process_cpu_seconds_total ([0-9.]+)/m.exec(await response.body.text())?.[1]
+    total += Number(seconds ?? 0) * 1000
+  }
+  return total
+}
+
+/** Measures calls and the hosts' processor time for each, the first calls included. */
+async function measureOnHosts (cluster: Cluster, name: string, options: { readonly call: (turn: number) => Promise<boolean>, readonly atOnce: number }): Promise<PathResult> {
+  const before = await hostCpuMs(cluster)
+  const result = await measure(name, options.call, { calls: CALLS, atOnce: options.atOnce })
+  return { ...result, hostCpuMs: (await hostCpuMs(cluster) - before) / (CALLS + WARM_CALLS) }
+}
+
 /**
  * Measures requests straight to a stand-in and through the router.
  *
@@ -83,8 +103,12 @@
     const key = (turn: number): string => `key-${turn % 200}`
     return [
       await measure(`straight to a server, ${atOnce} at once`, async (turn) => await get(`http://${direct?.address}/catalogue/${key(turn)}`), { calls: CALLS, atOnce }),
-      await measure(`through one of three hosts, ${atOnce} at once`, async (turn) => await get(`http://${host?.caller}/catalogue/${key(turn)}`), { calls: CALLS, atOnce }),
-      await measure(`through three hosts in turn, ${atOnce} at once`, async (turn) => await get(`http://${cluster.hosts[turn % 3]?.caller}/catalogue/${key(turn)}`), { calls: CALLS, atOnce })
+      await measureOnHosts(cluster, `through one of three hosts, ${atOnce} at once`, {
+        call: async (turn) => await get(`http://${host?.caller}/catalogue/${key(turn)}`), atOnce
+      }),
+      await measureOnHosts(cluster, `through three hosts in turn, ${atOnce} at once`, {
+        call: async (turn) => await get(`http://${cluster.hosts[turn % 3]?.caller}/catalogue/${key(turn)}`), atOnce
+      })
     ]
   } finally {
     await cluster.stop()
--- a/tools/bench.ts
+++ b/tools/bench.ts
@@ -39,9 +39,10 @@
 
 function pathTable (results: readonly PathResult[]): string {
   return table(
-    ['call', 'answered', 'failed', 'a second', 'p50 ms', 'p99 ms'],
+    ['call', 'answered', 'failed', 'a second', 'p50 ms', 'p99 ms', 'CPU of all hosts, ms a call'],
     results.map((result) => [
-      result.name, result.calls, result.failures, result.perSecond.toFixed(0), result.p50Ms.toFixed(2), result.p99Ms.toFixed(2)
+      result.name, result.calls, result.failures, result.perSecond.toFixed(0), result.p50Ms.toFixed(2), result.p99Ms.toFixed(2),
+      result.hostCpuMs?.toFixed(2) ?? ''
     ])
   )
 }
