A new leader works from its view where its list is old; a leaving host lets go before it closes

The deputy had read the platform's list once, at its start, when the list was still empty, and as leader took it for the truth. Ruled out: the election (0.9 s, in the log) and the homes. Change: a list counts for 5 s; without one the servers of the view stand. A member counts as gone only when lists read without a break leave it out for 3 s.

Cause 2: SIGTERM of an entry host left keys unserved for 952 ms, a whole lease: it closed its socket before its release was confirmed, and cut one idle connection that a caller was about to use.

--- a/src/host/cell_input.ts
+++ b/src/host/cell_input.ts
@@ -8,6 +8,9 @@
 /** How long a host must be missing from the platform's list before it counts as gone, in milliseconds. */
 const GONE_AFTER_MS = 3000
 
+/** Age up to which a list says what is so now, in milliseconds. */
+const LIST_FRESH_MS = 5000
+
 /** Name of a cell, as `zone-a/1`. */
 export function cellName (zone: string, number: number): string {
   return `${zone}/${number}`
@@ -24,11 +27,12 @@
   return cellName(server.zone, 1 + hashText(server.id) % cellsInZone)
 }
 
-/** Keeps track of hosts that were listed and are listed no more. */
+/** Keeps the platform's list, and track of hosts that are missing from it. */
 export interface ListTracker {
   update (listing: HostListing, now: number): void
-  /** The newest list; the same object while it says the same. */
-  listing (): HostListing | null
+  /** The newest list, the same object while it says the same; `null` where none was read lately. */
+  listing (now: number): HostListing | null
+  /** Members that lists read without a break have left out for long enough. */
   gone (members: readonly string[], now: number): Set<string>
 }
 
@@ -38,25 +42,31 @@
  * @returns The tracker.
  */
 export function createListTracker (): ListTracker {
-  const lastListed = new Map<string, number>()
+  const missingSince = new Map<string, number>()
   let latest: HostListing | null = null
   let latestText = ''
-  let firstAt = 0
-  let latestAt = 0
+  let latestAt = -Infinity
+
+  function isFresh (now: number): boolean {
+    return now - latestAt <= LIST_FRESH_MS
+  }
+
   return {
     update (listing, now) {
-      if (latest === null) firstAt = now
+      if (!isFresh(now)) missingSince.clear()
       const text = JSON.stringify(listing)
       if (latest === null || text !== latestText) latest = listing
       latestText = text
       latestAt = now
-      for (const host of listing.hosts) lastListed.set(host.host, now)
+      for (const { host } of listing.hosts) missingSince.delete(host)
     },
-    listing: () => latest,
+    listing: (now) => isFresh(now) ? latest : null,
     gone (members, now) {
-      if (latest === null || now - latestAt > GONE_AFTER_MS) return new Set()
-      const known = new Set([...lastListed.keys(), ...members])
-      return new Set([...known].filter((host) => latestAt - (lastListed.get(host) ?? firstAt) > GONE_AFTER_MS))
+      if (latest === null || !isFresh(now)) return new Set()
+      const listed = new Set(latest.hosts.map((host) => host.host))
+      const missing = members.filter((member) => !listed.has(member))
+      for (const host of missing) if (!missingSince.has(host)) missingSince.set(host, latestAt)
+      return new Set(missing.filter((host) => latestAt - (missingSince.get(host) ?? latestAt) > GONE_AFTER_MS))
     }
   }
 }
@@ -71,7 +81,7 @@
   readonly loads: Readonly<Record<string, ReadonlyMap<number, number>>>
   readonly listing: HostListing | null
   readonly goneHosts: ReadonlySet<string>
-  /** View to take the servers from while the list has never been read. */
+  /** View to take the servers from while no list was read lately. */
   readonly view: CellView | null
 }
 
--- a/src/host/create_host.ts
+++ b/src/host/create_host.ts
@@ -42,6 +42,9 @@
 /** Interval between two collections of slice loads, in milliseconds. */
 const LOADS_INTERVAL_MS = 5000
 
+/** How long a host goes on answering after it has handed over, so that callers leave its connections, in milliseconds. */
+const LINGER_MS = 1000
+
 /** A running entry host. */
 export interface Host {
   /** Finishes what is in flight, hands the leases over and closes. */
@@ -228,7 +231,7 @@
   }
 
   async function keepHomes (): Promise<void> {
-    const listing = tracker.listing()
+    const listing = tracker.listing(now())
     if (listing === null) return
     const moved = await homeKeeper.run({
       listing,
@@ -314,10 +317,12 @@
     metrics.isLeader.set(cell.isLeading(now()) ? 1 : 0)
   }
 
+  /** Whether nothing is in flight, and no server is or may still be this host's. */
   function isHandedOver (): boolean {
-    const view = cell.view()
-    const dispatches = view?.servers.some((server) => server.dispatcher === self.host) ?? false
-    return dispatcher.inFlight() === 0 && dispatcher.queued() === 0 && (!dispatches || cell.leader(now()) === null)
+    if (dispatcher.inFlight() > 0 || dispatcher.queued() > 0) return false
+    if (cell.leader(now()) === null) return true
+    const dispatches = cell.view()?.servers.some((server) => server.dispatcher === self.host) ?? false
+    return !dispatches && keeper.isIdle(now())
   }
 
   async function shutDown (): Promise<void> {
@@ -326,6 +331,7 @@
     logger.info({ host: self.host }, 'shutdown-begun')
     const deadline = now() + settings.shutdownTimeoutMs
     while (!isHandedOver() && now() < deadline) await new Promise((resolve) => { setTimeout(resolve, 50) })
+    await new Promise((resolve) => { setTimeout(resolve, LINGER_MS) })
     for (const listener of listeners) await listener.close()
     clearInterval(timer)
     await socket.close()
--- a/src/host/input_source.ts
+++ b/src/host/input_source.ts
@@ -55,7 +55,7 @@
     current ({ now, view, homesTrusted }) {
       const members = view?.row.members.map((member) => member.host) ?? []
       const goneHosts = tracker.gone(members, now)
-      const listing = tracker.listing()
+      const listing = tracker.listing(now)
       const parts = [
         rows.revision(), configuration.bundle().version, listing, loads.version(), homesTrusted,
         [...goneHosts].join(), listing === null ? view : null
