Publications are followed by host, not by order of answers

Cause: the faults run counted 16 to 21 hosts that went back in every row of the publications. The tool compared answers by their order, which changes; ruled out: the holder, whose property holds, and the logs, in which no version falls. Change: versions are kept by the host's name.

--- a/tools/_configuration_runs.ts
+++ b/tools/_configuration_runs.ts
@@ -58,11 +58,12 @@
 
 async function configurationVersion (cluster: Cluster): Promise<number> {
   const versions = await configurationVersions(cluster)
-  return Math.max(...versions)
+  return Math.max(...versions.values())
 }
 
-async function configurationVersions (cluster: Cluster): Promise<number[]> {
-  return [...(await dumps(cluster)).values()].map((dump) => dump.configuration.version)
+/** Reads the version that each host has in force, by the host's name. */
+async function configurationVersions (cluster: Cluster): Promise<Map<string, number>> {
+  return new Map([...await dumps(cluster)].map(([host, dump]) => [host.name, dump.configuration.version]))
 }
 
 /** Time from the end of the publications until every host has the newest version in force, and whether one went back. */
@@ -70,15 +71,15 @@
   const before = await configurationVersion(cluster)
   const codes = await run.act(cluster, writeCatalogue)
   const startedAt = performance.now()
-  const highest = new Map<number, number>()
+  const highest = new Map<string, number>()
   let wentBack = 0
   for (;;) {
     const versions = await configurationVersions(cluster)
-    for (const [index, version] of versions.entries()) {
-      if (version < (highest.get(index) ?? 0)) wentBack++
-      highest.set(index, Math.max(version, highest.get(index) ?? 0))
+    for (const [host, version] of versions) {
+      if (version < (highest.get(host) ?? 0)) wentBack++
+      highest.set(host, Math.max(version, highest.get(host) ?? 0))
     }
-    const isEverywhere = versions.length === cluster.hosts.length && versions.every((version) => version > before)
+    const isEverywhere = versions.size === cluster.hosts.length && [...versions.values()].every((version) => version > before)
     if (isEverywhere || performance.now() - startedAt > 20_000) break
     await delay(50)
   }
--- a/tools/faults.ts
+++ b/tools/faults.ts
@@ -91,7 +91,7 @@
       lines.push(line)
       console.log(line)
     }
-    if (only !== undefined) return
+    if (only !== undefined && only !== 'publication') return
     const header = ['', '| publication | exit codes | in force on every host after ms | hosts that went back | 4 s |', '| --- | --- | --- | --- | --- |']
     lines.push(...header)
     console.log(header.join('\n'))
