--- /dev/null
+++ b/src/entry_host/cluster_loads.ts
@@ -0,0 +1,96 @@
+/** Sums of what all hosts tell of backend servers; kept by the leading host. */
+import type { ServerSample, ServerView } from '../gateway/server_loads.ts'
+
+/** Sums over all hosts. */
+export interface ClusterLoads {
+  add (host: string, samples: ReadonlyArray<readonly [server: string, sample: ServerSample]>, now: number): void
+  /** Forgets the requests in flight of a host that has left. */
+  forget (host: string): void
+  views (now: number): Map<string, ServerView>
+  /** Whether any host has had an answer of the server lately. */
+  isAnswering (server: string, now: number): boolean
+}
+
+interface Track {
+  readonly inFlight: Map<string, number>
+  workMs: number
+  failureShare: number
+  answeredAt: number
+  lost: number
+  lostAt: number
+}
+
+/** Weight that a mean keeps for each further sample. */
+const MEAN_RETENTION = 0.93
+
+/** Weight that the share of failures keeps for each further sample. */
+const FAILURE_RETENTION = 0.9
+
+/** Lost requests without an answer in between after which a server counts as silent. */
+const SILENT_LOST = 2
+
+/** Time without an answer that silence needs besides, in milliseconds. */
+const SILENT_MS = 500
+
+/** How long a server counts as silent after the last lost request, in milliseconds; then it is tried again. */
+const SILENCE_LASTS_MS = 1500
+
+/**
+ * Creates sums of nothing.
+ *
+ * @returns The sums.
+ */
+export function createClusterLoads (): ClusterLoads {
+  const tracks = new Map<string, Track>()
+
+  function track (server: string): Track {
+    const known = tracks.get(server)
+    if (known !== undefined) return known
+    const fresh: Track = { inFlight: new Map(), workMs: 0, failureShare: 0, answeredAt: -Infinity, lost: 0, lostAt: -Infinity }
+    tracks.set(server, fresh)
+    return fresh
+  }
+
+  function addSample (known: Track, sample: ServerSample, now: number): void {
+    const answers = sample.served + sample.failed + sample.shed
+    if (answers > 0) {
+      known.answeredAt = now
+      known.lost = 0
+      const retained = FAILURE_RETENTION ** answers
+      known.failureShare = known.failureShare * retained + (sample.failed + sample.shed) / answers * (1 - retained)
+    }
+    if (sample.lost > 0) {
+      known.lost += sample.lost
+      known.lostAt = now
+    }
+    if (sample.served === 0) return
+    const mean = sample.workMs / sample.served
+    known.workMs = known.workMs === 0 ? mean : known.workMs + (mean - known.workMs) * (1 - MEAN_RETENTION ** sample.served)
+  }
+
+  function isSilent (known: Track, now: number): boolean {
+    return known.lost >= SILENT_LOST && now - known.answeredAt > SILENT_MS && now - known.lostAt < SILENCE_LASTS_MS
+  }
+
+  return {
+    add (host, samples, now) {
+      for (const known of tracks.values()) known.inFlight.delete(host)
+      for (const [server, sample] of samples) {
+        const known = track(server)
+        if (sample.inFlight > 0) known.inFlight.set(host, sample.inFlight)
+        addSample(known, sample, now)
+      }
+    },
+    forget (host) { for (const known of tracks.values()) known.inFlight.delete(host) },
+    views (now) {
+      const views = new Map<string, ServerView>()
+      for (const [server, known] of tracks) {
+        let inFlight = 0
+        for (const count of known.inFlight.values()) inFlight += count
+        views.set(server, { inFlight, workMs: known.workMs, failureShare: known.failureShare, silent: isSilent(known, now) })
+      }
+      return views
+    },
+    isAnswering: (server, now) => now - (tracks.get(server)?.answeredAt ?? -Infinity) < SILENCE_LASTS_MS
+  }
+}
--- /dev/null
+++ b/src/entry_host/create_entry_host.ts
@@ -0,0 +1,376 @@
+/**
+ * An entry host that sends directly to backend servers and keeps everything
+ * that must last in the table service. Its tasks are the listeners, the reader
+ * of the store, the connection to the leader and, on one host, the leader.
+ */
+import { createServer, type Server } from 'node:http'
+import { createRetryBudget, type RetryBudget } from '../dispatch/retry_budget.ts'
+import {
+  createCallerServer, createGateway, createKnowledge, createServerAgent, createServerLoads, type HeaderNames, type RequestRecord
+} from '../gateway/mod.ts'
+import { createLeadership } from '../leadership/mod.ts'
+import type { Logger } from '../logging/mod.ts'
+import type { ServerControl } from '../ownership/mod.ts'
+import type { TableService } from '../ports/mod.ts'
+import { createPeerHub, createPeerLink, type Report, type Update } from '../replication/mod.ts'
+import { createLeader, decodeOwner, decodeViews, encodeViews } from './create_leader.ts'
+import { createRequestLog } from './request_log.ts'
+import { createStoreReader, type PublishedState } from './store_reader.ts'
+
+/** Settings of an entry host. */
+export interface EntryHostSettings {
+  readonly host: string
+  readonly ip: string
+  readonly zone: string
+  readonly processorShare: number
+  readonly sockets: number
+  readonly callerAddress: string
+  readonly readinessAddress: string
+  readonly peerPort: number
+  readonly graceMs: number
+  readonly retryRatio: number
+  readonly retrySlack: number
+  readonly longestHoldMs: number
+}
+
+/** What an entry host works with. */
+export interface EntryHostOptions {
+  readonly settings: EntryHostSettings
+  readonly table: TableService
+  readonly published: PublishedState
+  readonly control: ServerControl
+  readonly names: HeaderNames
+  readonly logger: Logger
+  readonly onRequest: (record: RequestRecord) => void
+}
+
+/** A running entry host. */
+export interface EntryHost {
+  /** Stops taking requests, answers those that it has, and ends. */
+  shutDown (): Promise<void>
+  /** All that the host believes, for a dump. */
+  describe (): unknown
+}
+
+/** Times of an entry host's tasks, in milliseconds. */
+const TaskTiming = {
+  /** Grants and releases that are due are started this often. */
+  grantMs: 50,
+  /** Loads are told this often; about the time that one request takes. */
+  loadMs: 200,
+  /** Keys are planned this often: a busy key should be served again within seconds. */
+  planMs: 400,
+  /** The leader reads the store this often, a quarter of the time in which changes must be in force. */
+  readMs: 500,
+  /** A host that does not hear the leader reads for itself this often. */
+  ownReadMs: 600,
+  /** The longest pause after reads that failed. */
+  longestPauseMs: 1600,
+  /** Silence of the leader, or age of what it has read, after which a host reads for itself. */
+  staleMs: 900
+} as const
+
+/** Limits that hold before the first configuration. */
+const FIRST_LIMITS = { headerBytes: 16_384, bodyBytes: 64 * 1024 * 1024, headerTimeoutMs: 3000, idleTimeoutMs: 15_000 } as const
+
+/** Sockets that are kept for the store, peers and the operators. */
+const OTHER_SOCKETS = 400
+
+/** Time after the signal to stop in which the balancer goes on sending new connections, in milliseconds: two missed questions a second apart. */
+const STILL_CHOSEN_MS = 2300
+
+/** Time before the platform's kill by which the process has ended, in milliseconds. */
+const END_MARGIN_MS = 700
+
+/** Part of the allowed retries that hosts spend; the rest is for hosts whose share of the requests is uneven. */
+const RETRY_SHARE = 0.6
+
+/** Number of hosts that share the retry slack, at least. */
+const HOSTS_AT_MOST = 64
+
+/** Processor share below which a host leaves leading to others for a while. */
+const SMALL_PROCESSOR_SHARE = 0.3
+
+/** How long it leaves it, in milliseconds. */
+const SMALL_HOST_DELAY_MS = 1200
+
+/**
+ * Starts an entry host.
+ *
+ * @param options Settings, ports and the names on the wire.
+ * @returns The host, once it listens.
+ */
+export async function createEntryHost (options: EntryHostOptions): Promise<EntryHost> {
+  const { settings, logger } = options
+  const now = (): number => performance.now()
+  const knowledge = createKnowledge()
+  const loads = createServerLoads(now)
+  const agent = createServerAgent()
+  const holder = `${settings.host}/${process.pid}-${Date.now().toString(36)}-${Math.random().toString(36).slice(2, 8)}`
+  const leadership = createLeadership({
+    table: options.table, logger, holder, address: `${settings.ip}:${settings.peerPort}`, now, timeOfDay: () => Date.now()
+  })
+  const requestLog = createRequestLog(logger, now)
+  const keyCounts = new Map<string, Map<number, number>>()
+  const budgets = new Map<string, RetryBudget>()
+  let leaving = false
+  const stop = new AbortController()
+  let leadsAs = false
+  let leaderStoreAge = { ageMs: Infinity, at: -Infinity }
+  let claimableSince: number | null = null
+
+  function budgetOf (service: string): RetryBudget {
+    const known = budgets.get(service)
+    if (known !== undefined) return known
+    const budget = createRetryBudget({ share: settings.retryRatio * RETRY_SHARE, maximum: Math.max(2, settings.retrySlack * RETRY_SHARE / HOSTS_AT_MOST) })
+    budgets.set(service, budget)
+    return budget
+  }
+
+  const leader = createLeader({
+    knowledge,
+    leadership,
+    table: options.table,
+    control: options.control,
+    logger,
+    now,
+    longestHoldMs: settings.longestHoldMs,
+    publish: (update) => { hub.publish(update) },
+    onOwners: knowledge.setOwners
+  })
+  const hub = createPeerHub({
+    logger,
+    greeting: () => leadsAs ? leader.greeting() : [],
+    onReport: leader.onReport,
+    onLeft: leader.onLeft
+  })
+  const link = createPeerLink({
+    host: settings.host,
+    zone: settings.zone,
+    logger,
+    now,
+    onUpdate,
+    onRefused (address) {
+      const lease = leadership.lease()
+      if (lease !== null && lease.address === address) leadership.noteEnded(lease.holder)
+    }
+  })
+  const reader = createStoreReader({
+    published: options.published,
+    table: options.table,
+    knowledge,
+    leadership,
+    logger,
+    now,
+    onConfiguration: applyConfiguration,
+    onServers () {
+      if (!leadsAs) return
+      leader.onServers()
+      hub.publish({ kind: 'servers', servers: knowledge.servers() })
+      leader.plan().catch(reportFailure)
+    }
+  })
+
+  const gateway = createGateway({
+    knowledge,
+    loads,
+    agent,
+    names: options.names,
+    zone: settings.zone,
+    budgetOf,
+    now,
+    random: Math.random,
+    onKey (service, key) {
+      const counts = keyCounts.get(service) ?? new Map<number, number>()
+      keyCounts.set(service, counts)
+      counts.set(key, (counts.get(key) ?? 0) + 1)
+    },
+    onEnd (record) {
+      requestLog.write(record, { version: knowledge.configuration()?.version, leaderAgeMs: leadsAs ? 0 : Math.round(now() - link.heardAt()) })
+      options.onRequest(record)
+    },
+    isLeaving: () => leaving
+  })
+  const callerServer = createCallerServer({
+    limits: FIRST_LIMITS,
+    maximumConnections: Math.max(100, settings.sockets - OTHER_SOCKETS),
+    handle: gateway.handle,
+    onError (error) { logger.debug({ error: error instanceof Error ? error.message : String(error) }, 'caller-connection-error') }
+  })
+  const readinessServer = createServer((_request, response) => {
+    response.writeHead(knowledge.routes() !== null && !leaving ? 200 : 503, { 'Content-Length': '0' }).end()
+  })
+
+  function applyConfiguration (): void {
+    const configuration = knowledge.configuration()
+    if (configuration === null) return
+    callerServer.keepAliveTimeout = configuration.limits.idleTimeoutMs + 1000
+    callerServer.headersTimeout = configuration.limits.headerTimeoutMs
+    if (!leadsAs) return
+    hub.publish({ kind: 'configuration', configuration })
+    leader.plan().catch(reportFailure)
+  }
+
+  function onUpdate (update: Update): void {
+    if (leadsAs) return
+    if (update.kind === 'configuration') {
+      if (knowledge.offerConfiguration(update.configuration)) {
+        logger.info({ version: update.configuration.version, source: 'leader' }, 'configuration-in-force')
+        applyConfiguration()
+      }
+    } else if (update.kind === 'servers') knowledge.setServers(update.servers)
+    else if (update.kind === 'owners') {
+      knowledge.setOwners(update.service, update.changes.map(([from, to, owner]) => ({ from, to, owner: decodeOwner(owner, now()) })))
+    } else {
+      leaderStoreAge = { ageMs: update.leading ? update.storeAgeMs : Infinity, at: now() }
+      loads.merge(decodeViews(update.views))
+    }
+  }
+
+  function takeReport (): Extract<Report, { readonly kind: 'report' }> {
+    const keys = [...keyCounts].map(([service, counts]) => [service, [...counts]] as const)
+    keyCounts.clear()
+    return { kind: 'report', samples: [...loads.report()], keys }
+  }
+
+  function tellLoads (): void {
+    const report = takeReport()
+    if (!leadsAs) {
+      link.send(report)
+      return
+    }
+    leader.onReport(settings.host, report)
+    const views = leader.views()
+    loads.merge(views)
+    hub.publish({ kind: 'beat', storeAgeMs: Math.round(reader.ageMs()), leading: leadership.isLeading(), views: encodeViews(views) })
+  }
+
+  /** A task that fails is a fault of the program; it is reported and the task goes on at its next turn. */
+  function reportFailure (error: unknown): void {
+    logger.error({ error: error instanceof Error ? error.stack : String(error) }, 'task-failed')
+  }
+
+  /** Whether what this host hears of the leader is recent enough to rely on. */
+  function isLeaderFresh (): boolean {
+    const sinceBeat = now() - leaderStoreAge.at
+    return sinceBeat < TaskTiming.staleMs && leaderStoreAge.ageMs + sinceBeat < TaskTiming.staleMs
+  }
+
+  async function tryToLead (): Promise<void> {
+    if (leaving || !leadership.mayClaim() || knowledge.configuration() === null) {
+      claimableSince = null
+      return
+    }
+    claimableSince ??= now()
+    // Hosts with little processor time leave the lease to others, unless nobody takes it.
+    if (settings.processorShare < SMALL_PROCESSOR_SHARE && now() - claimableSince < SMALL_HOST_DELAY_MS) return
+    if (!await leadership.claim()) return
+    link.follow(null)
+    if (!await leader.takeOver()) {
+      await leadership.release()
+      return
+    }
+    leadsAs = true
+    await reader.readPublished()
+    leader.onServers()
+    for (const update of leader.greeting()) hub.publish(update)
+    await leader.plan()
+  }
+
+  /** The leader's reading, and every other host's where the leader is not heard. */
+  async function readLoop (): Promise<void> {
+    let pauseMs: number = TaskTiming.ownReadMs
+    while (!stop.signal.aborted) {
+      if (leadsAs) {
+        await Promise.all([reader.readPublished(), leadership.renew()])
+        if (leadership.lease()?.holder !== holder) stopLeading()
+        await pause(TaskTiming.readMs)
+        continue
+      }
+      if (isLeaderFresh()) {
+        pauseMs = TaskTiming.ownReadMs
+        await pause(100)
+        continue
+      }
+      const read = await Promise.all([reader.readPublished(), reader.readOwn(true)])
+      pauseMs = read.every(Boolean) ? TaskTiming.ownReadMs : Math.min(TaskTiming.longestPauseMs, pauseMs * 1.6)
+      if (read[1]) {
+        const lease = leadership.lease()
+        if (lease !== null && lease.holder !== holder && !lease.released) link.follow(lease.address)
+        await tryToLead()
+      }
+      await pause(pauseMs * (0.8 + Math.random() * 0.4))
+    }
+  }
+
+  function stopLeading (): void {
+    leadsAs = false
+    leader.stop()
+    hub.disconnect()
+  }
+
+  const timers = [
+    setInterval(() => { leader.tick() }, TaskTiming.grantMs),
+    setInterval(tellLoads, TaskTiming.loadMs),
+    setInterval(() => { leader.plan().catch(reportFailure) }, TaskTiming.planMs)
+  ]
+  await Promise.all([
+    listen(callerServer, settings.callerAddress),
+    listen(readinessServer, settings.readinessAddress),
+    listen(hub.server, `${settings.ip}:${settings.peerPort}`)
+  ])
+  logger.info({ host: settings.host, zone: settings.zone, callers: settings.callerAddress, peers: settings.peerPort }, 'started')
+  // Spread over some time, so that hosts that start together do not all claim the lease.
+  setTimeout(() => { readLoop().catch(reportFailure) }, Math.random() * 300)
+
+  async function waitUntilIdle (until: number): Promise<void> {
+    while (gateway.pending() > 0 && now() < until) await pause(50)
+  }
+
+  return {
+    async shutDown () {
+      if (leaving) return
+      const signalledAt = now()
+      leaving = true
+      logger.info({ pending: gateway.pending(), leading: leadsAs }, 'stopping')
+      if (leadsAs) {
+        stopLeading()
+        await leadership.release()
+      }
+      const until = signalledAt + settings.graceMs - END_MARGIN_MS
+      await pause(STILL_CHOSEN_MS)
+      callerServer.close()
+      callerServer.closeIdleConnections()
+      await waitUntilIdle(until)
+      stop.abort()
+      for (const timer of timers) clearInterval(timer)
+      logger.info({ pending: gateway.pending(), afterMs: Math.round(now() - signalledAt) }, 'stopped')
+    },
+    describe: () => ({
+      host: settings.host,
+      leading: leadsAs,
+      lease: leadership.lease(),
+      leaderHeardMs: Math.round(now() - link.heardAt()),
+      storeAgeMs: Math.round(reader.ageMs()),
+      version: knowledge.configuration()?.version ?? null,
+      servers: knowledge.servers(),
+      pending: gateway.pending(),
+      views: [...leader.views()]
+    })
+  }
+}
+
+function pause (milliseconds: number): Promise<void> {
+  return new Promise((resolve) => { setTimeout(resolve, milliseconds) })
+}
+
+function listen (server: Server | import('node:net').Server, address: string): Promise<void> {
+  const [host, port] = address.split(':')
+  return new Promise((resolve, reject) => {
+    server.once('error', reject)
+    server.listen({ host, port: Number(port), backlog: 1024 }, () => {
+      server.off('error', reject)
+      resolve()
+    })
+  })
+}
--- /dev/null
+++ b/src/entry_host/create_leader.ts
@@ -0,0 +1,270 @@
+/**
+ * The work of the leading host: it reads the store for all, plans and grants
+ * keys, sums up loads and tells the other hosts.
+ */
+import type { KeyOwner, OwnerChange, PlannedRange, RangeSteward, RecordedRange, ServerControl } from '../ownership/mod.ts'
+import { createKeyLoad, createRangeSteward, cutKeySpace, decodePlanRecord, encodePlanRecord, planRanges, type KeyLoad } from '../ownership/mod.ts'
+import type { ServerSample, ServerView } from '../gateway/server_loads.ts'
+import type { Knowledge } from '../gateway/knowledge.ts'
+import type { Leadership } from '../leadership/mod.ts'
+import type { Logger } from '../logging/mod.ts'
+import type { TableService } from '../ports/mod.ts'
+import type { Report, Update, WireOwner, WireView } from '../replication/mod.ts'
+import type { RoutedServer } from '../routing/mod.ts'
+import { createClusterLoads, type ClusterLoads } from './cluster_loads.ts'
+
+/** Start of the keys of the rows that hold plans; the service's name follows. */
+export const PLAN_PREFIX = 'plan/'
+
+/** What the leader works with. */
+export interface LeaderOptions {
+  readonly knowledge: Knowledge
+  readonly leadership: Leadership
+  readonly table: TableService
+  readonly control: ServerControl
+  readonly logger: Logger
+  readonly now: () => number
+  readonly longestHoldMs: number
+  readonly publish: (update: Update) => void
+  /** Tells this host's own beliefs about owners. */
+  readonly onOwners: (service: string, changes: readonly OwnerChange[]) => void
+}
+
+/** Work of the leading host. */
+export interface Leader {
+  /** Reads the plans of earlier leaders and takes them over; false where the store did not answer. */
+  takeOver (): Promise<boolean>
+  stop (): void
+  /** Starts what is due: grants and releases. */
+  tick (): void
+  /** Plans services whose keys should move; one write to the store for all that changed. */
+  plan (): Promise<void>
+  /** Takes the servers of the knowledge. */
+  onServers (): void
+  onReport (host: string, report: Extract<Report, { readonly kind: 'report' }>): void
+  onLeft (host: string): void
+  views (): Map<string, ServerView>
+  /** All that a host which has just connected has to know. */
+  greeting (): Update[]
+}
+
+/** Least requests, decayed, that loads must rest on before keys move for balance. */
+const LEAST_LOAD = 20
+
+/** Ranges of one service that may move for balance in one plan. */
+const MOVES_PER_PLAN = 16
+
+/** Capacity of a server that fails all its requests, as a share of a sound one's. */
+const LEAST_CAPACITY_SHARE = 0.1
+
+/** Work of a server nobody has measured, relative to the mean of its service. */
+const UNKNOWN_WORK_MS = 100
+
+/** Fencing tokens that one leader may use: each revision of the store is the start of a block. */
+const TOKENS_PER_CLAIM = 2 ** 24
+
+/**
+ * Creates the work of a leader; it rests until it takes over.
+ *
+ * @param options Ports and beliefs.
+ * @returns The work.
+ */
+export function createLeader (options: LeaderOptions): Leader {
+  const { knowledge, leadership, logger, now } = options
+  const stewards = new Map<string, RangeSteward>()
+  const keyLoads = new Map<string, KeyLoad>()
+  let loads: ClusterLoads = createClusterLoads()
+  let active = false
+  let tokens = 0
+  let planning = false
+
+  function nextToken (): number {
+    tokens++
+    return leadership.claimRevision() * TOKENS_PER_CLAIM + tokens
+  }
+
+  function createSteward (service: string, recorded: readonly RecordedRange[]): RangeSteward {
+    const steward = createRangeSteward(recorded, {
+      service,
+      control: options.control,
+      logger,
+      now,
+      mayGrant: () => active && leadership.isLeading(),
+      isStoreTroubled: leadership.isTroubled,
+      longestHoldMs: options.longestHoldMs,
+      nextToken,
+      announce (changes) {
+        if (!active) return
+        options.onOwners(service, changes)
+        options.publish(ownersUpdate(service, changes, now()))
+      },
+      isAnswering: (server) => loads.isAnswering(server, now())
+    })
+    stewards.set(service, steward)
+    return steward
+  }
+
+  function serversOf (service: string): RoutedServer[] {
+    return knowledge.servers().filter((server) => server.service === service)
+  }
+
+  function keyedServices (): string[] {
+    return (knowledge.configuration()?.services ?? []).filter((service) => service.keyed).map((service) => service.name)
+  }
+
+  function capacities (service: string, except: ReadonlySet<string>): Array<{ readonly id: string, readonly capacity: number }> {
+    const views = loads.views(now())
+    const open = knowledge.openServers(service).filter((server) => !except.has(server.id))
+    const measured = open.map((server) => views.get(server.id)?.workMs ?? 0).filter((workMs) => workMs > 0)
+    const mean = measured.length > 0 ? measured.reduce((sum, workMs) => sum + workMs, 0) / measured.length : UNKNOWN_WORK_MS
+    return open.map((server) => {
+      const view = views.get(server.id)
+      const workMs = view !== undefined && view.workMs > 0 ? view.workMs : mean
+      const sound = Math.max(LEAST_CAPACITY_SHARE, 1 - (view?.failureShare ?? 0))
+      return { id: server.id, capacity: server.slots / workMs * sound }
+    })
+  }
+
+  function needsPlan (ranges: readonly PlannedRange[], open: ReadonlySet<string>): boolean {
+    return ranges.some((range) => range.owner === null || !open.has(range.owner))
+  }
+
+  /** The next plan of a service, or `null` where it stays as it is. */
+  function nextPlan (service: string): readonly PlannedRange[] | null {
+    const candidates = capacities(service, stewards.get(service)?.silentServers() ?? new Set())
+    if (candidates.length === 0) return null
+    const steward = stewards.get(service) ?? createSteward(service, cutKeySpace(candidates.length).map((range) => ({ ...range, previous: null })))
+    const ranges = steward.ranges()
+    const load = keyLoads.get(service)?.read(now()) ?? new Map<number, number>()
+    let total = 0
+    for (const count of load.values()) total += count
+    const open = new Set(candidates.map((candidate) => candidate.id))
+    if (total < LEAST_LOAD && !needsPlan(ranges, open)) return null
+    const planned = planRanges(ranges, {
+      candidates, keyLoads: load, isFixed: steward.isFixed, maximumMoves: total < LEAST_LOAD ? 0 : MOVES_PER_PLAN
+    })
+    const changed = planned.some((range) => {
+      const current = ranges.find((candidate) => candidate.from === range.from)
+      return current?.owner !== range.owner
+    })
+    return changed ? planned : null
+  }
+
+  async function plan (): Promise<void> {
+    const plans = new Map<string, readonly PlannedRange[]>()
+    for (const service of keyedServices()) {
+      const planned = nextPlan(service)
+      if (planned !== null) plans.set(service, planned)
+    }
+    if (plans.size === 0) return
+    const rows = [...plans].map(([service, planned]) => ({
+      key: PLAN_PREFIX + service, value: encodePlanRecord(stewards.get(service)?.record(planned) ?? [])
+    }))
+    const outcome = await leadership.write(rows)
+    for (const [service, planned] of plans) {
+      if (outcome === 'written') stewards.get(service)?.adopt(planned)
+      else stewards.get(service)?.abandon()
+    }
+    logger.info({ services: [...plans.keys()], ranges: [...plans.values()].map((planned) => planned.length), outcome }, 'plan-stored')
+    for (const steward of stewards.values()) steward.tick()
+  }
+
+  return {
+    async takeOver () {
+      stewards.clear()
+      loads = createClusterLoads()
+      tokens = 0
+      const rows = await options.table.changes(PLAN_PREFIX, 0)
+      if (!rows.ok) return false
+      active = true
+      for (const row of rows.value.rows) {
+        const recorded = decodePlanRecord(row.value)
+        const service = row.key.slice(PLAN_PREFIX.length)
+        leadership.noteRevision(row.key, row.revision)
+        if (recorded === null) logger.error({ key: row.key, revision: row.revision }, 'plan-unreadable')
+        else createSteward(service, recorded).setServers(serversOf(service))
+      }
+      logger.info({ plans: rows.value.rows.length, revision: leadership.claimRevision() }, 'plans-taken-over')
+      return true
+    },
+    stop () { active = false },
+    tick () {
+      if (!active || !leadership.isLeading()) return
+      for (const steward of stewards.values()) steward.tick()
+    },
+    async plan () {
+      if (!active || planning || !leadership.isLeading() || leadership.isTroubled()) return
+      planning = true
+      try {
+        await plan()
+      } finally {
+        planning = false
+      }
+    },
+    onServers () {
+      for (const [service, steward] of stewards) steward.setServers(serversOf(service))
+    },
+    onReport (host, report) {
+      loads.add(host, report.samples, now())
+      for (const [service, counts] of report.keys) {
+        const load = keyLoads.get(service) ?? createKeyLoad(now())
+        keyLoads.set(service, load)
+        for (const [key, requests] of counts) load.add(key, requests)
+      }
+    },
+    onLeft (host) { loads.forget(host) },
+    views: () => loads.views(now()),
+    greeting () {
+      const configuration = knowledge.configuration()
+      return [
+        ...(configuration === null ? [] : [{ kind: 'configuration', configuration } as const]),
+        { kind: 'servers', servers: knowledge.servers() },
+        ...[...stewards].map(([service, steward]) => ownersUpdate(service, steward.snapshot(), now()))
+      ]
+    }
+  }
+}
+
+function ownersUpdate (service: string, changes: readonly OwnerChange[], now: number): Update {
+  return { kind: 'owners', service, changes: changes.map((change) => [change.from, change.to, encodeOwner(change.owner, now)] as const) }
+}
+
+function encodeOwner (owner: KeyOwner, now: number): WireOwner {
+  if (owner.kind === 'owned') return owner.server
+  return owner.kind === 'unserved' ? { unservedMs: Math.max(0, Math.round(owner.until - now)) } : null
+}
+
+/**
+ * Decodes an owner that the leader told.
+ *
+ * @param owner The owner on the wire.
+ * @param now This host's monotonic time, in milliseconds.
+ * @returns The owner.
+ */
+export function decodeOwner (owner: WireOwner, now: number): KeyOwner {
+  if (owner === null) return { kind: 'moving' }
+  return typeof owner === 'string' ? { kind: 'owned', server: owner } : { kind: 'unserved', until: now + owner.unservedMs }
+}
+
+/**
+ * Encodes what is known of servers.
+ *
+ * @param views What is known.
+ * @returns The wire form.
+ */
+export function encodeViews (views: ReadonlyMap<string, ServerView>): WireView[] {
+  return [...views].map(([server, view]) => [server, view.inFlight, Math.round(view.workMs), Math.round(view.failureShare * 100) / 100, view.silent ? 1 : 0] as const)
+}
+
+/**
+ * Decodes what the leader knows of servers.
+ *
+ * @param views The wire form.
+ * @returns What is known.
+ */
+export function decodeViews (views: readonly WireView[]): Map<string, ServerView> {
+  return new Map(views.map(([server, inFlight, workMs, failureShare, silent]) => [server, { inFlight, workMs, failureShare, silent: silent === 1 }]))
+}
+
+/** One host's samples for a report. */
+export type SampleList = ReadonlyArray<readonly [server: string, sample: ServerSample]>
--- /dev/null
+++ b/src/entry_host/store_reader.ts
@@ -0,0 +1,113 @@
+/** Reads what the platform publishes, and the plans of the leader where it cannot be heard. */
+import type { Knowledge } from '../gateway/knowledge.ts'
+import type { Leadership } from '../leadership/mod.ts'
+import { LEASE_KEY } from '../leadership/mod.ts'
+import type { Logger } from '../logging/mod.ts'
+import { decodePlanRecord } from '../ownership/mod.ts'
+import type { Result, TableError, TableService } from '../ports/mod.ts'
+import type { RoutedServer, RoutingConfiguration } from '../routing/mod.ts'
+import { PLAN_PREFIX } from './create_leader.ts'
+import { createServerList } from './server_list.ts'
+
+/** Port of what operators and backend servers publish. */
+export interface PublishedState {
+  readConfiguration (): Promise<Result<RoutingConfiguration | null, TableError>>
+  readServers (): Promise<Result<readonly RoutedServer[], TableError>>
+}
+
+/** What the reader works with. */
+export interface StoreReaderOptions {
+  readonly published: PublishedState
+  readonly table: TableService
+  readonly knowledge: Knowledge
+  readonly leadership: Leadership
+  readonly logger: Logger
+  readonly now: () => number
+  readonly onConfiguration: () => void
+  readonly onServers: () => void
+}
+
+/** Reader of one host. */
+export interface StoreReader {
+  /** Reads configuration and servers; returns whether both were read. */
+  readPublished (): Promise<boolean>
+  /** Reads the lease and, if `withPlans`, the plans. */
+  readOwn (withPlans: boolean): Promise<boolean>
+  /** Age of what was last read whole, in milliseconds. */
+  ageMs (): number
+}
+
+/**
+ * Creates the reader of a host.
+ *
+ * @param options Ports and beliefs.
+ * @returns The reader.
+ */
+export function createStoreReader (options: StoreReaderOptions): StoreReader {
+  const { knowledge, leadership, logger, now } = options
+  const list = createServerList()
+  const planRevisions = new Map<string, number>()
+  let readAt = -Infinity
+  let reachable = true
+  let listed = ''
+
+  function note (ok: boolean, detail: string): void {
+    if (!ok) list.onFailure(now())
+    if (ok === reachable) return
+    reachable = ok
+    if (ok) logger.info({}, 'store-regained')
+    else logger.warn({ detail }, 'store-lost')
+  }
+
+  function takeServers (servers: readonly RoutedServer[]): void {
+    const present = list.onRead(servers, now())
+    const text = JSON.stringify(present.map((server) => [server.id, server.bornAt, server.address, server.leaving]))
+    if (text === listed) return
+    listed = text
+    const before = new Map(knowledge.servers().map((server) => [server.id, server]))
+    knowledge.setServers(present)
+    for (const server of present) {
+      if (before.get(server.id)?.leaving !== server.leaving) logger.info({ server: server.id, service: server.service, address: server.address, leaving: server.leaving, bornAt: server.bornAt }, 'server-listed')
+      before.delete(server.id)
+    }
+    for (const server of before.values()) logger.info({ server: server.id, service: server.service }, 'server-gone')
+    options.onServers()
+  }
+
+  return {
+    async readPublished () {
+      const startedAt = now()
+      const [configuration, servers] = await Promise.all([options.published.readConfiguration(), options.published.readServers()])
+      const failure = configuration.ok ? (servers.ok ? null : servers.error) : configuration.error
+      note(failure === null, failure?.kind === 'unavailable' ? failure.detail : '')
+      if (servers.ok) takeServers(servers.value)
+      if (configuration.ok && configuration.value !== null && knowledge.offerConfiguration(configuration.value)) {
+        logger.info({ version: configuration.value.version, routes: configuration.value.routes.length }, 'configuration-in-force')
+        options.onConfiguration()
+      }
+      if (failure === null) readAt = startedAt
+      return failure === null
+    },
+    async readOwn (withPlans) {
+      if (!withPlans) {
+        const row = await options.table.read(LEASE_KEY)
+        if (row.ok) leadership.observe(row.value)
+        return row.ok
+      }
+      const rows = await options.table.changes('', 0)
+      if (!rows.ok) return false
+      leadership.observe(rows.value.rows.find((row) => row.key === LEASE_KEY) ?? null)
+      for (const row of rows.value.rows) {
+        if (!row.key.startsWith(PLAN_PREFIX) || (planRevisions.get(row.key) ?? 0) >= row.revision) continue
+        planRevisions.set(row.key, row.revision)
+        const recorded = decodePlanRecord(row.value)
+        if (recorded === null) continue
+        knowledge.setOwners(row.key.slice(PLAN_PREFIX.length), recorded.map((range) => ({
+          from: range.from, to: range.to, owner: range.owner === null ? { kind: 'moving' } : { kind: 'owned', server: range.owner }
+        })))
+      }
+      return true
+    },
+    ageMs: () => now() - readAt
+  }
+}
--- /dev/null
+++ b/src/gateway/admission.ts
@@ -0,0 +1,56 @@
+/**
+ * Whether a request is sent to a server or refused at once.
+ *
+ * A request that would wait so long that it is answered too late takes room
+ * from others without a use. It is refused before it is sent, with the time
+ * after which there is room.
+ */
+
+/** A request and what is expected of its server. */
+export interface AdmissionQuery {
+  /** Expected time until the answer, in milliseconds. */
+  readonly expectedMs: number
+  /** Mean duration of a request at the idle server, in milliseconds. */
+  readonly workMs: number
+  /** Time within which an answer earns its full worth, in milliseconds. */
+  readonly latencyGoalMs: number
+  /** Time left until the caller or the route gives up, in milliseconds. */
+  readonly leftMs: number
+}
+
+/** The decision. */
+export type Admission =
+  | { readonly kind: 'admit' }
+  | { readonly kind: 'refuse', readonly retryAfterMs: number }
+
+/** Share of the latency goal that the mean request may be expected to use; the rest is for those that take longer. */
+const GOAL_SHARE = 0.85
+
+/** Shortest time after which a caller is asked to come back, in milliseconds: the order of one request's work. */
+const LEAST_RETRY_MS = 100
+
+/** Longest such time as a share of the time left: callers heed no longer ones. */
+const MOST_RETRY_SHARE = 1 / 3
+
+/**
+ * Decides about one request.
+ *
+ * @param query The request and its server.
+ * @returns Whether it is sent, or when to come back.
+ */
+export function admit (query: AdmissionQuery): Admission {
+  const bound = Math.max(query.workMs * 1.5, Math.min(query.latencyGoalMs * GOAL_SHARE, query.leftMs))
+  if (query.expectedMs <= bound && query.workMs < query.leftMs) return { kind: 'admit' }
+  return { kind: 'refuse', retryAfterMs: retryAfterMs(query.expectedMs - bound, query.leftMs) }
+}
+
+/**
+ * Bounds the time after which a caller is asked to come back.
+ *
+ * @param wantedMs Time after which there is room, in milliseconds.
+ * @param leftMs Time that the caller has left, in milliseconds.
+ * @returns Milliseconds.
+ */
+export function retryAfterMs (wantedMs: number, leftMs: number): number {
+  return Math.max(LEAST_RETRY_MS, Math.min(wantedMs, leftMs * MOST_RETRY_SHARE))
+}
--- /dev/null
+++ b/src/gateway/choose_server.ts
@@ -0,0 +1,71 @@
+/**
+ * Chooses a server for a request without a key.
+ *
+ * Of the servers that are not silent, the one with the shortest expected time
+ * is taken, among a few that are drawn at random: many hosts that all took the
+ * best would crowd it before they hear of one another.
+ */
+import type { RoutedServer } from '../routing/mod.ts'
+import type { ServerLoads } from './server_loads.ts'
+
+/** Options of {@link chooseServer}. */
+export interface ChooseServerOptions {
+  readonly loads: ServerLoads
+  /** Servers that have had the request already. */
+  readonly tried: ReadonlySet<string>
+  /** Availability zone of this host. */
+  readonly zone: string
+  /** Random number from 0 to 1. */
+  readonly random: () => number
+}
+
+/** Servers that are drawn and compared. */
+const DRAWN = 3
+
+/** Expected time is counted as longer by this share for a server in another zone: bytes between zones cost. */
+const OTHER_ZONE_SHARE = 0.25
+
+/**
+ * Chooses a server.
+ *
+ * @param servers Servers that may take the request.
+ * @param options Loads and what has been tried.
+ * @returns The server, or `null` where there is none.
+ */
+export function chooseServer (servers: readonly RoutedServer[], options: ChooseServerOptions): RoutedServer | null {
+  const untried = servers.filter((server) => !options.tried.has(server.id))
+  const sound = untried.filter((server) => !options.loads.isSilent(server.id))
+  const candidates = [...(sound.length > 0 ? sound : untried)]
+  let best: RoutedServer | null = null
+  let lowest = Infinity
+  for (let drawn = 0; drawn < DRAWN && candidates.length > 0; drawn++) {
+    const [server] = candidates.splice(drawWeighted(candidates, options), 1)
+    if (server === undefined) break
+    const cost = costOf(server, options)
+    if (cost < lowest) {
+      best = server
+      lowest = cost
+    }
+  }
+  return best
+}
+
+function costOf (server: RoutedServer, options: ChooseServerOptions): number {
+  const { loads } = options
+  const failing = 1 + 4 * loads.failureShare(server.id)
+  const distance = server.zone === options.zone ? 1 : 1 + OTHER_ZONE_SHARE
+  // The fullness breaks ties between servers with free slots.
+  const fullness = (loads.inFlight(server.id) + 1) / server.slots
+  return loads.expectedMs(server) * failing * distance * (1 + fullness * 0.5)
+}
+
+/** Draws a server with a probability in proportion to its capacity. */
+function drawWeighted (servers: readonly RoutedServer[], options: ChooseServerOptions): number {
+  const weights = servers.map((server) => server.slots / options.loads.workMs(server))
+  let left = options.random() * weights.reduce((sum, weight) => sum + weight, 0)
+  for (const [index, weight] of weights.entries()) {
+    left -= weight
+    if (left < 0) return index
+  }
+  return servers.length - 1
+}
--- /dev/null
+++ b/src/gateway/create_gateway.ts
@@ -0,0 +1,393 @@
+/**
+ * Takes a request from its caller to a backend server and the answer back.
+ *
+ * A request is offered to one server at a time. It is offered again only if it
+ * has certainly not run, or may run more than once; each offer beyond the first
+ * draws on the retry budget.
+ */
+import type { Agent, IncomingMessage, ServerResponse } from 'node:http'
+import type { RetryBudget } from '../dispatch/retry_budget.ts'
+import { KEY_SPACE, RequestKind, type Route, type RoutedServer } from '../routing/mod.ts'
+import { admit, retryAfterMs } from './admission.ts'
+import { answerHeaders, requestHeaders } from './_forwarded_headers.ts'
+import { chooseServer } from './choose_server.ts'
+import type { HeaderNames } from './header_names.ts'
+import type { Knowledge } from './knowledge.ts'
+import { sendAttempt, type AttemptOutcome } from './send_attempt.ts'
+import type { ServedOutcome, ServerLoads } from './server_loads.ts'
+
+/** How a request ended, for logs and metrics. */
+export interface RequestRecord {
+  readonly id: string
+  readonly route: string
+  readonly service: string
+  readonly key: number | null
+  /** Status that the caller got; 0 where the caller had left. */
+  readonly status: number
+  /** Why the router answered itself; `served` where the answer is the server's. */
+  readonly reason: string
+  readonly durationMs: number
+  readonly attempts: readonly AttemptRecord[]
+  readonly retryAfterMs?: number
+}
+
+/** One offer to a server. */
+export interface AttemptRecord {
+  readonly server: string
+  readonly outcome: string
+  readonly durationMs: number
+  /** Requests that were believed to be at the server, and the expected time, when it was chosen. */
+  readonly inFlight: number
+  readonly expectedMs: number
+}
+
+/** What a gateway works with. */
+export interface GatewayOptions {
+  readonly knowledge: Knowledge
+  readonly loads: ServerLoads
+  readonly agent: Agent
+  readonly names: HeaderNames
+  readonly zone: string
+  readonly budgetOf: (service: string) => RetryBudget
+  readonly now: () => number
+  readonly random: () => number
+  /** Called for each key that is asked for. */
+  readonly onKey: (service: string, key: number) => void
+  readonly onEnd: (record: RequestRecord) => void
+  /** Whether connections are to be closed after their request. */
+  readonly isLeaving: () => boolean
+}
+
+/** Gateway of one host. */
+export interface Gateway {
+  handle (request: IncomingMessage, response: ServerResponse): Promise<void>
+  /** Requests that have not been answered yet. */
+  pending (): number
+}
+
+/** Bodies up to this length are read before they are sent, so that they can be sent again, in bytes. */
+const WHOLE_BODY_BYTES = 1024 * 1024
+
+/** Bodies that are kept at the same time, in bytes; beyond it they are streamed. */
+const KEPT_BODY_BYTES = 32 * 1024 * 1024
+
+/** Longest wait for the owner of a key, as a share of the latency goal. */
+const OWNER_WAIT_SHARE = 0.6
+
+/** Time after which a caller may come back where nothing tells how long it takes, in milliseconds. */
+const DEFAULT_RETRY_MS = 300
+
+/** Silence after which a request that may run more than once is offered to another server, as a multiple of the expected time. */
+const SILENCE_FACTOR = 4
+
+/** Least time that must be left for another offer, in milliseconds. */
+const LEAST_OFFER_MS = 20
+
+/** State of one request. */
+interface Exchange {
+  readonly request: IncomingMessage
+  readonly response: ServerResponse
+  readonly id: string
+  readonly route: Route
+  readonly service: string
+  readonly key: number | null
+  readonly startedAt: number
+  /** When the caller or the route gives up. */
+  readonly endsAt: number
+  readonly abort: AbortController
+  readonly attempts: AttemptRecord[]
+  readonly tried: Set<string>
+  body: Buffer | IncomingMessage | null
+  /** Whether a server may have run the request. */
+  mayHaveRun: boolean
+}
+
+/** What to do after an offer. */
+type Verdict =
+  | { readonly kind: 'answer', readonly outcome: Extract<AttemptOutcome, { readonly kind: 'answer' | 'stream' }> }
+  | { readonly kind: 'again' }
+  | { readonly kind: 'refuse', readonly reason: string, readonly retryAfterMs: number }
+  | { readonly kind: 'fail', readonly reason: string, readonly status: 502 | 504 }
+
+/**
+ * Creates the gateway of a host.
+ *
+ * @param options Beliefs, loads and connections.
+ * @returns The gateway.
+ */
+export function createGateway (options: GatewayOptions): Gateway {
+  const { knowledge, loads, names, now } = options
+  let pending = 0
+  let keptBytes = 0
+
+  function writeOwn (response: ServerResponse, status: number, retryMs?: number): void {
+    if (response.headersSent || response.destroyed) return
+    const headers: Record<string, string> = { 'Content-Length': '0' }
+    if (retryMs !== undefined) headers['Retry-After'] = (retryMs / 1000).toFixed(3)
+    if (options.isLeaving()) headers.Connection = 'close'
+    response.writeHead(status, headers).end()
+  }
+
+  function leftMs (exchange: Exchange): number {
+    return exchange.endsAt - now()
+  }
+
+  function finish (exchange: Exchange, status: number, reason: string, retryMs?: number): void {
+    options.onEnd({
+      id: exchange.id,
+      route: exchange.route.name,
+      service: exchange.service,
+      key: exchange.key,
+      status,
+      reason,
+      durationMs: now() - exchange.startedAt,
+      attempts: exchange.attempts,
+      ...(retryMs === undefined ? {} : { retryAfterMs: retryMs })
+    })
+  }
+
+  /** Finds the owner of a key, waiting a little while it moves. */
+  async function findOwner (exchange: Exchange, key: number): Promise<RoutedServer | Verdict> {
+    const waitUntil = now() + Math.min(exchange.route.latencyGoalMs * OWNER_WAIT_SHARE, leftMs(exchange) / 3)
+    for (;;) {
+      const owner = knowledge.ownerOf(exchange.service, key)
+      if (owner.kind === 'owned') {
+        const server = knowledge.server(owner.server)
+        if (server !== undefined && !server.leaving && !exchange.tried.has(server.id)) return server
+      }
+      if (owner.kind === 'unserved') {
+        return { kind: 'refuse', reason: 'key-unserved', retryAfterMs: retryAfterMs(owner.until - now(), leftMs(exchange)) }
+      }
+      if (now() >= waitUntil || exchange.abort.signal.aborted) {
+        return { kind: 'refuse', reason: `key-${owner.kind}`, retryAfterMs: retryAfterMs(DEFAULT_RETRY_MS, leftMs(exchange)) }
+      }
+      await knowledge.nextOwnerChange(Math.max(1, waitUntil - now()))
+    }
+  }
+
+  async function findServer (exchange: Exchange): Promise<RoutedServer | Verdict> {
+    const keyed = knowledge.service(exchange.service)?.keyed === true
+    if (keyed && exchange.key !== null) {
+      const owner = await findOwner(exchange, exchange.key)
+      if ('kind' in owner) return owner
+      if (loads.isSilent(owner.id)) return { kind: 'refuse', reason: 'owner-silent', retryAfterMs: retryAfterMs(DEFAULT_RETRY_MS, leftMs(exchange)) }
+      return owner
+    }
+    const server = chooseServer(knowledge.openServers(exchange.service), { loads, tried: exchange.tried, zone: options.zone, random: options.random })
+    if (server !== null) return server
+    const reason = exchange.tried.size > 0 ? 'every-server-tried' : 'no-server'
+    return { kind: 'refuse', reason, retryAfterMs: retryAfterMs(DEFAULT_RETRY_MS, leftMs(exchange)) }
+  }
+
+  async function offer (exchange: Exchange): Promise<Verdict> {
+    const server = await findServer(exchange)
+    if ('kind' in server) return server
+    const expectedMs = loads.expectedMs(server)
+    const admission = admit({ expectedMs, workMs: loads.workMs(server), latencyGoalMs: exchange.route.latencyGoalMs, leftMs: leftMs(exchange) })
+    if (admission.kind === 'refuse') return { kind: 'refuse', reason: 'no-room', retryAfterMs: admission.retryAfterMs }
+    const inFlight = loads.inFlight(server.id)
+    const sentAt = now()
+    const end = loads.begin(server)
+    const outcome = await send(exchange, server, expectedMs)
+    const durationMs = now() - sentAt
+    end(servedOutcome(outcome, durationMs))
+    exchange.attempts.push({ server: server.id, outcome: describe(outcome), durationMs: Math.round(durationMs), inFlight, expectedMs: Math.round(expectedMs) })
+    return judge(exchange, server, outcome)
+  }
+
+  async function send (exchange: Exchange, server: RoutedServer, expectedMs: number): Promise<AttemptOutcome> {
+    const silence = new AbortController()
+    const mayRepeat = exchange.route.kind === RequestKind.idempotent && knowledge.service(exchange.service)?.keyed !== true
+    const timer = mayRepeat ? setTimeout(() => { silence.abort() }, expectedMs * SILENCE_FACTOR) : undefined
+    const outcome = await sendAttempt({
+      server,
+      id: exchange.id,
+      method: exchange.request.method ?? 'GET',
+      path: exchange.request.url ?? '/',
+      headers: requestHeaders(exchange.request.rawHeaders, names),
+      body: exchange.body,
+      deadlineMs: leftMs(exchange),
+      signal: mayRepeat ? AbortSignal.any([silence.signal, exchange.abort.signal]) : exchange.abort.signal
+    }, { agent: options.agent, names })
+    clearTimeout(timer)
+    return outcome
+  }
+
+  function judge (exchange: Exchange, server: RoutedServer, outcome: AttemptOutcome): Verdict {
+    const repeatable = exchange.route.kind === RequestKind.idempotent
+    const streamed = exchange.body !== null && !Buffer.isBuffer(exchange.body)
+    if (outcome.kind === 'stream') return { kind: 'answer', outcome }
+    if (outcome.kind === 'answer') {
+      if (outcome.status < 500) return { kind: 'answer', outcome }
+      exchange.mayHaveRun = true
+      return repeatable && mayOfferAgain(exchange) ? { kind: 'again' } : { kind: 'answer', outcome }
+    }
+    if (outcome.kind === 'lost') exchange.mayHaveRun = true
+    // A key has one owner: only a wrong belief of who it is leads to another server.
+    const keyed = knowledge.service(exchange.service)?.keyed === true && exchange.key !== null
+    if (outcome.kind === 'unsent' || (outcome.kind === 'not-run' && (!keyed || outcome.misdirected))) exchange.tried.add(server.id)
+    if (exchange.abort.signal.aborted) return giveUp(exchange)
+    const again = outcome.kind === 'unsent' || (outcome.kind === 'not-run' ? mayOfferAgain(exchange) : repeatable && mayOfferAgain(exchange))
+    if (again && !streamed && exchange.attempts.length < exchange.route.maximumAttempts + 2) return { kind: 'again' }
+    if (exchange.mayHaveRun && (outcome.kind === 'lost' || !repeatable)) return { kind: 'fail', reason: 'outcome-unknown', status: 502 }
+    const wanted = outcome.kind === 'not-run' ? loads.workMs(server) / 2 : DEFAULT_RETRY_MS
+    return { kind: 'refuse', reason: outcome.kind === 'not-run' ? (outcome.misdirected ? 'owner-changed' : 'server-full') : 'server-unreachable', retryAfterMs: retryAfterMs(wanted, leftMs(exchange)) }
+  }
+
+  function mayOfferAgain (exchange: Exchange): boolean {
+    const sent = exchange.attempts.filter((attempt) => attempt.outcome !== 'unsent').length
+    return sent < exchange.route.maximumAttempts && leftMs(exchange) > LEAST_OFFER_MS && options.budgetOf(exchange.service).spend()
+  }
+
+  function giveUp (exchange: Exchange): Verdict {
+    if (exchange.mayHaveRun) return { kind: 'fail', reason: 'timed-out', status: 504 }
+    return { kind: 'refuse', reason: 'timed-out-unsent', retryAfterMs: DEFAULT_RETRY_MS }
+  }
+
+  async function serve (exchange: Exchange): Promise<void> {
+    let verdict: Verdict = { kind: 'again' }
+    while (verdict.kind === 'again') {
+      verdict = leftMs(exchange) <= 0 || exchange.abort.signal.aborted ? giveUp(exchange) : await offer(exchange)
+    }
+    const { response } = exchange
+    if (response.destroyed) return finish(exchange, 0, 'caller-left')
+    if (verdict.kind === 'refuse') {
+      // A request that may have run is never answered as if it had not.
+      const status = exchange.mayHaveRun && exchange.route.kind === RequestKind.once ? 502 : 503
+      writeOwn(response, status, status === 503 ? verdict.retryAfterMs : undefined)
+      return finish(exchange, status, verdict.reason, verdict.retryAfterMs)
+    }
+    if (verdict.kind === 'fail') {
+      writeOwn(response, verdict.status)
+      return finish(exchange, verdict.status, verdict.reason)
+    }
+    await writeAnswer(exchange, verdict.outcome)
+  }
+
+  async function writeAnswer (exchange: Exchange, outcome: Extract<AttemptOutcome, { readonly kind: 'answer' | 'stream' }>): Promise<void> {
+    const { response } = exchange
+    const headers = answerHeaders(outcome.headers)
+    if (options.isLeaving()) headers.push('Connection', 'close')
+    if (outcome.kind === 'answer') {
+      if (exchange.request.method !== 'HEAD' && outcome.status !== 204 && outcome.status !== 304) headers.push('Content-Length', String(outcome.body.length))
+      response.writeHead(outcome.status, headers as unknown as Record<string, string>)
+      response.end(outcome.body)
+      return finish(exchange, outcome.status, 'served')
+    }
+    response.writeHead(outcome.status, headers as unknown as Record<string, string>)
+    response.write(outcome.start)
+    outcome.rest.on('data', (part: Buffer) => {
+      if (!response.write(part)) outcome.rest.pause()
+    })
+    response.on('drain', () => { outcome.rest.resume() })
+    outcome.rest.resume()
+    await new Promise<void>((resolve) => {
+      outcome.rest.on('close', () => {
+        // An answer that broke off must not look complete.
+        if (outcome.rest.complete) response.end()
+        else response.destroy()
+        resolve()
+      })
+      response.on('close', () => { outcome.rest.destroy(); resolve() })
+    })
+    finish(exchange, outcome.status, outcome.rest.complete ? 'served' : 'answer-broke-off')
+  }
+
+  /** Picks one of the route's services by its share. */
+  function pickService (route: Route): string | null {
+    let left = options.random() * route.targets.reduce((sum, target) => sum + target.weight, 0)
+    for (const target of route.targets) {
+      left -= target.weight
+      if (left < 0) return target.service
+    }
+    return route.targets.at(-1)?.service ?? null
+  }
+
+  /** Reads a body whole where it is short enough; `false` where the caller broke off. */
+  async function takeBody (request: IncomingMessage): Promise<Buffer | IncomingMessage | null | false> {
+    const stated = request.headers['content-length']
+    if (stated === undefined && request.headers['transfer-encoding'] === undefined) return request.method === 'GET' || request.method === 'HEAD' ? null : Buffer.alloc(0)
+    if (Number(stated ?? 0) > WHOLE_BODY_BYTES || keptBytes > KEPT_BODY_BYTES) return request
+    const parts: Buffer[] = []
+    let bytes = 0
+    try {
+      for await (const part of request) {
+        parts.push(part as Buffer)
+        bytes += (part as Buffer).length
+        keptBytes += (part as Buffer).length
+      }
+      return Buffer.concat(parts)
+    } catch {
+      return false
+    } finally {
+      keptBytes -= bytes
+    }
+  }
+
+  async function open (request: IncomingMessage, response: ServerResponse): Promise<void> {
+    const startedAt = now()
+    const routes = knowledge.routes()
+    const id = String(request.headers[names.attemptId] ?? '')
+    if (routes === null) {
+      writeOwn(response, 503, DEFAULT_RETRY_MS)
+      return
+    }
+    const route = routes.match(request.headers.host ?? '', request.url ?? '/')
+    const service = route === null ? null : pickService(route)
+    if (route === null || service === null) {
+      writeOwn(response, route === null ? 404 : 503, route === null ? undefined : DEFAULT_RETRY_MS)
+      return
+    }
+    const deadline = Number(request.headers[names.deadlineMs])
+    const allowedMs = Math.min(Number.isFinite(deadline) && deadline > 0 ? deadline : Infinity, route.timeoutMs)
+    const key = readKey(request.headers[names.key])
+    const abort = new AbortController()
+    const exchange: Exchange = {
+      request, response, id, route, service, key, startedAt, endsAt: startedAt + allowedMs, abort, attempts: [], tried: new Set(), body: null, mayHaveRun: false
+    }
+    const timer = setTimeout(() => { abort.abort() }, allowedMs)
+    const onClose = (): void => { if (!response.writableFinished) abort.abort() }
+    response.on('close', onClose)
+    options.budgetOf(service).earn()
+    if (key !== null && knowledge.service(service)?.keyed === true) options.onKey(service, key)
+    try {
+      const body = await takeBody(request)
+      if (body === false) return finish(exchange, 0, 'caller-broke-off')
+      exchange.body = body
+      await serve(exchange)
+    } finally {
+      clearTimeout(timer)
+      response.off('close', onClose)
+    }
+  }
+
+  return {
+    async handle (request, response) {
+      pending++
+      try {
+        await open(request, response)
+      } finally {
+        pending--
+      }
+    },
+    pending: () => pending
+  }
+}
+
+function readKey (value: string | string[] | undefined): number | null {
+  const key = typeof value === 'string' && /^\d{1,5}$/.test(value) ? Number(value) : NaN
+  return key < KEY_SPACE ? key : null
+}
+
+function describe (outcome: AttemptOutcome): string {
+  if (outcome.kind === 'answer' || outcome.kind === 'stream') return `${outcome.status}`
+  if (outcome.kind === 'not-run') return outcome.misdirected ? 'misdirected' : `refused-${outcome.status}`
+  return outcome.kind
+}
+
+function servedOutcome (outcome: AttemptOutcome, durationMs: number): ServedOutcome {
+  if (outcome.kind === 'answer' || outcome.kind === 'stream') return outcome.status >= 500 ? { kind: 'failed' } : { kind: 'served', durationMs }
+  if (outcome.kind === 'not-run') return { kind: outcome.misdirected ? 'other' : 'shed' }
+  if (outcome.kind === 'lost') return { kind: outcome.aborted ? 'other' : 'lost' }
+  return { kind: 'lost' }
+}
--- /dev/null
+++ b/src/gateway/knowledge.ts
@@ -0,0 +1,79 @@
+/** What a host believes at this moment: configuration, backend servers and owners of keys. */
+import { createOwnerMap, type KeyOwner, type OwnerChange } from '../ownership/mod.ts'
+import { createRouteTable, type RouteTable, type RoutedServer, type RoutedService, type RoutingConfiguration } from '../routing/mod.ts'
+
+/** Beliefs of one host; they change only through its methods. */
+export interface Knowledge {
+  configuration (): RoutingConfiguration | null
+  routes (): RouteTable | null
+  service (name: string): RoutedService | undefined
+  server (id: string): RoutedServer | undefined
+  /** Servers of a service that take new requests. */
+  openServers (service: string): readonly RoutedServer[]
+  servers (): readonly RoutedServer[]
+  ownerOf (service: string, key: number): KeyOwner
+  /** Takes a configuration unless it is older than the one in force; returns whether it was taken. */
+  offerConfiguration (configuration: RoutingConfiguration): boolean
+  /** Replaces the list of servers. */
+  setServers (servers: readonly RoutedServer[]): void
+  setOwners (service: string, changes: readonly OwnerChange[]): void
+  /** Resolves after the next change of owners, or after `timeoutMs`. */
+  nextOwnerChange (timeoutMs: number): Promise<void>
+}
+
+/**
+ * Creates beliefs that hold nothing.
+ *
+ * @returns The beliefs.
+ */
+export function createKnowledge (): Knowledge {
+  const owners = createOwnerMap()
+  let configuration: RoutingConfiguration | null = null
+  let routes: RouteTable | null = null
+  let services = new Map<string, RoutedService>()
+  let servers = new Map<string, RoutedServer>()
+  let open = new Map<string, RoutedServer[]>()
+  const waiting = new Set<() => void>()
+
+  return {
+    configuration: () => configuration,
+    routes: () => routes,
+    service: (name) => services.get(name),
+    server: (id) => servers.get(id),
+    openServers: (service) => open.get(service) ?? [],
+    servers: () => [...servers.values()],
+    ownerOf: owners.ownerOf,
+    offerConfiguration (offered) {
+      if (configuration !== null && offered.version <= configuration.version) return false
+      configuration = offered
+      routes = createRouteTable(offered)
+      services = new Map(offered.services.map((service) => [service.name, service]))
+      return true
+    },
+    setServers (listed) {
+      servers = new Map(listed.map((server) => [server.id, server]))
+      open = new Map()
+      for (const server of listed) {
+        if (server.leaving) continue
+        const group = open.get(server.service)
+        if (group === undefined) open.set(server.service, [server])
+        else group.push(server)
+      }
+    },
+    setOwners (service, changes) {
+      owners.apply(service, changes)
+      const resolvers = [...waiting]
+      waiting.clear()
+      for (const resolve of resolvers) resolve()
+    },
+    nextOwnerChange: (timeoutMs) => new Promise((resolve) => {
+      const end = (): void => {
+        clearTimeout(timer)
+        waiting.delete(end)
+        resolve()
+      }
+      const timer = setTimeout(end, timeoutMs)
+      waiting.add(end)
+    })
+  }
+}
--- /dev/null
+++ b/src/gateway/mod.ts
@@ -0,0 +1,10 @@
+/** The way of a request from a caller's connection to a backend server and back. */
+export * from './admission.ts'
+export * from './choose_server.ts'
+export * from './create_gateway.ts'
+export * from './header_names.ts'
+export * from './knowledge.ts'
+export * from './caller_server.ts'
+export * from './send_attempt.ts'
+export * from './server_agent.ts'
+export * from './server_loads.ts'
--- /dev/null
+++ b/src/gateway/send_attempt.ts
@@ -0,0 +1,138 @@
+/** Sends a request to one backend server and says, truthfully, what became of it. */
+import { request as startRequest, type Agent, type IncomingMessage } from 'node:http'
+import type { RoutedServer } from '../routing/mod.ts'
+import type { HeaderNames } from './header_names.ts'
+
+/** A request as it goes to a server. */
+export interface Attempt {
+  readonly server: RoutedServer
+  readonly id: string
+  readonly method: string
+  readonly path: string
+  /** Headers as name, value, name, value. */
+  readonly headers: readonly string[]
+  /** The whole body, or the caller's stream where it is too long to keep. */
+  readonly body: Buffer | IncomingMessage | null
+  readonly deadlineMs: number
+  readonly signal: AbortSignal
+}
+
+/** What became of an attempt. */
+export type AttemptOutcome =
+  /** The server's own answer, whole. */
+  | { readonly kind: 'answer', readonly status: number, readonly headers: readonly string[], readonly body: Buffer }
+  /** The server's own answer, of which only the beginning has come yet. */
+  | { readonly kind: 'stream', readonly status: number, readonly headers: readonly string[], readonly start: Buffer, readonly rest: IncomingMessage }
+  /** The server says that the request was not run. */
+  | { readonly kind: 'not-run', readonly status: number, readonly misdirected: boolean }
+  /** No connection could be made; nothing was sent. */
+  | { readonly kind: 'unsent', readonly detail: string }
+  /** The request was sent and may have run. */
+  | { readonly kind: 'lost', readonly detail: string, readonly aborted: boolean }
+
+/** Options of {@link sendAttempt}. */
+export interface SendAttemptOptions {
+  readonly agent: Agent
+  readonly names: HeaderNames
+  /** Time to make a connection, in milliseconds. Default: 400, many round trips within a region. */
+  readonly connectTimeoutMs?: number
+}
+
+/** Longest answer that is read whole before it is passed on, in bytes; one that breaks off before can be asked for again. */
+const WHOLE_ANSWER_BYTES = 512 * 1024
+
+/**
+ * Sends a request.
+ *
+ * @param attempt The request and its server.
+ * @param options Agent and names of headers.
+ * @returns What became of it; never throws.
+ */
+export function sendAttempt (attempt: Attempt, options: SendAttemptOptions): Promise<AttemptOutcome> {
+  return new Promise((resolve) => {
+    const { names } = options
+    const [host, port] = attempt.server.address.split(':')
+    const headers = [...attempt.headers, names.deadlineMs, String(Math.max(1, Math.floor(attempt.deadlineMs))), names.targetServer, attempt.server.id]
+    if (Buffer.isBuffer(attempt.body)) headers.push('Content-Length', String(attempt.body.length))
+    else if (attempt.body !== null) headers.push(...framing(attempt.body))
+    let connected = false
+    let settled = false
+    const request = startRequest({ agent: options.agent, host, port, method: attempt.method, path: attempt.path, headers: headers as unknown as Record<string, string>, setHost: false })
+    const connectTimer = setTimeout(() => { if (!connected) request.destroy(new Error('No connection in time')) }, options.connectTimeoutMs ?? 400)
+
+    function settle (outcome: AttemptOutcome): void {
+      if (settled) return
+      settled = true
+      clearTimeout(connectTimer)
+      attempt.signal.removeEventListener('abort', abort)
+      resolve(outcome)
+    }
+    function abort (): void {
+      settle(connected ? { kind: 'lost', detail: 'The router gave up', aborted: true } : { kind: 'unsent', detail: 'The router gave up' })
+      request.destroy()
+    }
+
+    attempt.signal.addEventListener('abort', abort)
+    if (attempt.signal.aborted) return abort()
+    request.on('socket', (socket) => {
+      if (socket.connecting) socket.once('connect', () => { connected = true; clearTimeout(connectTimer) })
+      else connected = true
+    })
+    request.on('error', (error) => {
+      settle(connected ? { kind: 'lost', detail: error.message, aborted: false } : { kind: 'unsent', detail: error.message })
+    })
+    request.on('response', (response) => {
+      response.on('error', () => {})
+      const unusable = describeUnusable(response, attempt.id, names)
+      if (unusable !== null) {
+        settle({ kind: 'lost', detail: unusable, aborted: false })
+        request.destroy()
+        return
+      }
+      if (response.headers[names.notRun] !== undefined || response.statusCode === 421) {
+        settle({ kind: 'not-run', status: response.statusCode ?? 0, misdirected: response.statusCode === 421 })
+        response.resume()
+        return
+      }
+      readAnswer(response, settle)
+    })
+    if (attempt.body === null || Buffer.isBuffer(attempt.body)) request.end(attempt.body ?? undefined)
+    else attempt.body.pipe(request)
+  })
+}
+
+function framing (body: IncomingMessage): string[] {
+  const length = body.headers['content-length']
+  return length === undefined ? ['Transfer-Encoding', 'chunked'] : ['Content-Length', length]
+}
+
+/** Why an answer cannot be the server's own answer to this attempt; `null` where it can. */
+function describeUnusable (response: IncomingMessage, id: string, names: HeaderNames): string | null {
+  const echoed = response.headers[names.attemptId]
+  if (echoed !== undefined && echoed !== id) return `The answer belongs to attempt ${String(echoed)}`
+  const status = response.statusCode ?? 0
+  if (response.headers[names.notRun] !== undefined || status === 421) return null
+  if (echoed === undefined) return `The answer with status ${status} names no attempt`
+  if (response.headers[names.signature] === undefined) return `The answer with status ${status} bears no signature`
+  if (response.headers['content-encoding'] !== undefined) return 'The answer has a content encoding'
+  return null
+}
+
+function readAnswer (response: IncomingMessage, settle: (outcome: AttemptOutcome) => void): void {
+  const status = response.statusCode ?? 0
+  const parts: Buffer[] = []
+  let bytes = 0
+  function onData (part: Buffer): void {
+    parts.push(part)
+    bytes += part.length
+    if (bytes <= WHOLE_ANSWER_BYTES) return
+    response.pause()
+    response.off('data', onData)
+    settle({ kind: 'stream', status, headers: response.rawHeaders, start: Buffer.concat(parts), rest: response })
+  }
+  response.on('data', onData)
+  response.on('end', () => { settle({ kind: 'answer', status, headers: response.rawHeaders, body: Buffer.concat(parts) }) })
+  response.on('close', () => {
+    if (!response.complete) settle({ kind: 'lost', detail: 'The answer broke off', aborted: false })
+  })
+}
--- /dev/null
+++ b/src/gateway/server_loads.ts
@@ -0,0 +1,185 @@
+/**
+ * What a host knows of the load and the speed of backend servers: its own
+ * requests, and the sums that the leading host tells all hosts.
+ */
+import type { RoutedServer } from '../routing/mod.ts'
+
+/** How a request at a server ended. */
+export type ServedOutcome =
+  | { readonly kind: 'served', readonly durationMs: number }
+  /** The server answered with a failure of its own. */
+  | { readonly kind: 'failed' }
+  /** The server refused for want of room. */
+  | { readonly kind: 'shed' }
+  /** No answer, or no connection. */
+  | { readonly kind: 'lost' }
+  /** The caller left, or the request does not say anything of the server. */
+  | { readonly kind: 'other' }
+
+/** What hosts tell about one server since their last report. */
+export interface ServerSample {
+  readonly inFlight: number
+  readonly served: number
+  /** Sum of the durations of served requests, brought down to an idle server, in milliseconds. */
+  readonly workMs: number
+  readonly failed: number
+  readonly shed: number
+  readonly lost: number
+}
+
+/** What is known of a server over all hosts. */
+export interface ServerView {
+  readonly inFlight: number
+  /** Mean duration of a request at the server while it is idle, in milliseconds; 0 where unknown. */
+  readonly workMs: number
+  /** Share of its requests that it fails or sheds with room left, from 0 to 1. */
+  readonly failureShare: number
+  /** Whether no host has had an answer for some time while requests were lost. */
+  readonly silent: boolean
+}
+
+/** Loads of one host. */
+export interface ServerLoads {
+  begin (server: RoutedServer): (outcome: ServedOutcome) => void
+  /** Takes the sums over all hosts; this host's own share as it was last reported is taken off. */
+  merge (views: ReadonlyMap<string, ServerView>): void
+  /** Requests at the server, those of other hosts included. */
+  inFlight (id: string): number
+  /** Mean duration of a request at an idle server, in milliseconds. */
+  workMs (server: RoutedServer): number
+  /** Expected time until a request that is sent now is answered, in milliseconds. */
+  expectedMs (server: RoutedServer): number
+  failureShare (id: string): number
+  /** Whether the server is better left alone at this moment. */
+  isSilent (id: string): boolean
+  /** Samples since the last call. */
+  report (): Map<string, ServerSample>
+}
+
+interface Track {
+  own: number
+  reported: number
+  others: number
+  viewedWorkMs: number
+  ownWorkMs: number
+  failureShare: number
+  silentView: boolean
+  lostInRow: number
+  silentUntil: number
+  sample: { served: number, workMs: number, failed: number, shed: number, lost: number }
+}
+
+/** Duration that is assumed for a server nobody has sent to, in milliseconds; of the order of the users' services. */
+const UNKNOWN_WORK_MS = 120
+
+/** Weight of a new sample in the mean of this host. */
+const SAMPLE_WEIGHT = 0.15
+
+/** Lost requests in a row after which a server is left alone. */
+const LOST_IN_ROW = 2
+
+/** How long it is left alone, in milliseconds, before one request tries again. */
+const SILENCE_MS = 1000
+
+/** How much slower a server is while it warms up. */
+const WARM_UP_FACTOR = 2
+
+/**
+ * Creates loads of servers that nothing is known of.
+ *
+ * @param now Monotonic time in milliseconds.
+ * @returns The loads.
+ */
+export function createServerLoads (now: () => number): ServerLoads {
+  const tracks = new Map<string, Track>()
+
+  function track (id: string): Track {
+    const known = tracks.get(id)
+    if (known !== undefined) return known
+    const fresh: Track = {
+      own: 0, reported: 0, others: 0, viewedWorkMs: 0, ownWorkMs: 0, failureShare: 0, silentView: false, lostInRow: 0, silentUntil: 0, sample: emptySample()
+    }
+    tracks.set(id, fresh)
+    return fresh
+  }
+
+  function workMs (server: RoutedServer): number {
+    const known = track(server.id)
+    const base = known.viewedWorkMs > 0 ? known.viewedWorkMs : known.ownWorkMs > 0 ? known.ownWorkMs : UNKNOWN_WORK_MS
+    return known.viewedWorkMs === 0 && server.warmUpLeftMs > 0 ? base * WARM_UP_FACTOR : base
+  }
+
+  function note (known: Track, outcome: ServedOutcome, crowding: number): void {
+    const { sample } = known
+    if (outcome.kind === 'other') return
+    if (outcome.kind === 'lost') {
+      sample.lost++
+      known.lostInRow++
+      if (known.lostInRow >= LOST_IN_ROW) known.silentUntil = now() + SILENCE_MS
+      return
+    }
+    known.lostInRow = 0
+    known.silentUntil = 0
+    if (outcome.kind === 'failed') sample.failed++
+    if (outcome.kind === 'shed') sample.shed++
+    if (outcome.kind !== 'served') return
+    const idleMs = outcome.durationMs / crowding
+    sample.served++
+    sample.workMs += idleMs
+    known.ownWorkMs = known.ownWorkMs === 0 ? idleMs : known.ownWorkMs + (idleMs - known.ownWorkMs) * SAMPLE_WEIGHT
+  }
+
+  return {
+    begin (server) {
+      const known = track(server.id)
+      const crowding = Math.max(1, (known.own + known.others + 1) / server.slots)
+      known.own++
+      let ended = false
+      return (outcome) => {
+        if (ended) return
+        ended = true
+        known.own--
+        note(known, outcome, crowding)
+      }
+    },
+    merge (views) {
+      for (const [id, view] of views) {
+        const known = track(id)
+        known.others = Math.max(0, view.inFlight - known.reported)
+        known.viewedWorkMs = view.workMs
+        known.failureShare = view.failureShare
+        known.silentView = view.silent
+      }
+      for (const [id, known] of tracks) {
+        if (!views.has(id)) {
+          known.others = 0
+          if (known.own === 0) tracks.delete(id)
+        }
+      }
+    },
+    inFlight: (id) => track(id).own + track(id).others,
+    workMs,
+    expectedMs (server) {
+      const known = track(server.id)
+      const ahead = known.own + known.others + 1
+      return workMs(server) * Math.max(1, ahead / server.slots)
+    },
+    failureShare: (id) => track(id).failureShare,
+    isSilent: (id) => track(id).silentView || track(id).silentUntil > now(),
+    report () {
+      const samples = new Map<string, ServerSample>()
+      for (const [id, known] of tracks) {
+        known.reported = known.own
+        const { sample } = known
+        if (known.own === 0 && sample.served + sample.failed + sample.shed + sample.lost === 0) continue
+        samples.set(id, { inFlight: known.own, ...sample })
+        known.sample = emptySample()
+      }
+      return samples
+    }
+  }
+}
+
+function emptySample (): Track['sample'] {
+  return { served: 0, workMs: 0, failed: 0, shed: 0, lost: 0 }
+}
--- /dev/null
+++ b/src/http_call/mod.ts
@@ -0,0 +1,2 @@
+/** Short calls over HTTP/1.1. */
+export * from './create_http_caller.ts'
--- /dev/null
+++ b/src/ownership/range_steward.ts
@@ -0,0 +1,348 @@
+/**
+ * Gives the ranges of one service's keys to its servers and keeps them granted.
+ *
+ * Only the leading host runs a steward. A range has one planned owner and a set
+ * of servers that may hold it. A grant to the owner is sent only when no other
+ * server may hold the range: each has acknowledged a release, is known to have
+ * ended, or its last possible grant has run out. A plan is stored before it is
+ * acted on, so that a successor knows every server that may hold a range.
+ */
+import type { Logger } from '../logging/mod.ts'
+import type { RoutedServer } from '../routing/mod.ts'
+import type { KeyOwner, OwnerChange } from './owner_map.ts'
+import type { PlannedRange } from './plan_ranges.ts'
+import type { RecordedRange } from './plan_record.ts'
+import type { ControlOutcome, ServerControl } from './server_control.ts'
+
+/** Times of grants, in milliseconds. */
+export const GrantTiming = {
+  /** Hold of a grant: short, since the keys of a server that falls silent wait for its end. */
+  holdMs: 3000,
+  /** Time between renewals: three fit into a hold, so that one may be lost. */
+  renewMs: 900,
+  /** Pause before a call that failed is made again. */
+  retryMs: 250,
+  /** Silence of a server after which its ranges are planned elsewhere. */
+  suspectAfterMs: 1000
+} as const
+
+/** How much longer a server's clock may make a hold last: it may run 2 % slow. */
+const CLOCK_DRIFT = 1.02
+
+/** Allowance for a grant that is on its way when its sender gives up waiting, in milliseconds. */
+const DELIVERY_MARGIN_MS = 300
+
+/** Calls to one server that may be in progress at the same time. */
+const CALLS_PER_SERVER = 6
+
+/** What a steward works with. */
+export interface RangeStewardOptions {
+  readonly service: string
+  readonly control: ServerControl
+  readonly logger: Logger
+  /** Monotonic time in milliseconds. */
+  readonly now: () => number
+  /** Whether this host leads; asked immediately before each grant. */
+  readonly mayGrant: () => boolean
+  /** Whether the store does not answer, so that grants should outlast this host's lease. */
+  readonly isStoreTroubled: () => boolean
+  /** Longest hold that servers accept, in milliseconds. */
+  readonly longestHoldMs: number
+  /** A fencing token above all that were used before. */
+  readonly nextToken: () => number
+  /** Tells hosts who owns what. */
+  readonly announce: (changes: readonly OwnerChange[]) => void
+  /** Whether any host has lately had an answer of the server. */
+  readonly isAnswering: (server: string) => boolean
+}
+
+/** A range as it stands, for dumps and planning. */
+export interface RangeState extends PlannedRange {
+  readonly held: boolean
+  readonly holders: readonly string[]
+}
+
+/** Steward of one service. */
+export interface RangeSteward {
+  ranges (): readonly RangeState[]
+  /** Whether a range may be given another owner now. */
+  isFixed (range: PlannedRange): boolean
+  /** What to store before {@link RangeSteward.adopt} may be called with the same ranges. */
+  record (planned: readonly PlannedRange[]): RecordedRange[]
+  /** Acts on a plan that has been stored. */
+  adopt (planned: readonly PlannedRange[]): void
+  /** Gives up a recorded plan that could not be stored. */
+  abandon (): void
+  /** Takes the current list of the service's servers, those that are leaving included. */
+  setServers (servers: readonly RoutedServer[]): void
+  /** Servers whose calls have gone unanswered for too long to plan with them. */
+  silentServers (): ReadonlySet<string>
+  /** Starts every call that is due. */
+  tick (): void
+  /** All owners, for a host that has just connected. */
+  snapshot (): OwnerChange[]
+}
+
+interface Range {
+  from: number
+  to: number
+  owner: string | null
+  token: number
+  /** Whether the owner has acknowledged a grant that has not run out. */
+  held: boolean
+  /** Servers that may hold the range, each with the time after which it certainly does not. */
+  holders: Map<string, number>
+  handover: string | null
+  /** When the next call is due. */
+  dueAt: number
+  busy: boolean
+  /** Whether a plan that changes the range is being stored; no call is made meanwhile. */
+  planning: boolean
+  announced: string
+}
+
+/**
+ * Creates a steward for the ranges of a stored plan.
+ *
+ * @param recorded The plan as it was stored, by this host or an earlier leader.
+ * @param options Ports and the host's lease.
+ * @returns The steward; it sends nothing before its first tick.
+ */
+export function createRangeSteward (recorded: readonly RecordedRange[], options: RangeStewardOptions): RangeSteward {
+  const { control, logger, now, service } = options
+  const servers = new Map<string, RoutedServer>()
+  const departed = new Map<string, RoutedServer>()
+  const calls = new Map<string, number>()
+  const silentSince = new Map<string, number>()
+  const longHoldEnd = now() + options.longestHoldMs * CLOCK_DRIFT + DELIVERY_MARGIN_MS
+  let ranges: Range[] = recorded.map((range) => startRange(range, longHoldEnd))
+
+  function ownerOf (range: Range): KeyOwner {
+    if (range.owner !== null && range.holders.has(range.owner) && (range.held || range.holders.size === 1)) return { kind: 'owned', server: range.owner }
+    const foreign = [...range.holders].filter(([id]) => id !== range.owner)
+    // A server that this host alone cannot reach goes on serving until its hold ends.
+    const reachable = foreign.find(([id]) => silentSince.has(id) && options.isAnswering(id))
+    if (reachable !== undefined) return { kind: 'owned', server: reachable[0] }
+    const lapse = Math.max(0, ...foreign.filter(([id]) => silentSince.has(id) || !servers.has(id)).map(([, until]) => until))
+    if (Number.isFinite(lapse) && lapse > now() + GrantTiming.retryMs * 2) return { kind: 'unserved', until: lapse }
+    return { kind: 'moving' }
+  }
+
+  function announce (changed: readonly Range[]): void {
+    const changes: OwnerChange[] = []
+    for (const range of changed) {
+      const owner = ownerOf(range)
+      const text = owner.kind === 'owned' ? owner.server : owner.kind
+      if (text === range.announced) continue
+      range.announced = text
+      changes.push({ from: range.from, to: range.to, owner })
+    }
+    if (changes.length > 0) options.announce(changes)
+  }
+
+  function holdMs (): number {
+    return options.isStoreTroubled() ? options.longestHoldMs : GrantTiming.holdMs
+  }
+
+  function serverOf (id: string): RoutedServer | undefined {
+    return servers.get(id) ?? departed.get(id)
+  }
+
+  function dropHolder (range: Range, id: string, cause: string): void {
+    if (!range.holders.delete(id)) return
+    if (range.owner === id) range.held = false
+    logger.debug({ service, from: range.from, to: range.to, server: id, cause }, 'holder-gone')
+    range.dueAt = 0
+  }
+
+  function noteAnswer (id: string, outcome: ControlOutcome): void {
+    if (outcome.kind === 'silent' || outcome.kind === 'refused') {
+      if (!silentSince.has(id)) {
+        silentSince.set(id, now())
+        logger.warn({ service, server: id, outcome: outcome.kind, detail: outcome.kind === 'silent' ? outcome.detail : undefined }, 'server-control-lost')
+      }
+    } else if (silentSince.delete(id)) {
+      logger.info({ service, server: id }, 'server-control-regained')
+    }
+  }
+
+  async function call (id: string, range: Range, run: () => Promise<ControlOutcome>): Promise<ControlOutcome> {
+    calls.set(id, (calls.get(id) ?? 0) + 1)
+    range.busy = true
+    try {
+      return await run()
+    } finally {
+      calls.set(id, (calls.get(id) ?? 1) - 1)
+      range.busy = false
+    }
+  }
+
+  async function grant (range: Range, server: RoutedServer): Promise<void> {
+    if (!options.mayGrant()) return
+    const first = !range.held
+    if (first || range.token === 0) range.token = options.nextToken()
+    const { from, to, token } = range
+    const hold = holdMs()
+    const knownUntil = range.holders.get(server.id)
+    range.holders.set(server.id, Infinity)
+    const outcome = await call(server.id, range, () => control.grant(server, { from, to, token, holdMs: hold, handover: first ? range.handover : null }))
+    noteAnswer(server.id, outcome)
+    const until = Math.max(knownUntil ?? 0, now() + hold * CLOCK_DRIFT + DELIVERY_MARGIN_MS)
+    range.dueAt = now() + GrantTiming.retryMs
+    if (outcome.kind === 'done') {
+      range.holders.set(server.id, until)
+      range.held = range.owner === server.id
+      range.handover = null
+      range.dueAt = now() + GrantTiming.renewMs
+      if (first) logger.info({ service, from, to, token, server: server.id, holdMs: hold }, 'range-granted')
+    } else if (outcome.kind === 'replaced') {
+      dropHolder(range, server.id, 'another server has the address')
+    } else if (outcome.kind === 'refused') {
+      if (knownUntil === undefined) range.holders.delete(server.id)
+      else range.holders.set(server.id, knownUntil)
+    } else if (outcome.kind === 'superseded') {
+      range.holders.set(server.id, knownUntil ?? until)
+      range.held = false
+      logger.warn({ service, from, to, token, server: server.id }, 'grant-superseded')
+    } else {
+      range.holders.set(server.id, until)
+    }
+    announce([range])
+  }
+
+  async function release (range: Range, server: RoutedServer, until: number): Promise<void> {
+    const token = options.nextToken()
+    range.token = token
+    const { from, to } = range
+    const outcome = await call(server.id, range, () => control.release(server, { from, to, token }))
+    noteAnswer(server.id, outcome)
+    range.dueAt = now() + GrantTiming.retryMs
+    if (outcome.kind === 'done') {
+      range.handover = outcome.handover ?? range.handover
+      dropHolder(range, server.id, 'released')
+      logger.info({ service, from, to, token, server: server.id, next: range.owner }, 'range-released')
+    } else if (outcome.kind === 'replaced') {
+      dropHolder(range, server.id, 'another server has the address')
+    } else if (until <= now()) {
+      dropHolder(range, server.id, 'hold has run out')
+    }
+    announce([range])
+    if (!range.busy) drive(range)
+  }
+
+  function expire (range: Range): void {
+    for (const [id, until] of range.holders) {
+      if (until <= now() && !range.busy) {
+        dropHolder(range, id, 'hold has run out')
+        logger.info({ service, from: range.from, to: range.to, server: id }, 'hold-ran-out')
+      }
+    }
+  }
+
+  /** Calls do not throw; an error here is a fault of the program. */
+  function reportFailure (error: unknown): void {
+    logger.error({ service, error: error instanceof Error ? error.stack : String(error) }, 'steward-failed')
+  }
+
+  function hasRoom (id: string): boolean {
+    return (calls.get(id) ?? 0) < CALLS_PER_SERVER
+  }
+
+  /** Starts the next call of a range, if one is due. */
+  function drive (range: Range): void {
+    if (range.busy || range.planning || range.dueAt > now()) return
+    for (const [id, until] of range.holders) {
+      if (id === range.owner) continue
+      const server = serverOf(id)
+      if (server !== undefined && hasRoom(id)) release(range, server, until).catch(reportFailure)
+      return
+    }
+    const server = range.owner === null ? undefined : servers.get(range.owner)
+    if (server !== undefined && !server.leaving && hasRoom(server.id) && options.mayGrant()) grant(range, server).catch(reportFailure)
+  }
+
+  return {
+    ranges: () => ranges.map((range) => ({ from: range.from, to: range.to, owner: range.owner, held: range.held, holders: [...range.holders.keys()] })),
+    isFixed (planned) {
+      const range = ranges.find((candidate) => candidate.from === planned.from)
+      if (range === undefined || range.busy) return true
+      const gone = range.owner === null || !servers.has(range.owner) || servers.get(range.owner)?.leaving === true || isSuspect(range.owner)
+      const foreign = [...range.holders.keys()].filter((id) => id !== range.owner)
+      return gone ? foreign.length > 0 && range.owner !== null && range.holders.has(range.owner) : !range.held || foreign.length > 0
+    },
+    record: (planned) => planned.map((next) => {
+      const range = findRange(ranges, next.from)
+      range.planning ||= range.from !== next.from || range.to !== next.to || range.owner !== next.owner
+      const foreign = [...range.holders.keys()].filter((id) => id !== next.owner)
+      return { ...next, previous: foreign[0] ?? null }
+    }),
+    adopt (planned) {
+      ranges = planned.map((next) => {
+        const range = findRange(ranges, next.from)
+        const kept = range.from === next.from && range.to === next.to
+        const result = kept ? range : { ...range, from: next.from, to: next.to, holders: new Map(range.holders) }
+        result.planning = false
+        if (result.owner !== next.owner) {
+          result.owner = next.owner
+          result.held = false
+          result.dueAt = 0
+        }
+        return result
+      })
+      announce(ranges)
+    },
+    abandon () { for (const range of ranges) range.planning = false },
+    setServers (listed) {
+      for (const server of listed) {
+        const known = serverOf(server.id)
+        if (known !== undefined && known.bornAt !== server.bornAt) {
+          logger.info({ service, server: server.id, bornAt: server.bornAt, previousBornAt: known.bornAt }, 'server-restarted')
+          for (const range of ranges) dropHolder(range, server.id, 'the server has started again')
+        }
+        departed.delete(server.id)
+      }
+      const present = new Set(listed.map((server) => server.id))
+      for (const [id, server] of servers) {
+        if (!present.has(id)) departed.set(id, server)
+      }
+      servers.clear()
+      for (const server of listed) servers.set(server.id, server)
+      announce(ranges)
+    },
+    silentServers: () => new Set([...silentSince.keys()].filter(isSuspect)),
+    tick () {
+      for (const range of ranges) {
+        expire(range)
+        drive(range)
+      }
+      announce(ranges)
+    },
+    snapshot: () => ranges.map((range) => ({ from: range.from, to: range.to, owner: ownerOf(range) }))
+  }
+
+  function isSuspect (id: string): boolean {
+    const since = silentSince.get(id)
+    return since !== undefined && now() - since >= GrantTiming.suspectAfterMs
+  }
+}
+
+function startRange (recorded: RecordedRange, until: number): Range {
+  const holders = new Map<string, number>()
+  if (recorded.owner !== null) holders.set(recorded.owner, until)
+  if (recorded.previous !== null) holders.set(recorded.previous, until)
+  return { from: recorded.from, to: recorded.to, owner: recorded.owner, token: 0, held: false, holders, handover: null, dueAt: 0, busy: false, planning: false, announced: '' }
+}
+
+/** The range that holds a key; ranges cover the space of keys in ascending order. */
+function findRange (ranges: readonly Range[], key: number): Range {
+  let low = 0
+  let high = ranges.length - 1
+  while (low < high) {
+    const middle = (low + high + 1) >>> 1
+    if ((ranges[middle]?.from ?? Infinity) <= key) low = middle
+    else high = middle - 1
+  }
+  const range = ranges[low]
+  if (range === undefined) throw new Error(`No range holds key ${key}: there are ${ranges.length} ranges`)
+  return range
+}
--- /dev/null
+++ b/src/replication/messages.ts
@@ -0,0 +1,56 @@
+/** Messages between the leading host and the others: one JSON text a line over TCP. */
+import type { Socket } from 'node:net'
+import { createInterface } from 'node:readline'
+import type { ServerSample } from '../gateway/server_loads.ts'
+import type { RoutedServer, RoutingConfiguration } from '../routing/mod.ts'
+
+/** Owner of keys on the wire; times are remaining milliseconds, since clocks differ. */
+export type WireOwner = string | null | { readonly unservedMs: number }
+
+/** What the leading host knows of a server: requests in flight, work in ms, share of failures, 1 where silent. */
+export type WireView = readonly [server: string, inFlight: number, workMs: number, failureShare: number, silent: 0 | 1]
+
+/** From the leading host. */
+export type Update =
+  | { readonly kind: 'configuration', readonly configuration: RoutingConfiguration }
+  | { readonly kind: 'servers', readonly servers: readonly RoutedServer[] }
+  | { readonly kind: 'owners', readonly service: string, readonly changes: ReadonlyArray<readonly [from: number, to: number, owner: WireOwner]> }
+  /** Sent regularly; `storeAgeMs` is the age of what the leader has read of the store. */
+  | { readonly kind: 'beat', readonly storeAgeMs: number, readonly leading: boolean, readonly views: readonly WireView[] }
+
+/** From another host. */
+export type Report =
+  | { readonly kind: 'hello', readonly host: string, readonly zone: string }
+  | {
+    readonly kind: 'report'
+    readonly samples: ReadonlyArray<readonly [server: string, sample: ServerSample]>
+    readonly keys: ReadonlyArray<readonly [service: string, counts: ReadonlyArray<readonly [key: number, requests: number]>]>
+  }
+
+/**
+ * Writes a message, unless the other side does not read.
+ *
+ * @param socket The connection.
+ * @param message The message.
+ */
+export function writeMessage (socket: Socket, message: Update | Report): void {
+  if (!socket.destroyed) socket.write(`${JSON.stringify(message)}\n`)
+}
+
+/**
+ * Calls `onMessage` for each message of a connection; a line that is no JSON ends the connection.
+ *
+ * @param socket The connection.
+ * @param onMessage Called for each message.
+ */
+export function readMessages (socket: Socket, onMessage: (message: unknown) => void): void {
+  const lines = createInterface({ input: socket, crlfDelay: Infinity })
+  lines.on('line', (line) => {
+    try {
+      onMessage(JSON.parse(line))
+    } catch (error) {
+      socket.destroy(error instanceof Error ? error : new Error(String(error)))
+    }
+  })
+  lines.on('error', () => {})
+}
--- /dev/null
+++ b/src/replication/peer_hub.ts
@@ -0,0 +1,71 @@
+/** The leading host's side: connections of the other hosts, updates to them, reports from them. */
+import { createServer, type Server, type Socket } from 'node:net'
+import type { Logger } from '../logging/mod.ts'
+import { readMessages, writeMessage, type Report, type Update } from './messages.ts'
+
+/** Options of {@link createPeerHub}. */
+export interface PeerHubOptions {
+  readonly logger: Logger
+  /** What a host that has just connected is told first. */
+  readonly greeting: () => readonly Update[]
+  readonly onReport: (host: string, report: Extract<Report, { readonly kind: 'report' }>) => void
+  readonly onLeft: (host: string) => void
+}
+
+/** Connections of the other hosts. */
+export interface PeerHub {
+  readonly server: Server
+  /** Sends an update to every connected host. */
+  publish (update: Update): void
+  /** Ends every connection; hosts then look for the leader again. */
+  disconnect (): void
+  hosts (): string[]
+}
+
+/** Bytes that may wait for a host that does not read before its connection is given up. */
+const MAXIMUM_WAITING_BYTES = 4 * 1024 * 1024
+
+/**
+ * Creates the hub; the host makes its server listen.
+ *
+ * @param options Greeting and handlers.
+ * @returns The hub.
+ */
+export function createPeerHub (options: PeerHubOptions): PeerHub {
+  const peers = new Map<Socket, string>()
+
+  function drop (socket: Socket): void {
+    const host = peers.get(socket)
+    peers.delete(socket)
+    socket.destroy()
+    if (host !== undefined) options.onLeft(host)
+  }
+
+  const server = createServer({ noDelay: true, keepAlive: true, keepAliveInitialDelay: 1000 }, (socket) => {
+    socket.on('error', (error) => { options.logger.debug({ error: error.message }, 'peer-connection-lost') })
+    socket.on('close', () => { drop(socket) })
+    readMessages(socket, (message) => {
+      const report = message as Report
+      if (report.kind === 'hello') {
+        peers.set(socket, report.host)
+        for (const update of options.greeting()) writeMessage(socket, update)
+      } else {
+        const host = peers.get(socket)
+        if (host !== undefined) options.onReport(host, report)
+      }
+    })
+  })
+
+  return {
+    server,
+    publish (update) {
+      const text = `${JSON.stringify(update)}\n`
+      for (const [socket] of peers) {
+        if (socket.writableLength > MAXIMUM_WAITING_BYTES) drop(socket)
+        else socket.write(text)
+      }
+    },
+    disconnect () { for (const [socket] of [...peers]) drop(socket) },
+    hosts: () => [...peers.values()]
+  }
+}
--- /dev/null
+++ b/src/replication/peer_link.ts
@@ -0,0 +1,87 @@
+/** A host's connection to the leading host. */
+import { connect, type Socket } from 'node:net'
+import type { Logger } from '../logging/mod.ts'
+import { readMessages, writeMessage, type Report, type Update } from './messages.ts'
+
+/** Options of {@link createPeerLink}. */
+export interface PeerLinkOptions {
+  readonly host: string
+  readonly zone: string
+  readonly logger: Logger
+  readonly now: () => number
+  readonly onUpdate: (update: Update) => void
+  /** Called when nothing listens at the leader's address: its process has ended, or a partition answers for it. */
+  readonly onRefused: (address: string) => void
+}
+
+/** Connection to the leader. */
+export interface PeerLink {
+  /** Connects to an address, unless that is the current one; `null` ends the connection. */
+  follow (address: string | null): void
+  send (report: Report): void
+  /** When the last message came; `-Infinity` before. */
+  heardAt (): number
+}
+
+/** Time to connect, in milliseconds: many round trips within a region. */
+const CONNECT_TIMEOUT_MS = 500
+
+/** Pause before the next try, in milliseconds. */
+const RECONNECT_MS = 300
+
+/** Silence after which the connection is given up, in milliseconds: several of the leader's regular messages. */
+const SILENCE_MS = 1500
+
+/**
+ * Creates a link that follows nobody.
+ *
+ * @param options Identity and handlers.
+ * @returns The link.
+ */
+export function createPeerLink (options: PeerLinkOptions): PeerLink {
+  let address: string | null = null
+  let socket: Socket | null = null
+  let heardAt = -Infinity
+  let timer: NodeJS.Timeout | undefined
+
+  function open (): void {
+    if (address === null) return
+    const target = address
+    const [host, port] = target.split(':')
+    const opened = connect({ host, port: Number(port), noDelay: true })
+    socket = opened
+    opened.setTimeout(CONNECT_TIMEOUT_MS, () => { opened.destroy(new Error('No message from the leader in time')) })
+    opened.on('connect', () => {
+      opened.setTimeout(SILENCE_MS)
+      writeMessage(opened, { kind: 'hello', host: options.host, zone: options.zone })
+    })
+    opened.on('error', (error: NodeJS.ErrnoException) => {
+      if (error.code === 'ECONNREFUSED') options.onRefused(target)
+      options.logger.debug({ address: target, error: error.message }, 'leader-connection-failed')
+    })
+    opened.on('close', () => {
+      if (socket !== opened) return
+      socket = null
+      timer = setTimeout(open, RECONNECT_MS)
+    })
+    readMessages(opened, (message) => {
+      if (socket !== opened) return
+      heardAt = options.now()
+      options.onUpdate(message as Update)
+    })
+  }
+
+  return {
+    follow (next) {
+      if (next === address) return
+      address = next
+      clearTimeout(timer)
+      const previous = socket
+      socket = null
+      previous?.destroy()
+      open()
+    },
+    send (report) { if (socket !== null && !socket.connecting) writeMessage(socket, report) },
+    heardAt: () => heardAt
+  }
+}
--- /dev/null
+++ b/src/routing/mod.ts
@@ -0,0 +1,3 @@
+/** Routes, services and backend servers as the router sees them. */
+export * from './routing_types.ts'
+export * from './route_table.ts'
