Answers without a length count only if their connection was closed; recovery does not wait for a dead leader's lease

Ruled out: framing by the router; the answers bear their server's signature. Change: such an answer is whole only if the request was sent and the connection closed without an error; hosts tell the identifier of their process when they are connected to, so that an ended leader is found out at once; large bodies stay in their zone while a slot is free there.

--- a/src/entry_host/create_entry_host.ts
+++ b/src/entry_host/create_entry_host.ts
@@ -56,8 +56,8 @@
 const TaskTiming = {
   /** Grants and releases that are due are started this often. */
   grantMs: 50,
-  /** Loads are told this often; about the time that one request takes. */
-  loadMs: 200,
+  /** Loads are told this often: about the time that one request takes. */
+  loadMs: 120,
   /** Keys are planned this often: a busy key should be served again within seconds. */
   planMs: 400,
   /** The leader reads the store this often, a quarter of the time in which changes must be in force. */
@@ -140,7 +140,7 @@
   })
   const hub = createPeerHub({
     logger,
-    greeting: () => leadsAs ? leader.greeting() : [],
+    greeting: () => [{ kind: 'identity', holder }, ...(leadsAs ? leader.greeting() : [])],
     onReport: leader.onReport,
     onLeft: leader.onLeft
   })
@@ -150,10 +150,7 @@
     logger,
     now,
     onUpdate,
-    onRefused (address) {
-      const lease = leadership.lease()
-      if (lease !== null && lease.address === address) leadership.noteEnded(lease.holder)
-    }
+    onRefused (address) { noteEnded(address, null) }
   })
   const reader = createStoreReader({
     published: options.published,
@@ -211,8 +208,20 @@
     leader.plan().catch(reportFailure)
   }
 
-  function onUpdate (update: Update): void {
+  /** Concludes that the lease's holder has ended, if another process, or none, is at its address. */
+  function noteEnded (address: string, present: string | null): void {
+    const lease = leadership.lease()
+    if (lease === null || lease.address !== address || lease.holder === present) return
+    logger.info({ holder: lease.holder, address, present }, 'leader-ended')
+    leadership.noteEnded(lease.holder)
+  }
+
+  function onUpdate (update: Update, address: string): void {
     if (leadsAs) return
+    if (update.kind === 'identity') {
+      noteEnded(address, update.holder)
+      return
+    }
     if (update.kind === 'configuration') {
       if (knowledge.offerConfiguration(update.configuration)) {
         logger.info({ version: update.configuration.version, source: 'leader' }, 'configuration-in-force')
@@ -296,6 +305,7 @@
       const read = await Promise.all([reader.readPublished(), reader.readOwn(true)])
       pauseMs = read.every(Boolean) ? TaskTiming.ownReadMs : Math.min(TaskTiming.longestPauseMs, pauseMs * 1.6)
       if (read[1]) {
+        noteEnded(`${settings.ip}:${settings.peerPort}`, holder)
         const lease = leadership.lease()
         if (lease !== null && lease.holder !== holder && !lease.released) link.follow(lease.address)
         await tryToLead()
--- a/src/entry_host/create_leader.ts
+++ b/src/entry_host/create_leader.ts
@@ -6,7 +6,7 @@
 import { createKeyLoad, createRangeSteward, cutKeySpace, decodePlanRecord, encodePlanRecord, planRanges, type KeyLoad } from '../ownership/mod.ts'
 import type { ServerSample, ServerView } from '../gateway/server_loads.ts'
 import type { Knowledge } from '../gateway/knowledge.ts'
-import type { Leadership } from '../leadership/mod.ts'
+import { LeaseTiming, type Leadership } from '../leadership/mod.ts'
 import type { Logger } from '../logging/mod.ts'
 import type { TableService } from '../ports/mod.ts'
 import type { Report, Update, WireOwner, WireView } from '../replication/mod.ts'
@@ -92,6 +92,7 @@
       mayGrant: () => active && leadership.isLeading(),
       isStoreTroubled: leadership.isTroubled,
       longestHoldMs: options.longestHoldMs,
+      earlierLeaderMs: LeaseTiming.lastsMs,
       nextToken,
       announce (changes) {
         if (!active) return
--- a/src/gateway/choose_server.ts
+++ b/src/gateway/choose_server.ts
@@ -15,6 +15,8 @@
   readonly tried: ReadonlySet<string>
   /** Availability zone of this host. */
   readonly zone: string
+  /** Length of the request's body, in bytes. */
+  readonly bodyBytes: number
   /** Random number from 0 to 1. */
   readonly random: () => number
 }
@@ -25,6 +27,9 @@
 /** Expected time is counted as longer by this share for a server in another zone: bytes between zones cost. */
 const OTHER_ZONE_SHARE = 0.25
 
+/** Bodies from this length on stay in their zone while a server there has a free slot, in bytes. */
+const LARGE_BODY_BYTES = 16 * 1024
+
 /**
  * Chooses a server.
  *
@@ -35,7 +40,7 @@
 export function chooseServer (servers: readonly RoutedServer[], options: ChooseServerOptions): RoutedServer | null {
   const untried = servers.filter((server) => !options.tried.has(server.id))
   const sound = untried.filter((server) => !options.loads.isSilent(server.id))
-  const candidates = [...(sound.length > 0 ? sound : untried)]
+  const candidates = nearest(sound.length > 0 ? sound : untried, options)
   let best: RoutedServer | null = null
   let lowest = Infinity
   for (let drawn = 0; drawn < DRAWN && candidates.length > 0; drawn++) {
@@ -50,6 +55,13 @@
   return best
 }
 
+/** The servers of this host's zone for a large body, if one of them has a free slot; otherwise all. */
+function nearest (servers: readonly RoutedServer[], options: ChooseServerOptions): RoutedServer[] {
+  if (options.bodyBytes < LARGE_BODY_BYTES) return [...servers]
+  const near = servers.filter((server) => server.zone === options.zone && options.loads.inFlight(server.id) < server.slots)
+  return near.length > 0 ? near : [...servers]
+}
+
 function costOf (server: RoutedServer, options: ChooseServerOptions): number {
   const { loads } = options
   const failing = 1 + 4 * loads.failureShare(server.id)
--- a/src/gateway/create_gateway.ts
+++ b/src/gateway/create_gateway.ts
@@ -173,7 +173,7 @@
       if (loads.isSilent(owner.id)) return { kind: 'refuse', reason: 'owner-silent', retryAfterMs: retryAfterMs(DEFAULT_RETRY_MS, leftMs(exchange)) }
       return owner
     }
-    const server = chooseServer(knowledge.openServers(exchange.service), { loads, tried: exchange.tried, zone: options.zone, random: options.random })
+    const server = chooseServer(knowledge.openServers(exchange.service), { loads, tried: exchange.tried, zone: options.zone, bodyBytes: bodyBytes(exchange), random: options.random })
     if (server !== null) return server
     const reason = exchange.tried.size > 0 ? 'every-server-tried' : 'no-server'
     return { kind: 'refuse', reason, retryAfterMs: retryAfterMs(DEFAULT_RETRY_MS, leftMs(exchange)) }
@@ -376,6 +376,11 @@
   }
 }
 
+function bodyBytes (exchange: Exchange): number {
+  if (exchange.body === null) return 0
+  return Buffer.isBuffer(exchange.body) ? exchange.body.length : Number(exchange.body.headers['content-length'] ?? WHOLE_BODY_BYTES)
+}
+
 function readKey (value: string | string[] | undefined): number | null {
   const key = typeof value === 'string' && /^\d{1,5}$/.test(value) ? Number(value) : NaN
   return key < KEY_SPACE ? key : null
--- a/src/gateway/send_attempt.ts
+++ b/src/gateway/send_attempt.ts
@@ -1,5 +1,5 @@
 /** Sends a request to one backend server and says, truthfully, what became of it. */
-import { request as startRequest, type Agent, type IncomingMessage } from 'node:http'
+import { request as startRequest, type Agent, type ClientRequest, type IncomingMessage } from 'node:http'
 import type { RoutedServer } from '../routing/mod.ts'
 import type { HeaderNames } from './header_names.ts'
 
@@ -96,7 +96,7 @@
         response.resume()
         return
       }
-      readAnswer(response, settle)
+      readAnswer(request, response, settle)
     })
     if (attempt.body === null || Buffer.isBuffer(attempt.body)) request.end(attempt.body ?? undefined)
     else attempt.body.pipe(request)
@@ -120,8 +120,11 @@
   return null
 }
 
-function readAnswer (response: IncomingMessage, settle: (outcome: AttemptOutcome) => void): void {
+function readAnswer (request: ClientRequest, response: IncomingMessage, settle: (outcome: AttemptOutcome) => void): void {
   const status = response.statusCode ?? 0
+  const { socket } = response
+  // An answer without a length ends with its connection, whole only if that was closed and not reset.
+  const isFramed = response.headers['content-length'] !== undefined || response.headers['transfer-encoding'] !== undefined
   const parts: Buffer[] = []
   let bytes = 0
   function onData (part: Buffer): void {
@@ -133,7 +136,18 @@
     settle({ kind: 'stream', status, headers: response.rawHeaders, start: Buffer.concat(parts), rest: response })
   }
   response.on('data', onData)
-  response.on('end', () => { settle({ kind: 'answer', status, headers: response.rawHeaders, body: Buffer.concat(parts) }) })
+  function onWhole (): void {
+    settle({ kind: 'answer', status, headers: response.rawHeaders, body: Buffer.concat(parts) })
+  }
+  response.on('end', () => {
+    if (isFramed) return onWhole()
+    if (!request.writableFinished) return settle({ kind: 'lost', detail: 'The connection ended before the request was sent', aborted: false })
+    if (socket.closed) return socket.errored === null ? onWhole() : settle({ kind: 'lost', detail: 'The connection was reset', aborted: false })
+    socket.once('close', (hadError) => {
+      if (hadError) settle({ kind: 'lost', detail: 'The connection was reset', aborted: false })
+      else onWhole()
+    })
+  })
   response.on('close', () => {
     if (!response.complete) settle({ kind: 'lost', detail: 'The answer broke off', aborted: false })
   })
--- a/src/ownership/range_steward_test.ts
+++ b/src/ownership/range_steward_test.ts
@@ -40,6 +40,7 @@
     mayGrant: () => world.leads && world.claim === claim,
     isStoreTroubled: () => world.troubled,
     longestHoldMs: LONGEST_HOLD_MS,
+    earlierLeaderMs: 0,
     nextToken: () => claim * 1_000_000 + ++tokens,
     announce (changes) {
       for (const change of changes) {
--- a/src/replication/messages.ts
+++ b/src/replication/messages.ts
@@ -12,6 +12,8 @@
 
 /** From the leading host. */
 export type Update =
+  /** Sent first by every host: the identifier of its process, which tells whether an earlier one has ended. */
+  | { readonly kind: 'identity', readonly holder: string }
   | { readonly kind: 'configuration', readonly configuration: RoutingConfiguration }
   | { readonly kind: 'servers', readonly servers: readonly RoutedServer[] }
   | { readonly kind: 'owners', readonly service: string, readonly changes: ReadonlyArray<readonly [from: number, to: number, owner: WireOwner]> }
--- a/src/replication/peer_link.ts
+++ b/src/replication/peer_link.ts
@@ -9,7 +9,7 @@
   readonly zone: string
   readonly logger: Logger
   readonly now: () => number
-  readonly onUpdate: (update: Update) => void
+  readonly onUpdate: (update: Update, address: string) => void
   /** Called when nothing listens at the leader's address: its process has ended, or a partition answers for it. */
   readonly onRefused: (address: string) => void
 }
@@ -44,6 +44,7 @@
   let heardAt = -Infinity
   let timer: NodeJS.Timeout | undefined
 
+  /** Connects to the address that is followed now. */
   function open (): void {
     if (address === null) return
     const target = address
@@ -67,7 +68,7 @@
     readMessages(opened, (message) => {
       if (socket !== opened) return
       heardAt = options.now()
-      options.onUpdate(message as Update)
+      options.onUpdate(message as Update, target)
     })
   }
 
