An answer without a length is passed on without one

Change: where the server stated no length the router states none and closes the connection, as the server did.

--- a/src/entry_host/request_log.ts
+++ b/src/entry_host/request_log.ts
@@ -51,7 +51,7 @@
         reason: record.reason,
         ms: Math.round(record.durationMs),
         retryAfterMs: record.retryAfterMs === undefined ? undefined : Math.round(record.retryAfterMs),
-        attempts: record.attempts.map((attempt) => `${attempt.server}:${attempt.outcome}:${attempt.durationMs}ms:${attempt.inFlight}busy:${attempt.expectedMs}expected`).join(','),
+        attempts: record.attempts.map((attempt) => `${attempt.server}:${attempt.outcome}${attempt.detail === undefined ? '' : `(${attempt.detail})`}:${attempt.durationMs}ms:${attempt.inFlight}busy:${attempt.expectedMs}expected`).join(','),
         ...beliefs
       }, record.status === 0 ? 'request-left' : record.status >= 500 ? 'request-failed' : 'request-served')
     }
--- a/src/gateway/create_gateway.ts
+++ b/src/gateway/create_gateway.ts
@@ -35,6 +35,8 @@
 export interface AttemptRecord {
   readonly server: string
   readonly outcome: string
+  /** Why there was no answer. */
+  readonly detail?: string
   readonly durationMs: number
   /** Requests that were believed to be at the server, and the expected time, when it was chosen. */
   readonly inFlight: number
@@ -191,7 +193,7 @@
     const outcome = await send(exchange, server, expectedMs)
     const durationMs = now() - sentAt
     end(servedOutcome(outcome, durationMs))
-    exchange.attempts.push({ server: server.id, outcome: describe(outcome), durationMs: Math.round(durationMs), inFlight, expectedMs: Math.round(expectedMs) })
+    exchange.attempts.push({ server: server.id, outcome: describe(outcome), ...('detail' in outcome ? { detail: outcome.detail } : {}), durationMs: Math.round(durationMs), inFlight, expectedMs: Math.round(expectedMs) })
     return judge(exchange, server, outcome)
   }
 
@@ -269,9 +271,13 @@
   async function writeAnswer (exchange: Exchange, outcome: Extract<AttemptOutcome, { readonly kind: 'answer' | 'stream' }>): Promise<void> {
     const { response } = exchange
     const headers = answerHeaders(outcome.headers)
-    if (options.isLeaving()) headers.push('Connection', 'close')
+    if (options.isLeaving() || (outcome.kind === 'answer' && !outcome.framed)) headers.push('Connection', 'close')
     if (outcome.kind === 'answer') {
-      if (exchange.request.method !== 'HEAD' && outcome.status !== 204 && outcome.status !== 304) headers.push('Content-Length', String(outcome.body.length))
+      if (!outcome.framed) {
+        // The router vouches for no length that the server did not state: the caller sees the end of the connection, too.
+        response.useChunkedEncodingByDefault = false
+        response.shouldKeepAlive = false
+      } else if (exchange.request.method !== 'HEAD' && outcome.status !== 204 && outcome.status !== 304) headers.push('Content-Length', String(outcome.body.length))
       response.writeHead(outcome.status, headers as unknown as Record<string, string>)
       response.end(outcome.body)
       return finish(exchange, outcome.status, 'served')
--- a/src/gateway/send_attempt.ts
+++ b/src/gateway/send_attempt.ts
@@ -19,8 +19,8 @@
 
 /** What became of an attempt. */
 export type AttemptOutcome =
-  /** The server's own answer, whole. */
-  | { readonly kind: 'answer', readonly status: number, readonly headers: readonly string[], readonly body: Buffer }
+  /** The server's own answer, whole; `framed` is false where only the end of the connection marked its end. */
+  | { readonly kind: 'answer', readonly framed: boolean, readonly status: number, readonly headers: readonly string[], readonly body: Buffer }
   /** The server's own answer, of which only the beginning has come yet. */
   | { readonly kind: 'stream', readonly status: number, readonly headers: readonly string[], readonly start: Buffer, readonly rest: IncomingMessage }
   /** The server says that the request was not run. */
@@ -137,7 +137,7 @@
   }
   response.on('data', onData)
   function onWhole (): void {
-    settle({ kind: 'answer', status, headers: response.rawHeaders, body: Buffer.concat(parts) })
+    settle({ kind: 'answer', framed: isFramed, status, headers: response.rawHeaders, body: Buffer.concat(parts) })
   }
   response.on('end', () => {
     if (isFramed) return onWhole()
