Speed is learned from requests that were given up; queues at servers stay within the latency goal

Ruled out: silence of the servers (they answered others); the loads' age (under 120 ms). Change: abandoned requests and the age of those in flight count as samples; admission is bounded by the latency goal; returns of refused callers are spread.

--- a/src/entry_host/cluster_loads.ts
+++ b/src/entry_host/cluster_loads.ts
@@ -13,6 +13,8 @@
 
 interface Track {
   readonly inFlight: Map<string, number>
+  /** Age of each host's oldest request in flight. */
+  readonly oldestMs: Map<string, number>
   workMs: number
   failureShare: number
   answeredAt: number
@@ -26,6 +28,9 @@
 /** Weight that the share of failures keeps for each further sample. */
 const FAILURE_RETENTION = 0.9
 
+/** Multiple of the mean at which requests in flight show that a server has become slow. */
+const OVERDUE_FACTOR = 2.5
+
 /** Lost requests without an answer in between after which a server counts as silent. */
 const SILENT_LOST = 2
 
@@ -46,7 +51,7 @@
   function track (server: string): Track {
     const known = tracks.get(server)
     if (known !== undefined) return known
-    const fresh: Track = { inFlight: new Map(), workMs: 0, failureShare: 0, answeredAt: -Infinity, lost: 0, lostAt: -Infinity }
+    const fresh: Track = { inFlight: new Map(), oldestMs: new Map(), workMs: 0, failureShare: 0, answeredAt: -Infinity, lost: 0, lostAt: -Infinity }
     tracks.set(server, fresh)
     return fresh
   }
@@ -68,26 +73,42 @@
     known.workMs = known.workMs === 0 ? mean : known.workMs + (mean - known.workMs) * (1 - MEAN_RETENTION ** sample.served)
   }
 
+  function forget (host: string): void {
+    for (const known of tracks.values()) {
+      known.inFlight.delete(host)
+      known.oldestMs.delete(host)
+    }
+  }
+
+  /** The mean, or what requests in flight show to be more; one alone may just be a long one. */
+  function currentWorkMs (known: Track): number {
+    const [, second = 0] = [...known.oldestMs.values()].sort((left, right) => right - left)
+    return second > known.workMs * OVERDUE_FACTOR ? second : known.workMs
+  }
+
   function isSilent (known: Track, now: number): boolean {
     return known.lost >= SILENT_LOST && now - known.answeredAt > SILENT_MS && now - known.lostAt < SILENCE_LASTS_MS
   }
 
   return {
     add (host, samples, now) {
-      for (const known of tracks.values()) known.inFlight.delete(host)
+      forget(host)
       for (const [server, sample] of samples) {
         const known = track(server)
-        if (sample.inFlight > 0) known.inFlight.set(host, sample.inFlight)
+        if (sample.inFlight > 0) {
+          known.inFlight.set(host, sample.inFlight)
+          known.oldestMs.set(host, sample.oldestMs)
+        }
         addSample(known, sample, now)
       }
     },
-    forget (host) { for (const known of tracks.values()) known.inFlight.delete(host) },
+    forget,
     views (now) {
       const views = new Map<string, ServerView>()
       for (const [server, known] of tracks) {
         let inFlight = 0
         for (const count of known.inFlight.values()) inFlight += count
-        views.set(server, { inFlight, workMs: known.workMs, failureShare: known.failureShare, silent: isSilent(known, now) })
+        views.set(server, { inFlight, workMs: currentWorkMs(known), failureShare: known.failureShare, silent: isSilent(known, now) })
       }
       return views
     },
--- a/src/gateway/admission.ts
+++ b/src/gateway/admission.ts
@@ -23,13 +23,14 @@
 /** The decision. */
 export type Admission =
   | { readonly kind: 'admit' }
-  | { readonly kind: 'refuse', readonly retryAfterMs: number }
+  /** There is room after about this time, in milliseconds. */
+  | { readonly kind: 'refuse', readonly roomAfterMs: number }
 
 /** Share of the latency goal that the mean request may be expected to use; the rest is for those that take longer. */
-const GOAL_SHARE = 0.85
+const GOAL_SHARE = 0.7
 
-/** Share of the time left that it may use where that is more: a late answer is better than none, but a queue as long as the time left serves nobody. */
-const LEFT_SHARE = 0.45
+/** Multiple of its mean work that a request may be expected to take at a server too slow for the goal. */
+const WORK_FACTOR = 1.3
 
 /** Shortest time after which a caller is asked to come back, in milliseconds: the order of one request's work. */
 const LEAST_RETRY_MS = 100
@@ -44,9 +45,9 @@
  * @returns Whether it is sent, or when to come back.
  */
 export function admit (query: AdmissionQuery): Admission {
-  const bound = Math.max(query.workMs * 1.5, query.latencyGoalMs * GOAL_SHARE, query.leftMs * LEFT_SHARE)
+  const bound = Math.max(query.workMs * WORK_FACTOR, query.latencyGoalMs * GOAL_SHARE)
   if (!query.isFull && query.expectedMs <= Math.min(bound, query.leftMs)) return { kind: 'admit' }
-  return { kind: 'refuse', retryAfterMs: retryAfterMs(Math.max(query.workMs / 2, query.expectedMs - bound), query.leftMs) }
+  return { kind: 'refuse', roomAfterMs: Math.max(query.workMs, query.expectedMs - bound) }
 }
 
 /**
--- a/src/gateway/create_gateway.ts
+++ b/src/gateway/create_gateway.ts
@@ -134,6 +134,11 @@
     return exchange.endsAt - now()
   }
 
+  /** When a refused caller may come back; spread, so that callers refused together do not return together. */
+  function returnAfterMs (exchange: Exchange, wantedMs: number): number {
+    return retryAfterMs(wantedMs * (1 + options.random()), leftMs(exchange))
+  }
+
   function finish (exchange: Exchange, status: number, reason: string, retryMs?: number): void {
     options.onEnd({
       id: exchange.id,
@@ -161,7 +166,7 @@
         return { kind: 'refuse', reason: 'key-unserved', retryAfterMs: retryAfterMs(owner.until - now(), leftMs(exchange)) }
       }
       if (now() >= waitUntil || exchange.abort.signal.aborted) {
-        return { kind: 'refuse', reason: `key-${owner.kind}`, retryAfterMs: retryAfterMs(DEFAULT_RETRY_MS, leftMs(exchange)) }
+        return { kind: 'refuse', reason: `key-${owner.kind}`, retryAfterMs: returnAfterMs(exchange, DEFAULT_RETRY_MS) }
       }
       await knowledge.nextOwnerChange(Math.max(1, waitUntil - now()))
     }
@@ -172,13 +177,13 @@
     if (keyed && exchange.key !== null) {
       const owner = await findOwner(exchange, exchange.key)
       if ('kind' in owner) return owner
-      if (loads.isSilent(owner.id)) return { kind: 'refuse', reason: 'owner-silent', retryAfterMs: retryAfterMs(DEFAULT_RETRY_MS, leftMs(exchange)) }
+      if (loads.isSilent(owner.id)) return { kind: 'refuse', reason: 'owner-silent', retryAfterMs: returnAfterMs(exchange, DEFAULT_RETRY_MS) }
       return owner
     }
     const server = chooseServer(knowledge.openServers(exchange.service), { loads, tried: exchange.tried, zone: options.zone, bodyBytes: bodyBytes(exchange), random: options.random })
     if (server !== null) return server
     const reason = exchange.tried.size > 0 ? 'every-server-tried' : 'no-server'
-    return { kind: 'refuse', reason, retryAfterMs: retryAfterMs(DEFAULT_RETRY_MS, leftMs(exchange)) }
+    return { kind: 'refuse', reason, retryAfterMs: returnAfterMs(exchange, DEFAULT_RETRY_MS) }
   }
 
   async function offer (exchange: Exchange): Promise<Verdict> {
@@ -186,7 +191,7 @@
     if ('kind' in server) return server
     const expectedMs = loads.expectedMs(server)
     const admission = admit({ isFull: loads.isFull(server.id), expectedMs, workMs: loads.workMs(server), latencyGoalMs: exchange.route.latencyGoalMs, leftMs: leftMs(exchange) })
-    if (admission.kind === 'refuse') return { kind: 'refuse', reason: 'no-room', retryAfterMs: admission.retryAfterMs }
+    if (admission.kind === 'refuse') return { kind: 'refuse', reason: 'no-room', retryAfterMs: returnAfterMs(exchange, admission.roomAfterMs) }
     const inFlight = loads.inFlight(server.id)
     const sentAt = now()
     const end = loads.begin(server)
@@ -235,7 +240,7 @@
     if (again && !streamed && exchange.attempts.length < exchange.route.maximumAttempts + 2) return { kind: 'again' }
     if (exchange.mayHaveRun && (outcome.kind === 'lost' || !repeatable)) return { kind: 'fail', reason: 'outcome-unknown', status: 502 }
     const wanted = outcome.kind === 'not-run' ? loads.workMs(server) / 2 : DEFAULT_RETRY_MS
-    return { kind: 'refuse', reason: outcome.kind === 'not-run' ? (outcome.misdirected ? 'owner-changed' : 'server-full') : 'server-unreachable', retryAfterMs: retryAfterMs(wanted, leftMs(exchange)) }
+    return { kind: 'refuse', reason: outcome.kind === 'not-run' ? (outcome.misdirected ? 'owner-changed' : 'server-full') : 'server-unreachable', retryAfterMs: returnAfterMs(exchange, wanted) }
   }
 
   function mayOfferAgain (exchange: Exchange): boolean {
@@ -401,6 +406,7 @@
 function servedOutcome (outcome: AttemptOutcome, durationMs: number): ServedOutcome {
   if (outcome.kind === 'answer' || outcome.kind === 'stream') return outcome.status >= 500 ? { kind: 'failed' } : { kind: 'served', durationMs }
   if (outcome.kind === 'not-run') return { kind: outcome.misdirected ? 'other' : 'shed' }
-  if (outcome.kind === 'lost') return { kind: outcome.aborted ? 'other' : 'lost' }
+  // A reset shows that something answers at the address; only silence and refused connections count as lost.
+  if (outcome.kind === 'lost') return outcome.aborted ? { kind: 'abandoned', durationMs } : { kind: 'failed' }
   return { kind: 'lost' }
 }
--- a/src/gateway/server_agent.ts
+++ b/src/gateway/server_agent.ts
@@ -15,8 +15,8 @@
 /** How long before the server's stated limit an idle connection is given up, in milliseconds. */
 const IDLE_MARGIN_MS = 700
 
-/** Idle connections to one server that are kept. */
-const IDLE_CONNECTIONS = 8
+/** Idle connections to one server that are kept; all hosts together stay far below what a server accepts. */
+const IDLE_CONNECTIONS = 3
 
 /** Options that node's agent reads and its types leave out. */
 interface PoolOptions extends AgentOptions { readonly scheduling: 'lifo' }
--- a/src/gateway/server_loads.ts
+++ b/src/gateway/server_loads.ts
@@ -11,6 +11,8 @@
   | { readonly kind: 'failed' }
   /** The server refused for want of room. */
   | { readonly kind: 'shed' }
+  /** The router or the caller gave up before the server answered. */
+  | { readonly kind: 'abandoned', readonly durationMs: number }
   /** No answer, or no connection. */
   | { readonly kind: 'lost' }
   /** The caller left, or the request does not say anything of the server. */
@@ -25,6 +27,8 @@
   readonly failed: number
   readonly shed: number
   readonly lost: number
+  /** Age of the oldest request in flight, brought down to an idle server, in milliseconds; 0 where there is none. */
+  readonly oldestMs: number
 }
 
 /** What is known of a server over all hosts. */
@@ -69,9 +73,13 @@
   lostInRow: number
   silentUntil: number
   fullUntil: number
+  readonly pending: Set<Pending>
   sample: { served: number, workMs: number, failed: number, shed: number, lost: number }
 }
 
+/** A request in flight. */
+interface Pending { readonly startedAt: number, readonly crowding: number }
+
 /** Duration that is assumed for a server nobody has sent to, in milliseconds; of the order of the users' services. */
 const UNKNOWN_WORK_MS = 120
 
@@ -84,6 +92,9 @@
 /** How long it is left alone, in milliseconds, before one request tries again. */
 const SILENCE_MS = 1000
 
+/** Multiple of the expected time after which a request that was given up counts as lost. */
+const OVERDUE_FACTOR = 4
+
 /** How long a server that refused for want of room is left alone, in milliseconds: about the time until a slot is free. */
 const FULL_MS = 60
 
@@ -103,7 +114,7 @@
     const known = tracks.get(id)
     if (known !== undefined) return known
     const fresh: Track = {
-      own: 0, reported: 0, others: 0, viewedWorkMs: 0, ownWorkMs: 0, failureShare: 0, silentView: false, lostInRow: 0, silentUntil: 0, fullUntil: 0, sample: emptySample()
+      own: 0, reported: 0, others: 0, viewedWorkMs: 0, ownWorkMs: 0, failureShare: 0, silentView: false, lostInRow: 0, silentUntil: 0, fullUntil: 0, pending: new Set(), sample: emptySample()
     }
     tracks.set(id, fresh)
     return fresh
@@ -115,15 +126,31 @@
     return known.viewedWorkMs === 0 && server.warmUpLeftMs > 0 ? base * WARM_UP_FACTOR : base
   }
 
+  function addWork (known: Track, workMs: number): void {
+    known.sample.served++
+    known.sample.workMs += workMs
+    known.ownWorkMs = known.ownWorkMs === 0 ? workMs : known.ownWorkMs + (workMs - known.ownWorkMs) * SAMPLE_WEIGHT
+  }
+
+  /** A request that was given up says that the server takes at least that long. */
+  function noteAbandoned (known: Track, workMs: number): void {
+    const expected = known.viewedWorkMs > 0 ? known.viewedWorkMs : known.ownWorkMs > 0 ? known.ownWorkMs : UNKNOWN_WORK_MS
+    if (workMs <= expected) return
+    addWork(known, workMs)
+    if (workMs > expected * OVERDUE_FACTOR) noteLost(known)
+  }
+
+  function noteLost (known: Track): void {
+    known.sample.lost++
+    known.lostInRow++
+    if (known.lostInRow >= LOST_IN_ROW) known.silentUntil = now() + SILENCE_MS
+  }
+
   function note (known: Track, outcome: ServedOutcome, crowding: number): void {
     const { sample } = known
     if (outcome.kind === 'other') return
-    if (outcome.kind === 'lost') {
-      sample.lost++
-      known.lostInRow++
-      if (known.lostInRow >= LOST_IN_ROW) known.silentUntil = now() + SILENCE_MS
-      return
-    }
+    if (outcome.kind === 'abandoned') return noteAbandoned(known, outcome.durationMs / crowding)
+    if (outcome.kind === 'lost') return noteLost(known)
     known.lostInRow = 0
     known.silentUntil = 0
     if (outcome.kind === 'failed') sample.failed++
@@ -132,11 +159,13 @@
       // A server that refuses while it seems half empty does so for another reason than want of room.
       if (crowding > 1) known.fullUntil = now() + FULL_MS
     }
-    if (outcome.kind !== 'served') return
-    const idleMs = outcome.durationMs / crowding
-    sample.served++
-    sample.workMs += idleMs
-    known.ownWorkMs = known.ownWorkMs === 0 ? idleMs : known.ownWorkMs + (idleMs - known.ownWorkMs) * SAMPLE_WEIGHT
+    if (outcome.kind === 'served') addWork(known, outcome.durationMs / crowding)
+  }
+
+  function oldestMs (known: Track): number {
+    let oldest = 0
+    for (const { startedAt, crowding } of known.pending) oldest = Math.max(oldest, (now() - startedAt) / crowding)
+    return Math.round(oldest)
   }
 
   return {
@@ -144,11 +173,14 @@
       const known = track(server.id)
       const crowding = Math.max(1, (known.own + known.others + 1) / server.slots)
       known.own++
+      const pending = { startedAt: now(), crowding }
+      known.pending.add(pending)
       let ended = false
       return (outcome) => {
         if (ended) return
         ended = true
         known.own--
+        known.pending.delete(pending)
         note(known, outcome, crowding)
       }
     },
@@ -183,7 +215,7 @@
         known.reported = known.own
         const { sample } = known
         if (known.own === 0 && sample.served + sample.failed + sample.shed + sample.lost === 0) continue
-        samples.set(id, { inFlight: known.own, ...sample })
+        samples.set(id, { inFlight: known.own, oldestMs: oldestMs(known), ...sample })
         known.sample = emptySample()
       }
       return samples
