--- /dev/null
+++ b/src/gateway/choose_server_test.ts
@@ -0,0 +1,78 @@
+/** Tests of the choice of a server, under the loads that the users' services see. */
+import { suite } from 'uvu'
+import * as assert from 'uvu/assert'
+import type { RoutedServer } from '../routing/mod.ts'
+import { chooseServer } from './choose_server.ts'
+import { createServerLoads, type ServerLoads } from './server_loads.ts'
+
+const test = suite('chooseServer')
+
+function serversOf (count: number, zones: readonly string[] = ['a']): RoutedServer[] {
+  return Array.from({ length: count }, (_, index) => ({
+    id: `s${index}`, bornAt: 1, service: 'orders', address: `10.0.0.${index}:80`, zone: zones[index % zones.length] ?? 'a', slots: 6, leaving: false, warmUpLeftMs: 0
+  }))
+}
+
+/** Random numbers that repeat from run to run. */
+function createRandom (): () => number {
+  let state = 42
+  return () => {
+    state = (state * 1_103_515_245 + 12_345) % 2_147_483_648
+    return state / 2_147_483_648
+  }
+}
+
+function teach (loads: ServerLoads, views: Readonly<Record<string, { readonly inFlight?: number, readonly workMs?: number, readonly failureShare?: number, readonly silent?: boolean }>>): void {
+  loads.merge(new Map(Object.entries(views).map(([id, view]) => [id, { inFlight: 0, workMs: 100, failureShare: 0, silent: false, ...view }])))
+}
+
+function count (servers: readonly RoutedServer[], loads: ServerLoads, options: { readonly bodyBytes?: number, readonly times?: number } = {}): Map<string, number> {
+  const random = createRandom()
+  const counts = new Map<string, number>()
+  for (let time = 0; time < (options.times ?? 1000); time++) {
+    const chosen = chooseServer(servers, { loads, tried: new Set(), zone: 'a', bodyBytes: options.bodyBytes ?? 0, random })
+    counts.set(chosen?.id ?? '', (counts.get(chosen?.id ?? '') ?? 0) + 1)
+  }
+  return counts
+}
+
+test('chooseServer() spreads requests over all servers, when they are alike', () => {
+  const counts = count(serversOf(8), createServerLoads(() => 0))
+  assert.ok(Math.max(...counts.values()) < 250 && counts.size === 8)
+})
+
+test('chooseServer() sends little to servers that have become slow, when a third of them is 12 times slower', () => {
+  const loads = createServerLoads(() => 0)
+  teach(loads, { s0: { workMs: 1200 }, s1: { workMs: 1200 }, s2: {}, s3: {}, s4: {}, s5: {} })
+  const counts = count(serversOf(6), loads)
+  assert.ok((counts.get('s0') ?? 0) + (counts.get('s1') ?? 0) < 20)
+})
+
+test('chooseServer() leaves out silent servers, but not when all are silent', () => {
+  const loads = createServerLoads(() => 0)
+  teach(loads, { s0: { silent: true }, s1: {}, s2: {} })
+  assert.is(count(serversOf(3), loads).get('s0'), undefined)
+  teach(loads, { s0: { silent: true }, s1: { silent: true }, s2: { silent: true } })
+  assert.is(count(serversOf(3), loads).size > 1, true)
+})
+
+test('chooseServer() sends less to a server that fails part of its requests, when others do not', () => {
+  const loads = createServerLoads(() => 0)
+  teach(loads, { s0: { failureShare: 0.5 }, s1: {}, s2: {}, s3: {} })
+  assert.ok((count(serversOf(4), loads).get('s0') ?? 0) < 100)
+})
+
+test('chooseServer() keeps uploads in their zone while it has room, and only then', () => {
+  const servers = serversOf(6, ['a', 'b', 'c'])
+  const loads = createServerLoads(() => 0)
+  teach(loads, { s0: {}, s3: {} })
+  assert.equal([...count(servers, loads, { bodyBytes: 60_000 }).keys()].sort(), ['s0', 's3'])
+  teach(loads, { s0: { inFlight: 6 }, s3: { inFlight: 6 } })
+  assert.ok(count(servers, loads, { bodyBytes: 60_000 }).size > 2)
+})
+
+test('chooseServer() returns null, when every server has been tried', () => {
+  assert.is(chooseServer(serversOf(1), { loads: createServerLoads(() => 0), tried: new Set(['s0']), zone: 'a', bodyBytes: 0, random: createRandom() }), null)
+})
+
+test.run()
--- /dev/null
+++ b/src/gateway/server_loads_test.ts
@@ -0,0 +1,65 @@
+/** Tests of what a host learns of servers from its requests and from the leader. */
+import { suite } from 'uvu'
+import * as assert from 'uvu/assert'
+import type { RoutedServer } from '../routing/mod.ts'
+import { createServerLoads } from './server_loads.ts'
+
+const test = suite('createServerLoads')
+const server: RoutedServer = { id: 's0', bornAt: 1, service: 'orders', address: '10.0.0.1:80', zone: 'a', slots: 4, leaving: false, warmUpLeftMs: 0 }
+
+test('inFlight() does not count this host twice, when the leader tells the sum', () => {
+  const loads = createServerLoads(() => 0)
+  loads.begin(server)
+  loads.report()
+  loads.merge(new Map([['s0', { inFlight: 3, workMs: 100, failureShare: 0, silent: false }]]))
+  loads.begin(server)
+  assert.is(loads.inFlight('s0'), 4)
+})
+
+test('expectedMs() grows with the queue, when all slots are taken', () => {
+  const loads = createServerLoads(() => 0)
+  loads.merge(new Map([['s0', { inFlight: 11, workMs: 100, failureShare: 0, silent: false }]]))
+  assert.is(loads.expectedMs(server), 300)
+})
+
+test('workMs() rises, when requests are given up before the server answers', () => {
+  const loads = createServerLoads(() => 0)
+  for (let request = 0; request < 20; request++) loads.begin(server)({ kind: 'served', durationMs: 100 })
+  for (let request = 0; request < 20; request++) loads.begin(server)({ kind: 'abandoned', durationMs: 1000 })
+  assert.ok(loads.workMs(server) > 500)
+})
+
+test('workMs() stays, when callers leave early', () => {
+  const loads = createServerLoads(() => 0)
+  for (let request = 0; request < 20; request++) loads.begin(server)({ kind: 'served', durationMs: 100 })
+  for (let request = 0; request < 20; request++) loads.begin(server)({ kind: 'abandoned', durationMs: 50 })
+  assert.is(loads.workMs(server), 100)
+})
+
+test('isSilent() holds for a while, when two connections in a row were refused', () => {
+  let now = 0
+  const loads = createServerLoads(() => now)
+  loads.begin(server)({ kind: 'lost' })
+  assert.not(loads.isSilent('s0'))
+  loads.begin(server)({ kind: 'lost' })
+  assert.ok(loads.isSilent('s0'))
+  now = 1500
+  assert.not(loads.isSilent('s0'))
+})
+
+test('isSilent() does not hold, when idle connections were reset', () => {
+  const loads = createServerLoads(() => 0)
+  for (let request = 0; request < 5; request++) loads.begin(server)({ kind: 'failed' })
+  assert.not(loads.isSilent('s0'))
+})
+
+test('isFull() holds only for a refusal of a crowded server, when part of the requests is refused with room left', () => {
+  const loads = createServerLoads(() => 0)
+  loads.begin(server)({ kind: 'shed' })
+  assert.not(loads.isFull('s0'))
+  loads.merge(new Map([['s0', { inFlight: 9, workMs: 100, failureShare: 0, silent: false }]]))
+  loads.begin(server)({ kind: 'shed' })
+  assert.ok(loads.isFull('s0'))
+})
+
+test.run()
--- a/src/ownership/plan_ranges.ts
+++ b/src/ownership/plan_ranges.ts
@@ -40,6 +40,9 @@
 /** Deviations of a random count by which a server must stand above its fair share: fewer are chance. */
 const NOISE_DEVIATIONS = 2
 
+/** How far a move may go beyond what balances exactly. */
+const OVERFILL = 1.15
+
 /** Width below which narrower ranges are no better to move, in keys. */
 const WIDTH_OFFSET = 32
 
@@ -173,7 +176,7 @@
     if (busiest === null) return
     const fair = total / capacity * (capacities.get(busiest) ?? 1)
     const excess = (loads.get(busiest) ?? 0) - fair
-    if (excess <= fair * hysteresis + NOISE_DEVIATIONS * Math.sqrt(fair)) {
+    if (excess <= Math.max(fair * hysteresis, NOISE_DEVIATIONS * Math.sqrt(fair))) {
       stuck.add(busiest)
       continue
     }
@@ -182,8 +185,10 @@
       stuck.add(busiest)
       continue
     }
-    if (piece.load > excess * 1.2 && pieces.length < maximumRanges && split(pieces, piece, balance)) continue
     const target = leastUtilised(loads, capacities, piece.load)
+    // A range that is too heavy for its place and for any other is split first.
+    const overfills = (loads.get(target) ?? 0) + piece.load > total / capacity * (capacities.get(target) ?? 1) * OVERFILL
+    if ((overfills || piece.load > excess * OVERFILL) && pieces.length < maximumRanges && split(pieces, piece, balance)) continue
     const improves = ((loads.get(target) ?? 0) + piece.load) / (capacities.get(target) ?? 1) <
       (loads.get(busiest) ?? 0) / (capacities.get(busiest) ?? 1)
     if (target === busiest || !improves) {
@@ -216,7 +221,7 @@
   let larger: Piece | null = null
   for (const piece of pieces) {
     if (piece.owner !== owner || piece.fixed) continue
-    if (piece.load <= excess * 1.2) {
+    if (piece.load <= excess * OVERFILL) {
       if (fitting === null || worth(piece) > worth(fitting)) fitting = piece
     } else if (larger === null || piece.load < larger.load) {
       larger = piece
