A repeatable request whose answer was lost goes to another server

Cause: a test (answer lost at the first of two servers) had the same server asked again: only servers that had refused were left out. Ruled out: the choice among servers, which heeds what it is told to leave out. Change: every server that was offered the request is left out, except the one owner of a key.

--- a/src/gateway/create_gateway.ts
+++ b/src/gateway/create_gateway.ts
@@ -172,9 +172,12 @@
     }
   }
 
+  function isKeyed (exchange: Exchange): boolean {
+    return exchange.key !== null && knowledge.service(exchange.service)?.keyed === true
+  }
+
   async function findServer (exchange: Exchange): Promise<RoutedServer | Verdict> {
-    const keyed = knowledge.service(exchange.service)?.keyed === true
-    if (keyed && exchange.key !== null) {
+    if (exchange.key !== null && isKeyed(exchange)) {
       const owner = await findOwner(exchange, exchange.key)
       if ('kind' in owner) return owner
       if (loads.isSilent(owner.id)) return { kind: 'refuse', reason: 'owner-silent', retryAfterMs: returnAfterMs(exchange, DEFAULT_RETRY_MS) }
@@ -204,7 +207,7 @@
 
   async function send (exchange: Exchange, server: RoutedServer, expectedMs: number): Promise<AttemptOutcome> {
     const silence = new AbortController()
-    const mayRepeat = exchange.route.kind === RequestKind.idempotent && knowledge.service(exchange.service)?.keyed !== true
+    const mayRepeat = exchange.route.kind === RequestKind.idempotent && !isKeyed(exchange)
     const timer = mayRepeat ? setTimeout(() => { silence.abort() }, expectedMs * SILENCE_FACTOR) : undefined
     const outcome = await sendAttempt({
       server,
@@ -227,12 +230,13 @@
     if (outcome.kind === 'answer') {
       if (outcome.status < 500) return { kind: 'answer', outcome }
       exchange.mayHaveRun = true
+      if (!isKeyed(exchange)) exchange.tried.add(server.id)
       return repeatable && mayOfferAgain(exchange) ? { kind: 'again' } : { kind: 'answer', outcome }
     }
     if (outcome.kind === 'lost') exchange.mayHaveRun = true
     // A key has one owner: only a wrong belief of who it is leads to another server.
-    const keyed = knowledge.service(exchange.service)?.keyed === true && exchange.key !== null
-    if (outcome.kind === 'unsent' || (outcome.kind === 'not-run' && (!keyed || outcome.misdirected))) exchange.tried.add(server.id)
+    const keyed = isKeyed(exchange)
+    if (!keyed || outcome.kind === 'unsent' || (outcome.kind === 'not-run' && outcome.misdirected)) exchange.tried.add(server.id)
     if (exchange.abort.signal.aborted) return giveUp(exchange)
     // The one owner of a key that is full stays full for a moment: its caller comes back later.
     const hopeless = keyed && outcome.kind === 'not-run' && !outcome.misdirected && loads.isFull(server.id)
@@ -362,7 +366,7 @@
     const onClose = (): void => { if (!response.writableFinished) abort.abort() }
     response.on('close', onClose)
     options.budgetOf(service).earn()
-    if (key !== null && knowledge.service(service)?.keyed === true) options.onKey(service, key)
+    if (key !== null && isKeyed(exchange)) options.onKey(service, key)
     try {
       const body = await takeBody(request)
       if (body === false) return finish(exchange, 0, 'caller-broke-off')
