The keys of an ended server wait for no hold, if its end is proved

Ruled out: a connection that is refused as the only proof, since a cut may answer with resets; shorter leases, since it is the hold that counts. Change: a server has ended if another is listed at its address, or if its entry is gone and hosts of several zones, its own among them, are refused; the hold during outages is 8.5 s; a leader that is stopped while the store is away goes on granting until it ends.

--- a/src/entry_host/cluster_loads.ts
+++ b/src/entry_host/cluster_loads.ts
@@ -1,12 +1,22 @@
 /** Sums of what all hosts tell of backend servers; kept by the leading host. */
 import type { ServerSample, ServerView } from '../gateway/server_loads.ts'
 
+/** A host that reports. */
+export interface ReportingHost { readonly name: string, readonly zone: string }
+
 /** Sums over all hosts. */
 export interface ClusterLoads {
-  add (host: string, samples: ReadonlyArray<readonly [server: string, sample: ServerSample]>, now: number): void
+  add (host: ReportingHost, samples: ReadonlyArray<readonly [server: string, sample: ServerSample]>, now: number): void
   /** Forgets the requests in flight of a host that has left. */
   forget (host: string): void
   views (now: number): Map<string, ServerView>
+  /**
+   * Whether several hosts, one of them in the server's own zone, were refused
+   * connections and none has had an answer since. Together with an entry that
+   * is gone this shows that the server has ended; a cut that answers with
+   * resets does not part a server from its own zone.
+   */
+  isRefusing (server: string, zone: string): boolean
   /** Whether any host has had an answer of the server lately. */
   isAnswering (server: string, now: number): boolean
 }
@@ -20,6 +30,8 @@
   answeredAt: number
   lost: number
   lostAt: number
+  /** Zones of the hosts that were refused a connection since the last answer. */
+  readonly refusedBy: Map<string, string>
 }
 
 /** Weight that a mean keeps for each further sample. */
@@ -31,6 +43,9 @@
 /** Multiple of the mean at which requests in flight show that a server has become slow. */
 const OVERDUE_FACTOR = 2.5
 
+/** Hosts that must have been refused a connection before a server counts as refusing. */
+const REFUSED_HOSTS = 3
+
 /** Lost requests without an answer in between after which a server counts as silent. */
 const SILENT_LOST = 2
 
@@ -51,19 +66,21 @@
   function track (server: string): Track {
     const known = tracks.get(server)
     if (known !== undefined) return known
-    const fresh: Track = { inFlight: new Map(), oldestMs: new Map(), workMs: 0, failureShare: 0, answeredAt: -Infinity, lost: 0, lostAt: -Infinity }
+    const fresh: Track = { inFlight: new Map(), oldestMs: new Map(), workMs: 0, failureShare: 0, answeredAt: -Infinity, lost: 0, lostAt: -Infinity, refusedBy: new Map() }
     tracks.set(server, fresh)
     return fresh
   }
 
-  function addSample (known: Track, sample: ServerSample, now: number): void {
+  function addSample (known: Track, sample: ServerSample, host: ReportingHost, now: number): void {
     const answers = sample.served + sample.failed + sample.shed
     if (answers > 0) {
       known.answeredAt = now
       known.lost = 0
+      known.refusedBy.clear()
       const retained = FAILURE_RETENTION ** answers
       known.failureShare = known.failureShare * retained + (sample.failed + sample.shed) / answers * (1 - retained)
     }
+    if (sample.refused > 0) known.refusedBy.set(host.name, host.zone)
     if (sample.lost > 0) {
       known.lost += sample.lost
       known.lostAt = now
@@ -92,14 +109,14 @@
 
   return {
     add (host, samples, now) {
-      forget(host)
+      forget(host.name)
       for (const [server, sample] of samples) {
         const known = track(server)
         if (sample.inFlight > 0) {
-          known.inFlight.set(host, sample.inFlight)
-          known.oldestMs.set(host, sample.oldestMs)
+          known.inFlight.set(host.name, sample.inFlight)
+          known.oldestMs.set(host.name, sample.oldestMs)
         }
-        addSample(known, sample, now)
+        addSample(known, sample, host, now)
       }
     },
     forget,
@@ -112,6 +129,10 @@
       }
       return views
     },
+    isRefusing (server, zone) {
+      const zones = [...tracks.get(server)?.refusedBy.values() ?? []]
+      return zones.length >= REFUSED_HOSTS && zones.includes(zone)
+    },
     isAnswering: (server, now) => now - (tracks.get(server)?.answeredAt ?? -Infinity) < SILENCE_LASTS_MS
   }
 }
--- a/src/entry_host/cluster_loads_test.ts
+++ b/src/entry_host/cluster_loads_test.ts
@@ -6,16 +6,20 @@
 
 const test = suite('createClusterLoads')
 
+const h1 = { name: 'h1', zone: 'a' }
+const h2 = { name: 'h2', zone: 'b' }
+const h3 = { name: 'h3', zone: 'b' }
+
 function sample (fields: Partial<ServerSample>): ServerSample {
-  return { inFlight: 0, oldestMs: 0, served: 0, workMs: 0, failed: 0, shed: 0, lost: 0, ...fields }
+  return { inFlight: 0, oldestMs: 0, served: 0, workMs: 0, failed: 0, shed: 0, lost: 0, refused: 0, ...fields }
 }
 
 test('views() adds up the requests in flight of all hosts', () => {
   const loads = createClusterLoads()
-  loads.add('h1', [['s0', sample({ inFlight: 2 })]], 0)
-  loads.add('h2', [['s0', sample({ inFlight: 3 })]], 0)
+  loads.add(h1, [['s0', sample({ inFlight: 2 })]], 0)
+  loads.add(h2, [['s0', sample({ inFlight: 3 })]], 0)
   assert.is(loads.views(0).get('s0')?.inFlight, 5)
-  loads.add('h1', [], 100)
+  loads.add(h1, [], 100)
   assert.is(loads.views(100).get('s0')?.inFlight, 3)
   loads.forget('h2')
   assert.is(loads.views(100).get('s0')?.inFlight, 0)
@@ -23,28 +27,41 @@
 
 test('views() shows a server as slow, when requests of two hosts have been in flight for long', () => {
   const loads = createClusterLoads()
-  loads.add('h1', [['s0', sample({ served: 10, workMs: 1000, inFlight: 1, oldestMs: 900 })]], 0)
+  loads.add(h1, [['s0', sample({ served: 10, workMs: 1000, inFlight: 1, oldestMs: 900 })]], 0)
   assert.is(loads.views(0).get('s0')?.workMs, 100)
-  loads.add('h2', [['s0', sample({ inFlight: 1, oldestMs: 800 })]], 0)
+  loads.add(h2, [['s0', sample({ inFlight: 1, oldestMs: 800 })]], 0)
   assert.is(loads.views(0).get('s0')?.workMs, 800)
 })
 
 test('views() shows a server as silent, when requests of several hosts are lost and none is answered', () => {
   const loads = createClusterLoads()
-  loads.add('h1', [['s0', sample({ served: 1, workMs: 100 })]], 0)
-  loads.add('h1', [['s0', sample({ lost: 1 })]], 700)
+  loads.add(h1, [['s0', sample({ served: 1, workMs: 100 })]], 0)
+  loads.add(h1, [['s0', sample({ lost: 1 })]], 700)
   assert.is(loads.views(700).get('s0')?.silent, false)
-  loads.add('h2', [['s0', sample({ lost: 1 })]], 800)
+  loads.add(h2, [['s0', sample({ lost: 1 })]], 800)
   assert.is(loads.views(800).get('s0')?.silent, true)
-  loads.add('h2', [['s0', sample({ served: 1, workMs: 100 })]], 900)
+  loads.add(h2, [['s0', sample({ served: 1, workMs: 100 })]], 900)
   assert.is(loads.views(900).get('s0')?.silent, false)
 })
 
 test('views() shows the share that a server fails, when it answers part of its requests', () => {
   const loads = createClusterLoads()
-  for (let at = 0; at < 50; at++) loads.add('h1', [['s0', sample({ served: 1, workMs: 100, shed: 1 })]], at)
+  for (let at = 0; at < 50; at++) loads.add(h1, [['s0', sample({ served: 1, workMs: 100, shed: 1 })]], at)
   const share = loads.views(50).get('s0')?.failureShare ?? 0
   assert.ok(share > 0.4 && share < 0.6)
 })
 
+test('isRefusing() needs three hosts, one of them in the zone of the server, and no answer since', () => {
+  const loads = createClusterLoads()
+  const refused = sample({ lost: 1, refused: 1 })
+  loads.add(h2, [['s0', refused]], 0)
+  loads.add(h3, [['s0', refused]], 0)
+  loads.add({ name: 'h4', zone: 'b' }, [['s0', refused]], 0)
+  assert.not(loads.isRefusing('s0', 'a'))
+  loads.add(h1, [['s0', refused]], 10)
+  assert.ok(loads.isRefusing('s0', 'a'))
+  loads.add(h2, [['s0', sample({ served: 1, workMs: 100 })]], 20)
+  assert.not(loads.isRefusing('s0', 'a'))
+})
+
 test.run()
--- a/src/entry_host/create_entry_host.ts
+++ b/src/entry_host/create_entry_host.ts
@@ -73,6 +73,9 @@
 /** Limits that hold before the first configuration. */
 const FIRST_LIMITS = { headerBytes: 16_384, bodyBytes: 64 * 1024 * 1024, headerTimeoutMs: 3000, idleTimeoutMs: 15_000 } as const
 
+/** Hold of grants while the store is away, in milliseconds: outages of nine seconds are ridden out, less the time in which they are noticed. */
+const OUTAGE_HOLD_MS = 8500
+
 /** Sockets that are kept for the store, peers and the operators. */
 const OTHER_SOCKETS = 400
 
@@ -134,7 +137,7 @@
     control: options.control,
     logger,
     now,
-    longestHoldMs: settings.longestHoldMs,
+    longestHoldMs: Math.min(settings.longestHoldMs, OUTAGE_HOLD_MS),
     publish: (update) => { hub.publish(update) },
     onOwners: knowledge.setOwners
   })
@@ -249,7 +252,7 @@
       link.send(report)
       return
     }
-    leader.onReport(settings.host, report)
+    leader.onReport({ name: settings.host, zone: settings.zone }, report)
     const views = leader.views()
     loads.merge(views)
     hub.publish({ kind: 'beat', storeAgeMs: Math.round(reader.ageMs()), lease: { revision: leadership.leaseRevision(), value: leadership.lease() }, leading: leadership.isLeading(), views: encodeViews(views) })
@@ -335,6 +338,12 @@
   // Spread over some time, so that hosts that start together do not all claim the lease.
   setTimeout(() => { readLoop().catch(reportFailure) }, Math.random() * 300)
 
+  async function giveLeadBack (): Promise<void> {
+    if (!leadsAs) return
+    stopLeading()
+    await leadership.release()
+  }
+
   async function waitUntilIdle (until: number): Promise<void> {
     while (gateway.pending() > 0 && now() < until) await pause(50)
   }
@@ -345,15 +354,14 @@
       const signalledAt = now()
       leaving = true
       logger.info({ pending: gateway.pending(), leading: leadsAs }, 'stopping')
-      if (leadsAs) {
-        stopLeading()
-        await leadership.release()
-      }
+      // While the store is away nobody else can lead: the grants are kept up to the end.
+      if (!leadership.isTroubled()) await giveLeadBack()
       const until = signalledAt + settings.graceMs - END_MARGIN_MS
       await pause(STILL_CHOSEN_MS)
       callerServer.close()
       callerServer.closeIdleConnections()
       await waitUntilIdle(until)
+      await giveLeadBack()
       stop.abort()
       for (const timer of timers) clearInterval(timer)
       logger.info({ pending: gateway.pending(), afterMs: Math.round(now() - signalledAt) }, 'stopped')
--- a/src/entry_host/create_leader.ts
+++ b/src/entry_host/create_leader.ts
@@ -11,7 +11,7 @@
 import type { TableService } from '../ports/mod.ts'
 import type { Report, Update, WireOwner, WireView } from '../replication/mod.ts'
 import type { RoutedServer } from '../routing/mod.ts'
-import { createClusterLoads, type ClusterLoads } from './cluster_loads.ts'
+import { createClusterLoads, type ClusterLoads, type ReportingHost } from './cluster_loads.ts'
 
 /** Start of the keys of the rows that hold plans; the service's name follows. */
 export const PLAN_PREFIX = 'plan/'
@@ -41,7 +41,7 @@
   plan (): Promise<void>
   /** Takes the servers of the knowledge. */
   onServers (): void
-  onReport (host: string, report: Extract<Report, { readonly kind: 'report' }>): void
+  onReport (host: ReportingHost, report: Extract<Report, { readonly kind: 'report' }>): void
   onLeft (host: string): void
   views (): Map<string, ServerView>
   /** All that a host which has just connected has to know. */
@@ -99,7 +99,8 @@
         options.onOwners(service, changes)
         options.publish(ownersUpdate(service, changes, now()))
       },
-      isAnswering: (server) => loads.isAnswering(server, now())
+      isAnswering: (server) => loads.isAnswering(server, now()),
+      isRefusing: (server) => loads.isRefusing(server.id, server.zone)
     })
     stewards.set(service, steward)
     return steward
@@ -109,6 +110,11 @@
     return knowledge.servers().filter((server) => server.service === service)
   }
 
+  /** Who listens at each address, servers of every service included. */
+  function addresses (): ReadonlyMap<string, string> {
+    return new Map(knowledge.servers().map((server) => [server.address, server.id]))
+  }
+
   function keyedServices (): string[] {
     return (knowledge.configuration()?.services ?? []).filter((service) => service.keyed).map((service) => service.name)
   }
@@ -183,7 +189,7 @@
         const service = row.key.slice(PLAN_PREFIX.length)
         leadership.noteRevision(row.key, row.revision)
         if (recorded === null) logger.error({ key: row.key, revision: row.revision }, 'plan-unreadable')
-        else createSteward(service, recorded).setServers(serversOf(service))
+        else createSteward(service, recorded).setServers(serversOf(service), addresses())
       }
       logger.info({ plans: rows.value.rows.length, revision: leadership.claimRevision() }, 'plans-taken-over')
       return true
@@ -203,7 +209,7 @@
       }
     },
     onServers () {
-      for (const [service, steward] of stewards) steward.setServers(serversOf(service))
+      for (const [service, steward] of stewards) steward.setServers(serversOf(service), addresses())
     },
     onReport (host, report) {
       loads.add(host, report.samples, now())
--- a/src/gateway/create_gateway.ts
+++ b/src/gateway/create_gateway.ts
@@ -412,5 +412,5 @@
   if (outcome.kind === 'not-run') return { kind: outcome.misdirected ? 'other' : 'shed' }
   // A reset shows that something answers at the address; only silence and refused connections count as lost.
   if (outcome.kind === 'lost') return outcome.aborted ? { kind: 'abandoned', durationMs } : { kind: 'failed' }
-  return { kind: 'lost' }
+  return { kind: 'lost', refused: outcome.refused }
 }
--- a/src/gateway/send_attempt.ts
+++ b/src/gateway/send_attempt.ts
@@ -26,7 +26,7 @@
   /** The server says that the request was not run. */
   | { readonly kind: 'not-run', readonly status: number, readonly misdirected: boolean }
   /** No connection could be made; nothing was sent. */
-  | { readonly kind: 'unsent', readonly detail: string }
+  | { readonly kind: 'unsent', readonly detail: string, readonly refused: boolean }
   /** The request was sent and may have run. */
   | { readonly kind: 'lost', readonly detail: string, readonly aborted: boolean }
 
@@ -68,14 +68,14 @@
       resolve(outcome)
     }
     function abort (): void {
-      settle(connected ? { kind: 'lost', detail: 'The router gave up', aborted: true } : { kind: 'unsent', detail: 'The router gave up' })
+      settle(connected ? { kind: 'lost', detail: 'The router gave up', aborted: true } : { kind: 'unsent', detail: 'The router gave up', refused: false })
       // Without a reset, what a partition holds up would still reach the server later.
       if (connected) request.socket?.resetAndDestroy()
       request.destroy()
     }
 
-    request.on('error', (error) => {
-      settle(connected ? { kind: 'lost', detail: error.message, aborted: false } : { kind: 'unsent', detail: error.message })
+    request.on('error', (error: NodeJS.ErrnoException) => {
+      settle(connected ? { kind: 'lost', detail: error.message, aborted: false } : { kind: 'unsent', detail: error.message, refused: error.code === 'ECONNREFUSED' })
     })
     attempt.signal.addEventListener('abort', abort)
     if (attempt.signal.aborted) return abort()
--- a/src/gateway/server_loads.ts
+++ b/src/gateway/server_loads.ts
@@ -13,8 +13,8 @@
   | { readonly kind: 'shed' }
   /** The router or the caller gave up before the server answered. */
   | { readonly kind: 'abandoned', readonly durationMs: number }
-  /** No answer, or no connection. */
-  | { readonly kind: 'lost' }
+  /** No answer, or no connection; `refused` where the connection was refused. */
+  | { readonly kind: 'lost', readonly refused: boolean }
   /** The caller left, or the request does not say anything of the server. */
   | { readonly kind: 'other' }
 
@@ -27,6 +27,8 @@
   readonly failed: number
   readonly shed: number
   readonly lost: number
+  /** Connections that were refused; part of `lost`. */
+  readonly refused: number
   /** Age of the oldest request in flight, brought down to an idle server, in milliseconds; 0 where there is none. */
   readonly oldestMs: number
 }
@@ -74,7 +76,7 @@
   silentUntil: number
   fullUntil: number
   readonly pending: Set<Pending>
-  sample: { served: number, workMs: number, failed: number, shed: number, lost: number }
+  sample: { served: number, workMs: number, failed: number, shed: number, lost: number, refused: number }
 }
 
 /** A request in flight. */
@@ -150,7 +152,10 @@
     const { sample } = known
     if (outcome.kind === 'other') return
     if (outcome.kind === 'abandoned') return noteAbandoned(known, outcome.durationMs / crowding)
-    if (outcome.kind === 'lost') return noteLost(known)
+    if (outcome.kind === 'lost') {
+      if (outcome.refused) sample.refused++
+      return noteLost(known)
+    }
     known.lostInRow = 0
     known.silentUntil = 0
     if (outcome.kind === 'failed') sample.failed++
@@ -224,5 +229,5 @@
 }
 
 function emptySample (): Track['sample'] {
-  return { served: 0, workMs: 0, failed: 0, shed: 0, lost: 0 }
+  return { served: 0, workMs: 0, failed: 0, shed: 0, lost: 0, refused: 0 }
 }
--- a/src/gateway/server_loads_test.ts
+++ b/src/gateway/server_loads_test.ts
@@ -39,9 +39,9 @@
 test('isSilent() holds for a while, when two connections in a row were refused', () => {
   let now = 0
   const loads = createServerLoads(() => now)
-  loads.begin(server)({ kind: 'lost' })
+  loads.begin(server)({ kind: 'lost', refused: true })
   assert.not(loads.isSilent('s0'))
-  loads.begin(server)({ kind: 'lost' })
+  loads.begin(server)({ kind: 'lost', refused: true })
   assert.ok(loads.isSilent('s0'))
   now = 1500
   assert.not(loads.isSilent('s0'))
--- a/src/ownership/range_steward.ts
+++ b/src/ownership/range_steward.ts
@@ -62,6 +62,8 @@
   readonly announce: (changes: readonly OwnerChange[]) => void
   /** Whether any host has lately had an answer of the server. */
   readonly isAnswering: (server: string) => boolean
+  /** Whether hosts, one in the server's own zone among them, are refused connections to the server. */
+  readonly isRefusing: (server: RoutedServer) => boolean
 }
 
 /** A range as it stands, for dumps and planning. */
@@ -81,8 +83,8 @@
   adopt (planned: readonly PlannedRange[]): void
   /** Gives up a recorded plan that could not be stored. */
   abandon (): void
-  /** Takes the current list of the service's servers, those that are leaving included. */
-  setServers (servers: readonly RoutedServer[]): void
+  /** Takes the current list of the service's servers, those that are leaving included, and who listens at each address. */
+  setServers (servers: readonly RoutedServer[], addresses: ReadonlyMap<string, string>): void
   /** Servers whose calls have gone unanswered for too long to plan with them. */
   silentServers (): ReadonlySet<string>
   /** Starts every call that is due. */
@@ -171,6 +173,13 @@
     range.dueAt = 0
   }
 
+  function dropEnded (id: string, cause: string): void {
+    departed.delete(id)
+    const held = ranges.filter((range) => range.holders.has(id))
+    for (const range of held) dropHolder(range, id, cause)
+    if (held.length > 0) logger.info({ service, server: id, ranges: held.length, cause }, 'server-ended')
+  }
+
   function noteAnswer (id: string, outcome: ControlOutcome): void {
     if (outcome.kind === 'silent' || outcome.kind === 'refused') {
       if (!silentSince.has(id)) {
@@ -325,7 +334,7 @@
       announce(ranges)
     },
     abandon () { for (const range of ranges) range.planning = false },
-    setServers (listed) {
+    setServers (listed, addresses) {
       for (const server of listed) {
         const known = serverOf(server.id)
         if (known !== undefined && known.bornAt !== server.bornAt) {
@@ -340,10 +349,16 @@
       }
       servers.clear()
       for (const server of listed) servers.set(server.id, server)
+      for (const [id, server] of departed) {
+        if ((addresses.get(server.address) ?? id) !== id) dropEnded(id, 'another server is listed at the address')
+      }
       announce(ranges)
     },
     silentServers: () => new Set([...silentSince.keys()].filter(isSuspect)),
     tick () {
+      for (const [id, server] of departed) {
+        if (options.isRefusing(server)) dropEnded(id, 'its entry is gone and connections are refused')
+      }
       for (const range of ranges) {
         expire(range)
         drive(range)
--- a/src/ownership/range_steward_test.ts
+++ b/src/ownership/range_steward_test.ts
@@ -25,6 +25,10 @@
   leads: boolean
   troubled: boolean
   claim: number
+  /** Who listens at each address. */
+  readonly addresses: Map<string, string>
+  /** Servers that refuse connections of hosts in several zones. */
+  readonly refusing: Set<string>
   /** Servers that each key was last announced to belong to. */
   readonly announced: Map<number, string | null>
 }
@@ -49,7 +53,8 @@
         }
       }
     },
-    isAnswering: () => false
+    isAnswering: () => false,
+    isRefusing: (server) => world.refusing.has(server.id)
   })
 }
 
@@ -57,7 +62,7 @@
   const queue = createEventQueue()
   const servers = createFakeOwnedServers(queue, IDS, KEYS)
   const stored = cutKeySpace(1).map((range) => ({ ...range, previous: null }))
-  const world = { queue, servers, stored, leads: true, troubled: false, claim: 0, announced: new Map() } as unknown as World
+  const world = { queue, servers, stored, leads: true, troubled: false, claim: 0, addresses: new Map(), refusing: new Set(), announced: new Map() } as unknown as World
   startLeader(world)
   return world
 }
@@ -81,7 +86,7 @@
 async function run (world: World, lengthMs: number, failsToStore = false): Promise<void> {
   for (let at = 0; at < lengthMs; at += 25) {
     if (world.leads && at % 400 === 0) {
-      world.steward.setServers(world.servers.list())
+      world.steward.setServers(world.servers.list(), world.addresses)
       if (!world.troubled) plan(world, failsToStore)
     }
     if (world.leads) world.steward.tick()
@@ -142,6 +147,22 @@
   assert.equal(world.servers.violations, [])
 })
 
+test('tick() serves the keys of an ended server within a second, when a new leader has just taken over', async () => {
+  for (const proof of ['address', 'refused']) {
+    const world = createWorld()
+    await run(world, 2000)
+    world.servers.setFate((id) => id === 's2' ? CallFate.refused : CallFate.carriedOut)
+    startLeader(world)
+    await run(world, 800)
+    world.servers.remove('s2')
+    if (proof === 'address') world.addresses.set('10.0.0.1:2', 's9')
+    else world.refusing.add('s2')
+    await run(world, 1000)
+    assert.not(ownersNow(world).includes(''), proof)
+    assert.equal(world.servers.violations, [])
+  }
+})
+
 test('tick() keeps keys held over an outage of the store of 9 s, when the lease ends after 3 s', async () => {
   const world = createWorld()
   await run(world, 2000)
--- a/src/replication/peer_hub.ts
+++ b/src/replication/peer_hub.ts
@@ -3,12 +3,15 @@
 import type { Logger } from '../logging/mod.ts'
 import { readMessages, writeMessage, type Report, type Update } from './messages.ts'
 
+/** A host that has said who it is. */
+export interface ConnectedHost { readonly name: string, readonly zone: string }
+
 /** Options of {@link createPeerHub}. */
 export interface PeerHubOptions {
   readonly logger: Logger
   /** What a host that has just connected is told first. */
   readonly greeting: () => readonly Update[]
-  readonly onReport: (host: string, report: Extract<Report, { readonly kind: 'report' }>) => void
+  readonly onReport: (host: ConnectedHost, report: Extract<Report, { readonly kind: 'report' }>) => void
   readonly onLeft: (host: string) => void
 }
 
@@ -32,13 +35,13 @@
  * @returns The hub.
  */
 export function createPeerHub (options: PeerHubOptions): PeerHub {
-  const peers = new Map<Socket, string>()
+  const peers = new Map<Socket, ConnectedHost>()
 
   function drop (socket: Socket): void {
     const host = peers.get(socket)
     peers.delete(socket)
     socket.destroy()
-    if (host !== undefined) options.onLeft(host)
+    if (host !== undefined) options.onLeft(host.name)
   }
 
   const server = createServer({ noDelay: true, keepAlive: true, keepAliveInitialDelay: 1000 }, (socket) => {
@@ -47,7 +50,7 @@
     readMessages(socket, (message) => {
       const report = message as Report
       if (report.kind === 'hello') {
-        peers.set(socket, report.host)
+        peers.set(socket, { name: report.host, zone: report.zone })
         for (const update of options.greeting()) writeMessage(socket, update)
       } else {
         const host = peers.get(socket)
@@ -66,6 +69,6 @@
       }
     },
     disconnect () { for (const [socket] of [...peers]) drop(socket) },
-    hosts: () => [...peers.values()]
+    hosts: () => [...peers.values()].map((host) => host.name)
   }
 }
