Loads are told less often the more hosts there are, and only what has changed

Cause: at 136 hosts the leader would send 9 kB of views eight times a second to each, 80 Mbit/s, and receive 1,130 reports a second. Ruled out: fewer figures a server (each decides something). Change: the pause between tellings grows with the hosts, up to 0.6 s; tellings hold what changed, each tenth everything; a host that connects says what it knows and is not told it again; the search for a range is binary.

--- a/src/entry_host/create_entry_host.ts
+++ b/src/entry_host/create_entry_host.ts
@@ -13,7 +13,7 @@
 import type { ServerControl } from '../ownership/mod.ts'
 import type { TableService } from '../ports/mod.ts'
 import { createPeerHub, createPeerLink, type Report, type Update } from '../replication/mod.ts'
-import { createLeader, decodeOwner, decodeViews, encodeViews } from './create_leader.ts'
+import { createLeader, decodeOwner, decodeViews } from './create_leader.ts'
 import { createRequestLog } from './request_log.ts'
 import { createStoreReader, type PublishedState } from './store_reader.ts'
 
@@ -58,6 +58,10 @@
   grantMs: 50,
   /** Loads are told this often: about the time that one request takes. */
   loadMs: 120,
+  /** Pause between two tellings for each connected host: the leader's work stays the same however many there are. */
+  loadPerHostMs: 4,
+  /** Longest such pause: below the silence after which hosts read for themselves. */
+  longestLoadMs: 600,
   /** Keys are planned this often: a busy key should be served again within seconds. */
   planMs: 400,
   /** The leader reads the store this often, a quarter of the time in which changes must be in force. */
@@ -66,10 +70,13 @@
   ownReadMs: 600,
   /** The longest pause after reads that failed. */
   longestPauseMs: 1600,
-  /** Silence of the leader, or age of what it has read, after which a host reads for itself. */
+  /** Silence of the leader, or age of what it has read, after which a host reads for itself, besides the pause between its messages. */
   staleMs: 900
 } as const
 
+/** Every so many tellings of loads hold everything, for hosts that missed a change. */
+const COMPLETE_BEATS = 10
+
 /** Limits that hold before the first configuration. */
 const FIRST_LIMITS = { headerBytes: 16_384, bodyBytes: 64 * 1024 * 1024, headerTimeoutMs: 3000, idleTimeoutMs: 15_000 } as const
 
@@ -121,6 +128,9 @@
   let leadsAs = false
   let leaderStoreAge = { ageMs: Infinity, at: -Infinity }
   let claimableSince: number | null = null
+  let reportEveryMs: number = TaskTiming.loadMs
+  let toldAt = -Infinity
+  let beats = 0
 
   function budgetOf (service: string): RetryBudget {
     const known = budgets.get(service)
@@ -143,7 +153,7 @@
   })
   const hub = createPeerHub({
     logger,
-    greeting: () => [{ kind: 'identity', holder }, ...(leadsAs ? leader.greeting() : [])],
+    greeting: (connected) => [{ kind: 'identity', holder }, ...(leadsAs ? leader.greeting(connected) : [])],
     onReport: leader.onReport,
     onLeft: leader.onLeft
   })
@@ -152,6 +162,7 @@
     zone: settings.zone,
     logger,
     now,
+    known: () => ({ version: knowledge.configuration()?.version ?? 0, servers: knowledge.serversDigest() }),
     onUpdate,
     onRefused (address) { noteEnded(address, null) }
   })
@@ -236,7 +247,8 @@
     } else {
       leadership.observe(update.lease)
       leaderStoreAge = { ageMs: update.leading ? update.storeAgeMs : Infinity, at: now() }
-      loads.merge(decodeViews(update.views))
+      reportEveryMs = update.intervalMs
+      loads.merge(decodeViews(update.views), update.complete)
     }
   }
 
@@ -246,16 +258,28 @@
     return { kind: 'report', samples: [...loads.report()], keys }
   }
 
+  /** Tells the leader what this host sees, or, as the leader, all hosts what is known; less often, the more hosts there are. */
   function tellLoads (): void {
+    if (leadsAs) reportEveryMs = Math.min(TaskTiming.longestLoadMs, Math.max(TaskTiming.loadMs, hub.hosts().length * TaskTiming.loadPerHostMs))
+    if (now() - toldAt < reportEveryMs * 0.95) return
+    toldAt = now()
     const report = takeReport()
     if (!leadsAs) {
       link.send(report)
       return
     }
     leader.onReport({ name: settings.host, zone: settings.zone }, report)
-    const views = leader.views()
-    loads.merge(views)
-    hub.publish({ kind: 'beat', storeAgeMs: Math.round(reader.ageMs()), lease: { revision: leadership.leaseRevision(), value: leadership.lease() }, leading: leadership.isLeading(), views: encodeViews(views) })
+    loads.merge(leader.views())
+    const complete = ++beats % COMPLETE_BEATS === 0
+    hub.publish({
+      kind: 'beat',
+      storeAgeMs: Math.round(reader.ageMs()),
+      lease: { revision: leadership.leaseRevision(), value: leadership.lease() },
+      leading: leadership.isLeading(),
+      complete,
+      intervalMs: reportEveryMs,
+      views: leader.changedViews(complete)
+    })
   }
 
   /** A task that fails is a fault of the program; it is reported and the task goes on at its next turn. */
@@ -266,7 +290,8 @@
   /** Whether what this host hears of the leader is recent enough to rely on. */
   function isLeaderFresh (): boolean {
     const sinceBeat = now() - leaderStoreAge.at
-    return sinceBeat < TaskTiming.staleMs && leaderStoreAge.ageMs + sinceBeat < TaskTiming.staleMs
+    const staleMs = TaskTiming.staleMs + reportEveryMs
+    return sinceBeat < staleMs && leaderStoreAge.ageMs + sinceBeat < staleMs
   }
 
   async function tryToLead (): Promise<void> {
--- a/src/entry_host/create_leader.ts
+++ b/src/entry_host/create_leader.ts
@@ -9,7 +9,7 @@
 import { LeaseTiming, type Leadership } from '../leadership/mod.ts'
 import type { Logger } from '../logging/mod.ts'
 import type { TableService } from '../ports/mod.ts'
-import type { Report, Update, WireOwner, WireView } from '../replication/mod.ts'
+import type { ConnectedHost, Report, Update, WireOwner, WireView } from '../replication/mod.ts'
 import type { RoutedServer } from '../routing/mod.ts'
 import { createClusterLoads, type ClusterLoads, type ReportingHost } from './cluster_loads.ts'
 
@@ -45,7 +45,9 @@
   onLeft (host: string): void
   views (): Map<string, ServerView>
   /** All that a host which has just connected has to know. */
-  greeting (): Update[]
+  greeting (host?: ConnectedHost): Update[]
+  /** Views that have changed since the last call, or all. */
+  changedViews (complete: boolean): WireView[]
 }
 
 /** Least requests, decayed, that loads must rest on before keys move for balance. */
@@ -60,6 +62,10 @@
 /** Work of a server nobody has measured, relative to the mean of its service. */
 const UNKNOWN_WORK_MS = 100
 
+/** Change of the requests in flight, and of other figures as a share, from which on hosts are told: less changes no decision. */
+const NOTEWORTHY_IN_FLIGHT = 2
+const NOTEWORTHY_SHARE = 0.1
+
 /** Fencing tokens that one leader may use: each revision of the store is the start of a block. */
 const TOKENS_PER_CLAIM = 2 ** 24
 
@@ -74,6 +80,8 @@
   const stewards = new Map<string, RangeSteward>()
   const keyLoads = new Map<string, KeyLoad>()
   let loads: ClusterLoads = createClusterLoads()
+  /** What hosts were last told of each server. */
+  const told = new Map<string, ServerView>()
   let active = false
   let tokens = 0
   let planning = false
@@ -150,11 +158,8 @@
     const planned = planRanges(ranges, {
       candidates, keyLoads: load, isFixed: steward.isFixed, maximumMoves: total < LEAST_LOAD ? 0 : MOVES_PER_PLAN
     })
-    const changed = planned.some((range) => {
-      const current = ranges.find((candidate) => candidate.from === range.from)
-      return current?.owner !== range.owner
-    })
-    return changed ? planned : null
+    const owners = new Map(ranges.map((range) => [range.from, range.owner]))
+    return planned.some((range) => owners.get(range.from) !== range.owner) ? planned : null
   }
 
   async function plan (): Promise<void> {
@@ -221,17 +226,30 @@
     },
     onLeft (host) { loads.forget(host) },
     views: () => loads.views(now()),
-    greeting () {
+    changedViews (complete) {
+      const views = loads.views(now())
+      const changed = new Map([...views].filter(([server, view]) => complete || isNoteworthy(told.get(server), view)))
+      for (const [server, view] of changed) told.set(server, view)
+      return encodeViews(changed)
+    },
+    greeting (host) {
       const configuration = knowledge.configuration()
+      const isNewer = configuration !== null && configuration.version > (host?.version ?? 0)
       return [
-        ...(configuration === null ? [] : [{ kind: 'configuration', configuration } as const]),
-        { kind: 'servers', servers: knowledge.servers() },
+        ...(isNewer ? [{ kind: 'configuration', configuration } as const] : []),
+        ...(host?.servers === knowledge.serversDigest() ? [] : [{ kind: 'servers', servers: knowledge.servers() } as const]),
         ...[...stewards].map(([service, steward]) => ownersUpdate(service, steward.snapshot(), now()))
       ]
     }
   }
 }
 
+/** Whether hosts would decide otherwise if they knew the view. */
+function isNoteworthy (before: ServerView | undefined, view: ServerView): boolean {
+  return before === undefined || Math.abs(view.inFlight - before.inFlight) >= NOTEWORTHY_IN_FLIGHT || view.silent !== before.silent ||
+    Math.abs(view.workMs - before.workMs) > before.workMs * NOTEWORTHY_SHARE || Math.abs(view.failureShare - before.failureShare) > NOTEWORTHY_SHARE
+}
+
 function ownersUpdate (service: string, changes: readonly OwnerChange[], now: number): Update {
   return { kind: 'owners', service, changes: changes.map((change) => [change.from, change.to, encodeOwner(change.owner, now)] as const) }
 }
--- a/src/gateway/knowledge.ts
+++ b/src/gateway/knowledge.ts
@@ -1,4 +1,5 @@
 /** What a host believes at this moment: configuration, backend servers and owners of keys. */
+import { createHash } from 'node:crypto'
 import { createOwnerMap, type KeyOwner, type OwnerChange } from '../ownership/mod.ts'
 import { createRouteTable, type RouteTable, type RoutedServer, type RoutedService, type RoutingConfiguration } from '../routing/mod.ts'
 
@@ -11,6 +12,8 @@
   /** Servers of a service that take new requests. */
   openServers (service: string): readonly RoutedServer[]
   servers (): readonly RoutedServer[]
+  /** Tells lists of servers apart. */
+  serversDigest (): string
   ownerOf (service: string, key: number): KeyOwner
   /** Takes a configuration unless it is older than the one in force; returns whether it was taken. */
   offerConfiguration (configuration: RoutingConfiguration): boolean
@@ -33,6 +36,7 @@
   let services = new Map<string, RoutedService>()
   let servers = new Map<string, RoutedServer>()
   let open = new Map<string, RoutedServer[]>()
+  let digest = ''
   const waiting = new Set<() => void>()
 
   return {
@@ -42,6 +46,7 @@
     server: (id) => servers.get(id),
     openServers: (service) => open.get(service) ?? [],
     servers: () => [...servers.values()],
+    serversDigest: () => digest,
     ownerOf: owners.ownerOf,
     offerConfiguration (offered) {
       if (configuration !== null && offered.version <= configuration.version) return false
@@ -51,6 +56,8 @@
       return true
     },
     setServers (listed) {
+      const text = listed.map((server) => `${server.id}/${server.bornAt}/${server.address}/${String(server.leaving)}`).sort().join()
+      digest = createHash('sha256').update(text).digest('base64')
       servers = new Map(listed.map((server) => [server.id, server]))
       open = new Map()
       for (const server of listed) {
--- a/src/gateway/server_loads.ts
+++ b/src/gateway/server_loads.ts
@@ -47,8 +47,11 @@
 /** Loads of one host. */
 export interface ServerLoads {
   begin (server: RoutedServer): (outcome: ServedOutcome) => void
-  /** Takes the sums over all hosts; this host's own share as it was last reported is taken off. */
-  merge (views: ReadonlyMap<string, ServerView>): void
+  /**
+   * Takes the sums over all hosts; this host's own share as it was last reported is taken off.
+   * Servers that are not among them are forgotten where the views are `complete`.
+   */
+  merge (views: ReadonlyMap<string, ServerView>, complete?: boolean): void
   /** Requests at the server, those of other hosts included. */
   inFlight (id: string): number
   /** Mean duration of a request at an idle server, in milliseconds. */
@@ -189,7 +192,7 @@
         note(known, outcome, crowding)
       }
     },
-    merge (views) {
+    merge (views, complete = true) {
       for (const [id, view] of views) {
         const known = track(id)
         known.others = Math.max(0, view.inFlight - known.reported)
@@ -197,6 +200,7 @@
         known.failureShare = view.failureShare
         known.silentView = view.silent
       }
+      if (!complete) return
       for (const [id, known] of tracks) {
         if (!views.has(id)) {
           known.others = 0
--- a/src/ownership/range_steward.ts
+++ b/src/ownership/range_steward.ts
@@ -306,8 +306,8 @@
   return {
     ranges: () => ranges.map((range) => ({ from: range.from, to: range.to, owner: range.owner, held: range.held, holders: [...range.holders.keys()] })),
     isFixed (planned) {
-      const range = ranges.find((candidate) => candidate.from === planned.from)
-      if (range === undefined || range.busy) return true
+      const range = findRange(ranges, planned.from)
+      if (range.from !== planned.from || range.busy) return true
       const gone = range.owner === null || !servers.has(range.owner) || servers.get(range.owner)?.leaving === true || isSuspect(range.owner)
       const foreign = [...range.holders.keys()].filter((id) => id !== range.owner)
       return gone ? foreign.length > 0 && range.owner !== null && range.holders.has(range.owner) : !range.held || foreign.length > 0
--- a/src/replication/messages.ts
+++ b/src/replication/messages.ts
@@ -17,12 +17,13 @@
   | { readonly kind: 'configuration', readonly configuration: RoutingConfiguration }
   | { readonly kind: 'servers', readonly servers: readonly RoutedServer[] }
   | { readonly kind: 'owners', readonly service: string, readonly changes: ReadonlyArray<readonly [from: number, to: number, owner: WireOwner]> }
-  /** Sent regularly; `storeAgeMs` is the age of what the leader has read of the store, `lease` its lease and that row's revision. */
-  | { readonly kind: 'beat', readonly storeAgeMs: number, readonly lease: { readonly revision: number, readonly value: unknown }, readonly leading: boolean, readonly views: readonly WireView[] }
+  /** Sent regularly; `views` holds what has changed, or everything where `complete`; `storeAgeMs` is the age of what the leader has read of the store, `lease` its lease and that row's revision. */
+  | { readonly kind: 'beat', readonly storeAgeMs: number, readonly lease: { readonly revision: number, readonly value: unknown }, readonly leading: boolean, readonly complete: boolean, readonly intervalMs: number, readonly views: readonly WireView[] }
 
 /** From another host. */
 export type Report =
-  | { readonly kind: 'hello', readonly host: string, readonly zone: string }
+  /** Sent first; `version` is the host's configuration and `servers` the digest of its list of servers, so that it is not told what it knows. */
+  | { readonly kind: 'hello', readonly host: string, readonly zone: string, readonly version: number, readonly servers: string }
   | {
     readonly kind: 'report'
     readonly samples: ReadonlyArray<readonly [server: string, sample: ServerSample]>
--- a/src/replication/peer_hub.ts
+++ b/src/replication/peer_hub.ts
@@ -4,13 +4,20 @@
 import { readMessages, writeMessage, type Report, type Update } from './messages.ts'
 
 /** A host that has said who it is. */
-export interface ConnectedHost { readonly name: string, readonly zone: string }
+export interface ConnectedHost {
+  readonly name: string
+  readonly zone: string
+  /** Version of the configuration that it has; 0 for none. */
+  readonly version: number
+  /** Digest of its list of servers. */
+  readonly servers: string
+}
 
 /** Options of {@link createPeerHub}. */
 export interface PeerHubOptions {
   readonly logger: Logger
   /** What a host that has just connected is told first. */
-  readonly greeting: () => readonly Update[]
+  readonly greeting: (host: ConnectedHost) => readonly Update[]
   readonly onReport: (host: ConnectedHost, report: Extract<Report, { readonly kind: 'report' }>) => void
   readonly onLeft: (host: string) => void
 }
@@ -50,8 +57,9 @@
     readMessages(socket, (message) => {
       const report = message as Report
       if (report.kind === 'hello') {
-        peers.set(socket, { name: report.host, zone: report.zone })
-        for (const update of options.greeting()) writeMessage(socket, update)
+        const host = { name: report.host, zone: report.zone, version: report.version, servers: report.servers }
+        peers.set(socket, host)
+        for (const update of options.greeting(host)) writeMessage(socket, update)
       } else {
         const host = peers.get(socket)
         if (host !== undefined) options.onReport(host, report)
--- a/src/replication/peer_link.ts
+++ b/src/replication/peer_link.ts
@@ -9,6 +9,8 @@
   readonly zone: string
   readonly logger: Logger
   readonly now: () => number
+  /** What this host knows already. */
+  readonly known: () => { readonly version: number, readonly servers: string }
   readonly onUpdate: (update: Update, address: string) => void
   /** Called when nothing listens at the leader's address: its process has ended, or a partition answers for it. */
   readonly onRefused: (address: string) => void
@@ -54,7 +56,7 @@
     opened.setTimeout(CONNECT_TIMEOUT_MS, () => { opened.destroy(new Error('No message from the leader in time')) })
     opened.on('connect', () => {
       opened.setTimeout(SILENCE_MS)
-      writeMessage(opened, { kind: 'hello', host: options.host, zone: options.zone })
+      writeMessage(opened, { kind: 'hello', host: options.host, zone: options.zone, ...options.known() })
     })
     opened.on('error', (error: NodeJS.ErrnoException) => {
       if (error.code === 'ECONNREFUSED') options.onRefused(target)
