A fault soak with the real program as separate processes

Change: soak/ runs hosts, stand-ins of the store and of backend servers, callers that keep connections, and links that delay, silence, cut one way and reset; it checks eight promises from what callers and servers see.

--- /dev/null
+++ b/soak/callers.ts
@@ -0,0 +1,94 @@
+/** Callers that keep their connections until the host's process is gone. */
+import { Agent, request as startRequest } from 'node:http'
+import { Promises, type SoakRecord } from './record.ts'
+import type { SoakHost } from './hosts.ts'
+import { SOAK_KEYS } from './backend.ts'
+
+/** Load of callers. */
+export interface Callers {
+  start (): void
+  stop (): Promise<void>
+}
+
+/** Options of {@link createCallers}. */
+export interface CallersOptions {
+  readonly hosts: readonly SoakHost[]
+  readonly record: SoakRecord
+  readonly random: () => number
+  /** Requests a second, over all hosts. */
+  readonly perSecond: number
+  /** Hosts whose shut-down no other fault touches; a request that they cut breaks a promise. */
+  readonly graceful: ReadonlySet<string>
+}
+
+/** Time that callers wait, in milliseconds. */
+const DEADLINE_MS = 1500
+
+/**
+ * Creates callers of two kinds: keyed lookups that may be repeated, and orders that may not.
+ *
+ * @param options Hosts and load.
+ * @returns The callers.
+ */
+export function createCallers (options: CallersOptions): Callers {
+  const { record, random } = options
+  const agents = new Map(options.hosts.map((host) => [host.name, new Agent({ keepAlive: true, maxSockets: 32 })]))
+  const pending = new Set<Promise<void>>()
+  let timer: NodeJS.Timeout | undefined
+  let count = 0
+
+  function send (host: SoakHost): Promise<void> {
+    const id = `r${++count}`
+    const once = random() < 0.4
+    const body = once ? `order ${id} ${'x'.repeat(Math.floor(random() * 4000))}` : ''
+    const key = SOAK_KEYS[Math.floor(random() ** 3 * SOAK_KEYS.length)] ?? 0
+    record.sent(id, { once, body })
+    return new Promise((resolve) => {
+      const request = startRequest({
+        agent: agents.get(host.name),
+        host: host.ip,
+        port: host.callerPort,
+        method: once ? 'POST' : 'GET',
+        path: once ? `/orders/${id}` : `/lookups/${key}`,
+        headers: { Host: 'soak.example', 'Gooseberryfold-Attempt-Id': id, 'Gooseberryfold-Deadline-Ms': String(DEADLINE_MS), 'Gooseberryfold-Shard-Key': String(key), ...(once ? { 'Content-Length': Buffer.byteLength(body) } : {}) }
+      })
+      const deadline = setTimeout(() => { request.destroy() }, DEADLINE_MS + 1000)
+      let wasCut = true
+      request.on('response', (response) => {
+        const parts: Buffer[] = []
+        response.on('data', (part: Buffer) => { parts.push(part) })
+        response.on('end', () => {
+          wasCut = false
+          record.answered(id, { status: response.statusCode ?? 0, body: Buffer.concat(parts).toString(), signed: response.headers['gooseberryfold-backend-signature'] !== undefined })
+        })
+        response.on('error', () => {})
+      })
+      // A new connection that is refused was not read; a kept one may cross the host's close.
+      request.on('error', () => { wasCut = wasCut && request.reusedSocket && request.writableFinished })
+      request.on('close', () => {
+        clearTimeout(deadline)
+        if (wasCut) record.answered(id, { status: 0, body: '', signed: false })
+        if (wasCut && options.graceful.has(host.name) && record.hasRun(id)) record.fail(Promises.graceful, `${host.name} cut ${id} while it shut down`)
+        resolve()
+      })
+      request.end(body)
+    })
+  }
+
+  return {
+    start () {
+      timer = setInterval(() => {
+        const host = options.hosts[Math.floor(random() * options.hosts.length)]
+        if (host === undefined || !host.isUp()) return
+        const sent = send(host)
+        pending.add(sent)
+        sent.finally(() => { pending.delete(sent) }).catch(() => {})
+      }, 1000 / options.perSecond)
+    },
+    async stop () {
+      clearInterval(timer)
+      await Promise.all(pending)
+      for (const agent of agents.values()) agent.destroy()
+    }
+  }
+}
--- /dev/null
+++ b/soak/hosts.ts
@@ -0,0 +1,121 @@
+/** Entry hosts as real processes, each with a link of its own to the store. */
+import { spawn, type ChildProcess } from 'node:child_process'
+import { createWriteStream, mkdirSync, writeFileSync, type WriteStream } from 'node:fs'
+import { join } from 'node:path'
+import { openLink, type Link } from './link.ts'
+
+/** One entry host. */
+export interface SoakHost {
+  readonly name: string
+  readonly zone: string
+  readonly ip: string
+  readonly callerPort: number
+  readonly storeLink: Link
+  /** Whether the process runs and has not been told to stop. */
+  isUp (): boolean
+  signal (signal: NodeJS.Signals): void
+  start (): void
+  /** Resolves with how the process ended. */
+  ended (): Promise<number | null>
+  stop (): Promise<void>
+}
+
+/** Options of {@link createHosts}. */
+export interface HostsOptions {
+  readonly count: number
+  readonly zones: readonly string[]
+  readonly storePort: number
+  /** First port that the run may use. */
+  readonly basePort: number
+  /** Third number of the hosts' loopback addresses, so that runs do not meet. */
+  readonly network: number
+  /** Folder for settings and logs. */
+  readonly folder: string
+  readonly program: string
+}
+
+/** Creates the hosts of a run and starts them. */
+export async function createHosts (options: HostsOptions): Promise<SoakHost[]> {
+  mkdirSync(options.folder, { recursive: true })
+  return await Promise.all(Array.from({ length: options.count }, async (_, index) => await createHost(index, options)))
+}
+
+async function createHost (index: number, options: HostsOptions): Promise<SoakHost> {
+  const ip = `127.0.${options.network}.${index + 1}`
+  const name = `host-${index + 1}`
+  const zone = options.zones[index % options.zones.length] ?? 'a'
+  const storeLink = await openLink({ host: '127.0.0.1', port: options.storePort }, { host: ip, port: options.basePort + 9 })
+  const settings = join(options.folder, `${name}.toml`)
+  const log: WriteStream = createWriteStream(join(options.folder, `${name}.log`))
+  writeFileSync(settings, settingsText({ name, ip, zone, basePort: options.basePort }))
+  let child: ChildProcess | null = null
+  let stopping = false
+
+  function start (): void {
+    stopping = false
+    child = spawn(process.execPath, [options.program], { env: { PATH: process.env.PATH, GOOSEBERRYFOLD_BOOT: settings }, stdio: ['ignore', 'pipe', 'pipe'] })
+    child.stdout?.pipe(log, { end: false })
+    child.stderr?.pipe(log, { end: false })
+  }
+
+  async function ended (): Promise<number | null> {
+    const current = child
+    if (current === null || current.exitCode !== null || current.signalCode !== null) return current?.exitCode ?? null
+    return await new Promise((resolve) => { current.once('exit', (code) => { resolve(code) }) })
+  }
+
+  start()
+  return {
+    name,
+    zone,
+    ip,
+    callerPort: options.basePort,
+    storeLink,
+    isUp: () => child !== null && child.exitCode === null && child.signalCode === null && !stopping,
+    signal (signal) {
+      if (signal === 'SIGTERM') stopping = true
+      child?.kill(signal)
+    },
+    start,
+    ended,
+    async stop () {
+      child?.kill('SIGCONT')
+      child?.kill('SIGKILL')
+      await ended()
+      storeLink.close()
+      log.end()
+    }
+  }
+}
+
+function settingsText (host: { readonly name: string, readonly ip: string, readonly zone: string, readonly basePort: number }): string {
+  const { name, ip, zone, basePort } = host
+  return `[Self]
+Node = "${name}"
+Ip = "${ip}"
+Zone = "${zone}"
+[Self.Limits]
+CpuShare = 1.0
+Cores = 1
+MemoryMb = 272
+MaxFds = 2870
+[Network]
+PortRange = [${basePort + 2},${basePort + 8}]
+[Network.Listen]
+Front = "${ip}:${basePort}"
+Ready = "${ip}:${basePort + 1}"
+[Platform]
+Heartbeat = "870ms"
+[Platform.Platform]
+Address = "${ip}:${basePort + 9}"
+RowBytes = 65536
+[Terms.Bounds]
+Drain = "2000ms"
+Grace = "6s"
+ConfigApply = "2000ms"
+Stability = "3000ms"
+RetryBudgetRatio = 0.2
+RetrySlack = 141
+HoldMax = "10000ms"
+`
+}
--- /dev/null
+++ b/soak/store.ts
@@ -0,0 +1,98 @@
+/** Stand-in of the platform's store: rows in tables, transactions under conditions, and faults on request. */
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
+
+/** How the store treats calls. */
+export interface StoreFaults {
+  /** Calls are refused with 503. */
+  busy: boolean
+  /** Delay of every answer, in milliseconds. */
+  slowMs: number
+  /** Share of the writes that are done and not answered. */
+  loseAnswers: number
+}
+
+/** A running store. */
+export interface SoakStore {
+  readonly server: Server
+  readonly faults: StoreFaults
+  /** Writes a row as operators and backend servers do. */
+  put (table: string, key: string, value: unknown): void
+  remove (table: string, key: string): void
+}
+
+interface Row { readonly Table: string, readonly part: string, readonly Key: string, readonly Value: string, readonly Ver: number }
+interface Transaction {
+  readonly Expected: ReadonlyArray<{ readonly Table: string, readonly Key: string, readonly Ver: number }>
+  readonly Puts: ReadonlyArray<{ readonly Table: string, readonly Key: string, readonly Value: string }>
+}
+
+/**
+ * Creates an empty store; the caller makes its server listen.
+ *
+ * @param random Random numbers from 0 to 1.
+ * @returns The store.
+ */
+export function createSoakStore (random: () => number): SoakStore {
+  const tables = new Map<string, Map<string, Row>>()
+  const faults: StoreFaults = { busy: false, slowMs: 4, loseAnswers: 0 }
+  let version = 0
+
+  function tableOf (name: string): Map<string, Row> {
+    const table = tables.get(name) ?? new Map<string, Row>()
+    tables.set(name, table)
+    return table
+  }
+
+  function write (table: string, key: string, value: string): void {
+    tableOf(table).set(key, { Table: table, part: '', Key: key, Value: value, Ver: version })
+  }
+
+  function transact (transaction: Transaction): { readonly status: number, readonly body: unknown } {
+    const current = transaction.Expected.map((expected) => ({ expected, row: tableOf(expected.Table).get(expected.Key) }))
+    if (current.some(({ expected, row }) => (row?.Ver ?? 0) !== expected.Ver)) {
+      return { status: 412, body: { Rows: current.flatMap(({ row }) => row ?? []), Ver: version, Now: '0ms' } }
+    }
+    version++
+    for (const put of transaction.Puts) write(put.Table, put.Key, put.Value)
+    return { status: 200, body: { Ver: version, Now: '0ms' } }
+  }
+
+  function read (query: URLSearchParams): unknown {
+    const from = query.get('From') ?? ''
+    const to = query.get('Target')
+    const rows = [...tableOf(query.get('Table') ?? '').values()]
+      .filter((row) => row.Key >= from && (to === null || row.Key < to))
+      .sort((left, right) => left.Key < right.Key ? -1 : 1)
+    return { Rows: rows, HasMore: false, Ver: version, Now: '0ms' }
+  }
+
+  function answer (request: IncomingMessage, response: ServerResponse, body: string): void {
+    const url = new URL(request.url ?? '/', 'http://store')
+    if (faults.busy) {
+      response.writeHead(503).end()
+    } else if (url.pathname === '/-/rows-tx') {
+      const result = transact(JSON.parse(body) as Transaction)
+      if (random() < faults.loseAnswers) request.socket.destroy()
+      else response.writeHead(result.status).end(JSON.stringify(result.body))
+    } else {
+      response.end(JSON.stringify(read(url.searchParams)))
+    }
+  }
+
+  return {
+    server: createServer((request, response) => {
+      const parts: Buffer[] = []
+      request.on('data', (part: Buffer) => { parts.push(part) })
+      request.on('end', () => { setTimeout(() => { answer(request, response, Buffer.concat(parts).toString()) }, faults.slowMs) })
+    }),
+    faults,
+    put (table, key, value) {
+      version++
+      write(table, key, Buffer.from(JSON.stringify(value)).toString('base64'))
+    },
+    remove (table, key) {
+      version++
+      tableOf(table).delete(key)
+    }
+  }
+}
