--- a/src/command/run_command.ts
+++ b/src/command/run_command.ts
@@ -4,7 +4,7 @@
 import { checkFiles, publish, type CheckedFiles } from '../configuration/mod.ts'
 import { formatFinding, type Finding } from '../errors/mod.ts'
 import { DRAINS_PREFIX } from '../host/mod.ts'
-import { createPlatformClient, type PlatformClient } from '../platform/mod.ts'
+import { createPlatformClient, type PlatformClient } from '../platform_client/mod.ts'
 import { commandSettings, readSettings, type CommandSettings } from '../settings/mod.ts'
 import { readServiceFiles } from './read_service_files.ts'
 
--- a/src/host/create_host.ts
+++ b/src/host/create_host.ts
@@ -10,7 +10,7 @@
 } from '../dispatch/mod.ts'
 import { createEdge, createPeerClient } from '../edge/mod.ts'
 import type { Logger } from '../logging/mod.ts'
-import { createPlatformClient } from '../platform/mod.ts'
+import { createPlatformClient } from '../platform_client/mod.ts'
 import type { TableRow } from '../ports/mod.ts'
 import type { DaemonSettings } from '../settings/mod.ts'
 import { createPeerSocket, splitAddress } from '../transport/mod.ts'
--- a/src/host/host_test.ts
+++ b/src/host/host_test.ts
@@ -10,7 +10,7 @@
 import { createPlatform } from '../../standins/platform.ts'
 import { publish, serviceSchema } from '../configuration/mod.ts'
 import { createLogger } from '../logging/mod.ts'
-import { createPlatformClient } from '../platform/mod.ts'
+import { createPlatformClient } from '../platform_client/mod.ts'
 import { readSettings, daemonSettings, type DaemonSettings } from '../settings/mod.ts'
 import { createHost, type Host } from './create_host.ts'
 
--- a/src/host/platform_sync.ts
+++ b/src/host/platform_sync.ts
@@ -4,7 +4,7 @@
  * take the rows from the leader.
  */
 import { decodeBundle, pointerSchema, POINTER_KEY, type ConfigurationHolder, type Pointer } from '../configuration/mod.ts'
-import type { PlatformClient } from '../platform/mod.ts'
+import type { PlatformClient } from '../platform_client/mod.ts'
 import type { TableRow } from '../ports/mod.ts'
 import type { ListTracker } from './cell_input.ts'
 import type { ControlClient } from './control_router.ts'
