Durations are brought down for a queue by half at most; a crowded server that resets is full

Ruled out: late reports of hosts (leaderAgeMs under 200 ms in the lines of the failures). Change: the division is bounded, so that a wrong belief shrinks queues; resets of a crowded server count as want of room and are not tried again at once.

--- a/src/gateway/create_gateway.ts
+++ b/src/gateway/create_gateway.ts
@@ -240,8 +240,8 @@
     if (!keyed || outcome.kind === 'unsent' || (outcome.kind === 'not-run' && outcome.misdirected)) exchange.tried.add(server.id)
     if (exchange.abort.signal.aborted) return giveUp(exchange)
     // The one owner of a key that is full stays full for a moment: its caller comes back later.
-    const hopeless = keyed && outcome.kind === 'not-run' && !outcome.misdirected && loads.isFull(server.id)
-    const again = outcome.kind === 'unsent' || (outcome.kind === 'not-run' ? !hopeless && mayOfferAgain(exchange) : repeatable && mayOfferAgain(exchange))
+    const hopeless = keyed && !(outcome.kind === 'not-run' && outcome.misdirected) && loads.isFull(server.id)
+    const again = outcome.kind === 'unsent' || (!hopeless && (outcome.kind === 'not-run' || repeatable) && mayOfferAgain(exchange))
     if (again && !streamed && exchange.attempts.length < exchange.route.maximumAttempts + 2) return { kind: 'again' }
     if (exchange.mayHaveRun && (outcome.kind === 'lost' || !repeatable)) return { kind: 'fail', reason: 'outcome-unknown', status: 502 }
     const wanted = outcome.kind === 'not-run' ? loads.workMs(server) / 2 : DEFAULT_RETRY_MS
--- a/src/gateway/server_loads.ts
+++ b/src/gateway/server_loads.ts
@@ -97,6 +97,13 @@
 /** How long it is left alone, in milliseconds, before one request tries again. */
 const SILENCE_MS = 1000
 
+/**
+ * Most by which a duration is brought down for the queue before it. The queue
+ * is believed, not known: too low a figure would let the queue grow further,
+ * too high a one lets it shrink.
+ */
+const MOST_CROWDING = 2
+
 /** Multiple of the expected time after which a request that was given up counts as lost. */
 const OVERDUE_FACTOR = 4
 
@@ -153,8 +160,9 @@
 
   function note (known: Track, outcome: ServedOutcome, crowding: number): void {
     const { sample } = known
+    const divisor = Math.min(crowding, MOST_CROWDING)
     if (outcome.kind === 'other') return
-    if (outcome.kind === 'abandoned') return noteAbandoned(known, outcome.durationMs / crowding)
+    if (outcome.kind === 'abandoned') return noteAbandoned(known, outcome.durationMs / divisor)
     if (outcome.kind === 'lost') {
       if (outcome.refused) sample.refused++
       return noteLost(known)
@@ -162,12 +170,10 @@
     known.lostInRow = 0
     known.silentUntil = 0
     if (outcome.kind === 'failed') sample.failed++
-    if (outcome.kind === 'shed') {
-      sample.shed++
-      // A server that refuses while it seems half empty does so for another reason than want of room.
-      if (crowding > 1) known.fullUntil = now() + FULL_MS
-    }
-    if (outcome.kind === 'served') addWork(known, outcome.durationMs / crowding)
+    if (outcome.kind === 'shed') sample.shed++
+    // A crowded server refuses requests or resets connections for want of room; one that seems half empty has another reason.
+    if (outcome.kind !== 'served' && crowding > 1) known.fullUntil = now() + FULL_MS
+    if (outcome.kind === 'served') addWork(known, outcome.durationMs / divisor)
   }
 
   function oldestMs (known: Track): number {
@@ -181,7 +187,7 @@
       const known = track(server.id)
       const crowding = Math.max(1, (known.own + known.others + 1) / server.slots)
       known.own++
-      const pending = { startedAt: now(), crowding }
+      const pending = { startedAt: now(), crowding: Math.min(crowding, MOST_CROWDING) }
       known.pending.add(pending)
       let ended = false
       return (outcome) => {
--- a/src/gateway/server_loads_test.ts
+++ b/src/gateway/server_loads_test.ts
@@ -62,4 +62,18 @@
   assert.ok(loads.isFull('s0'))
 })
 
+test('workMs() does not fall far below what requests take, when the queue is believed to be longer than it is', () => {
+  const loads = createServerLoads(() => 0)
+  loads.merge(new Map([['s0', { inFlight: 40, workMs: 0, failureShare: 0, silent: false }]]))
+  for (let request = 0; request < 30; request++) loads.begin(server)({ kind: 'served', durationMs: 400 })
+  assert.ok(loads.workMs(server) >= 200)
+})
+
+test('isFull() holds, when a crowded server resets connections', () => {
+  const loads = createServerLoads(() => 0)
+  loads.merge(new Map([['s0', { inFlight: 9, workMs: 100, failureShare: 0, silent: false }]]))
+  loads.begin(server)({ kind: 'failed' })
+  assert.ok(loads.isFull('s0'))
+})
+
 test.run()
--- a/src/ownership/plan_ranges.ts
+++ b/src/ownership/plan_ranges.ts
@@ -29,7 +29,7 @@
   readonly keyLoads: ReadonlyMap<number, number>
   /** Ranges that may not change now. Default: none. */
   readonly isFixed?: (range: PlannedRange) => boolean
-  /** How far a server's utilisation may stand above the mean before ranges leave it, as a share. Default: 0.15. */
+  /** How far a server's utilisation may stand above the mean before ranges leave it, as a share. Default: 0.25. */
   readonly hysteresis?: number
   /** Most ranges that move between servers that stay. Default: 8. */
   readonly maximumMoves?: number
@@ -195,7 +195,7 @@
   const { loads, capacities, options } = balance
   const total = [...loads.values()].reduce((sum, value) => sum + value, 0)
   const capacity = [...capacities.values()].reduce((sum, value) => sum + value, 0)
-  const hysteresis = options.hysteresis ?? 0.15
+  const hysteresis = options.hysteresis ?? 0.25
   const maximumMoves = options.maximumMoves ?? 8
   const maximumRanges = options.maximumRanges ?? 1024
   const stuck = new Set<string>()
