--- a/src/logging/create_logger.ts
+++ b/src/logging/create_logger.ts
@@ -1,5 +1,6 @@
 /** Logs: one line of key=value pairs for each event, through bunyan. */
 import bunyan from 'bunyan'
+import { createBoundedWriter } from './create_bounded_writer.ts'
 
 /** A logger; the first argument of its methods holds the fields of the event. */
 export type Logger = bunyan
@@ -26,7 +27,7 @@
  * ```
  */
 export function createLogger (options: CreateLoggerOptions): Logger {
-  const write = options.write ?? ((line: string) => { process.stdout.write(line) })
+  const write = options.write ?? createBoundedWriter(process.stdout)
   return bunyan.createLogger({
     name: options.name,
     streams: [{
