--- a/src/entry_host/cluster_loads.ts
+++ b/src/entry_host/cluster_loads.ts
@@ -60,7 +60,7 @@
 const WANTED_OCCUPANCY = 1.75
 
 /** Crowding up to this multiple of what is wanted is left to each host's own admission. */
-const TOLERATED_CROWDING = 2.2
+const TOLERATED_CROWDING = 1.4
 
 /** Time within which a queue that is too long or too short is corrected, in seconds: some tellings of loads. */
 const QUEUE_CORRECTION_SECONDS = 1
