--- a/src/entry_host/create_entry_host.ts
+++ b/src/entry_host/create_entry_host.ts
@@ -274,7 +274,6 @@
       return
     }
     leader.onReport({ name: settings.host, zone: settings.zone }, report)
-    leader.adjustShares()
     loads.merge(leader.views())
     const complete = ++beats % COMPLETE_BEATS === 0
     hub.publish({
