--- a/src/entry_host/cluster_loads.ts
+++ b/src/entry_host/cluster_loads.ts
@@ -10,6 +10,13 @@
   /** Forgets the requests in flight of a host that has left. */
   forget (host: string): void
   views (now: number): Map<string, ServerView>
+  /**
+   * Sets the shares of requests that hosts send to servers whose keys are asked
+   * for more than they can run. Called once for each telling of loads: hosts
+   * learn of one another's requests only then, and many of them sending one
+   * request each would already overfill a server.
+   */
+  adjustShares (slotsOf: (server: string) => number | undefined, now: number): void
   /**
    * Whether several hosts, one of them in the server's own zone, were refused
    * connections and none has had an answer since. Together with an entry that
@@ -30,6 +37,12 @@
   answeredAt: number
   lost: number
   lostAt: number
+  admitShare: number
+  /** Requests for its keys, refused ones included, and answers, since shares were last adjusted. */
+  wanted: number
+  completed: number
+  /** Answers a second while all its slots are busy; 0 where unknown. */
+  capacity: number
   /** Zones of the hosts that were refused a connection since the last answer. */
   readonly refusedBy: Map<string, string>
 }
@@ -43,6 +56,24 @@
 /** Multiple of the mean at which requests in flight show that a server has become slow. */
 const OVERDUE_FACTOR = 2.5
 
+/** Requests at a crowded server that are wanted, as a multiple of its slots: all slots busy, and a short queue. */
+const WANTED_OCCUPANCY = 1.75
+
+/** Crowding up to this multiple of what is wanted is left to each host's own admission. */
+const TOLERATED_CROWDING = 2.2
+
+/** Time within which a queue that is too long or too short is corrected, in seconds: some tellings of loads. */
+const QUEUE_CORRECTION_SECONDS = 1
+
+/** Weight of a new measurement of a busy server's answers. */
+const CAPACITY_WEIGHT = 0.3
+
+/** Least share of requests that is sent: some must reach the server to show what it answers. */
+const LEAST_SHARE = 0.005
+
+/** Work of a server nobody has measured, in milliseconds; of the order of the users' services. */
+const UNKNOWN_WORK_MS = 120
+
 /** Hosts that must have been refused a connection before a server counts as refusing. */
 const REFUSED_HOSTS = 3
 
@@ -62,16 +93,19 @@
  */
 export function createClusterLoads (): ClusterLoads {
   const tracks = new Map<string, Track>()
+  let adjustedAt = -Infinity
 
   function track (server: string): Track {
     const known = tracks.get(server)
     if (known !== undefined) return known
-    const fresh: Track = { inFlight: new Map(), oldestMs: new Map(), workMs: 0, failureShare: 0, answeredAt: -Infinity, lost: 0, lostAt: -Infinity, refusedBy: new Map() }
+    const fresh: Track = { inFlight: new Map(), oldestMs: new Map(), workMs: 0, failureShare: 0, answeredAt: -Infinity, lost: 0, lostAt: -Infinity, admitShare: 1, wanted: 0, completed: 0, capacity: 0, refusedBy: new Map() }
     tracks.set(server, fresh)
     return fresh
   }
 
   function addSample (known: Track, sample: ServerSample, host: ReportingHost, now: number): void {
+    known.wanted += sample.wanted
+    known.completed += sample.served
     const answers = sample.served + sample.failed + sample.shed
     if (answers > 0) {
       known.answeredAt = now
@@ -107,6 +141,25 @@
     return known.lost >= SILENT_LOST && now - known.answeredAt > SILENT_MS && now - known.lostAt < SILENCE_LASTS_MS
   }
 
+  function totalInFlight (known: Track): number {
+    let total = 0
+    for (const count of known.inFlight.values()) total += count
+    return total
+  }
+
+  /** Admits as many requests as the server answers, more while its queue is short and fewer while it is long. */
+  function adjustShare (known: Track, slots: number, seconds: number): void {
+    const inFlight = totalInFlight(known)
+    if (inFlight >= slots) {
+      const rate = known.completed / seconds
+      known.capacity = known.capacity === 0 ? slots * 1000 / (known.workMs > 0 ? known.workMs : UNKNOWN_WORK_MS) : known.capacity + (rate - known.capacity) * CAPACITY_WEIGHT
+    }
+    const wanted = slots * WANTED_OCCUPANCY
+    if (known.admitShare === 1 && inFlight <= wanted * TOLERATED_CROWDING) return
+    const admitted = Math.max(0, known.capacity + (wanted - inFlight) / QUEUE_CORRECTION_SECONDS)
+    known.admitShare = Math.min(1, Math.max(LEAST_SHARE, admitted * seconds / Math.max(1, known.wanted)))
+  }
+
   return {
     add (host, samples, now) {
       forget(host.name)
@@ -123,12 +176,20 @@
     views (now) {
       const views = new Map<string, ServerView>()
       for (const [server, known] of tracks) {
-        let inFlight = 0
-        for (const count of known.inFlight.values()) inFlight += count
-        views.set(server, { inFlight, workMs: currentWorkMs(known), failureShare: known.failureShare, silent: isSilent(known, now) })
+        views.set(server, { inFlight: totalInFlight(known), workMs: currentWorkMs(known), failureShare: known.failureShare, silent: isSilent(known, now), admitShare: known.admitShare })
       }
       return views
     },
+    adjustShares (slotsOf, now) {
+      const seconds = Math.max(0.05, (now - adjustedAt) / 1000)
+      adjustedAt = now
+      for (const [server, known] of tracks) {
+        const slots = slotsOf(server)
+        if (slots !== undefined) adjustShare(known, slots, seconds)
+        known.wanted = 0
+        known.completed = 0
+      }
+    },
     isRefusing (server, zone) {
       const zones = [...tracks.get(server)?.refusedBy.values() ?? []]
       return zones.length >= REFUSED_HOSTS && zones.includes(zone)
--- a/src/entry_host/cluster_loads_test.ts
+++ b/src/entry_host/cluster_loads_test.ts
@@ -11,7 +11,7 @@
 const h3 = { name: 'h3', zone: 'b' }
 
 function sample (fields: Partial<ServerSample>): ServerSample {
-  return { inFlight: 0, oldestMs: 0, served: 0, workMs: 0, failed: 0, shed: 0, lost: 0, refused: 0, ...fields }
+  return { inFlight: 0, oldestMs: 0, served: 0, workMs: 0, failed: 0, shed: 0, lost: 0, refused: 0, wanted: 0, ...fields }
 }
 
 test('views() adds up the requests in flight of all hosts', () => {
@@ -64,4 +64,57 @@
   assert.not(loads.isRefusing('s0', 'a'))
 })
 
+test('adjustShares() keeps a server busy and its queue short, when 136 hosts ask for one of its keys 400 times a second', () => {
+  const loads = createClusterLoads()
+  const [slots, workMs, tellingMs, hosts] = [4, 400, 540, 136]
+  const running: Array<{ readonly host: number, readonly endsAt: number }> = []
+  const waiting: number[] = []
+  const answered = new Map<number, number>()
+  let wanted = 0
+  let share = 1
+  let served = 0
+  let toldAt = 0
+  let state = 12_345
+  function random (): number {
+    state ^= state << 13
+    state ^= state >>> 17
+    state ^= state << 5
+    return (state >>> 0) / 2 ** 32
+  }
+  for (let now = 0; now < 20_000; now += 20) {
+    for (let request = 0; request < 8; request++) {
+      wanted++
+      // A server's queue holds 16; more get no answer.
+      if (random() < share && waiting.length < 16) waiting.push(Math.floor(random() * hosts))
+    }
+    for (const [index, one] of [...running.entries()].reverse()) {
+      if (one.endsAt > now) continue
+      running.splice(index, 1)
+      answered.set(one.host, (answered.get(one.host) ?? 0) + 1)
+      if (now >= 10_000) served++
+    }
+    while (running.length < slots && waiting.length > 0) running.push({ host: waiting.shift() ?? 0, endsAt: now + workMs })
+    if (now > 10_000) assert.ok(waiting.length < 12, `${waiting.length} wait at ${now} ms`)
+    if (now - toldAt < tellingMs) continue
+    toldAt = now
+    for (let host = 0; host < hosts; host++) {
+      const inFlight = running.filter((one) => one.host === host).length + waiting.filter((one) => one === host).length
+      const completed = answered.get(host) ?? 0
+      loads.add({ name: `h${host}`, zone: 'a' }, [['s0', sample({ inFlight, served: completed, workMs: completed * workMs, wanted: wanted / hosts })]], now)
+    }
+    answered.clear()
+    wanted = 0
+    loads.adjustShares(() => slots, now)
+    share = loads.views(now).get('s0')?.admitShare ?? 1
+  }
+  assert.ok(served >= 0.85 * 10_000 / workMs * slots, `${served} are served`)
+})
+
+test('adjustShares() leaves a server alone, when it has a short queue', () => {
+  const loads = createClusterLoads()
+  loads.add(h1, [['s0', sample({ inFlight: 8 })]], 0)
+  loads.adjustShares(() => 4, 0)
+  assert.is(loads.views(0).get('s0')?.admitShare, 1)
+})
+
 test.run()
--- a/src/entry_host/create_entry_host.ts
+++ b/src/entry_host/create_entry_host.ts
@@ -274,6 +274,7 @@
       return
     }
     leader.onReport({ name: settings.host, zone: settings.zone }, report)
+    leader.adjustShares()
     loads.merge(leader.views())
     const complete = ++beats % COMPLETE_BEATS === 0
     hub.publish({
--- a/src/entry_host/create_leader.ts
+++ b/src/entry_host/create_leader.ts
@@ -46,6 +46,8 @@
   views (): Map<string, ServerView>
   /** All that a host which has just connected has to know. */
   greeting (host?: ConnectedHost): Update[]
+  /** Sets the shares of requests that hosts send to crowded servers; called once for each telling. */
+  adjustShares (): void
   /** Views that have changed since the last call, or all. */
   changedViews (complete: boolean): WireView[]
 }
@@ -226,6 +228,7 @@
     },
     onLeft (host) { loads.forget(host) },
     views: () => loads.views(now()),
+    adjustShares () { loads.adjustShares((server) => knowledge.server(server)?.slots, now()) },
     changedViews (complete) {
       const views = loads.views(now())
       const changed = new Map([...views].filter(([server, view]) => complete || isNoteworthy(told.get(server), view)))
@@ -246,7 +249,7 @@
 
 /** Whether hosts would decide otherwise if they knew the view. */
 function isNoteworthy (before: ServerView | undefined, view: ServerView): boolean {
-  return before === undefined || Math.abs(view.inFlight - before.inFlight) >= NOTEWORTHY_IN_FLIGHT || view.silent !== before.silent ||
+  return before === undefined || Math.abs(view.inFlight - before.inFlight) >= NOTEWORTHY_IN_FLIGHT || view.silent !== before.silent || view.admitShare !== before.admitShare ||
     Math.abs(view.workMs - before.workMs) > before.workMs * NOTEWORTHY_SHARE || Math.abs(view.failureShare - before.failureShare) > NOTEWORTHY_SHARE
 }
 
@@ -278,7 +281,7 @@
  * @returns The wire form.
  */
 export function encodeViews (views: ReadonlyMap<string, ServerView>): WireView[] {
-  return [...views].map(([server, view]) => [server, view.inFlight, Math.round(view.workMs), Math.round(view.failureShare * 100) / 100, view.silent ? 1 : 0] as const)
+  return [...views].map(([server, view]) => [server, view.inFlight, Math.round(view.workMs), Math.round(view.failureShare * 100) / 100, view.silent ? 1 : 0, Math.round(view.admitShare * 1000) / 1000] as const)
 }
 
 /**
@@ -288,7 +291,7 @@
  * @returns What is known.
  */
 export function decodeViews (views: readonly WireView[]): Map<string, ServerView> {
-  return new Map(views.map(([server, inFlight, workMs, failureShare, silent]) => [server, { inFlight, workMs, failureShare, silent: silent === 1 }]))
+  return new Map(views.map(([server, inFlight, workMs, failureShare, silent, admitShare]) => [server, { inFlight, workMs, failureShare, silent: silent === 1, admitShare }]))
 }
 
 /** One host's samples for a report. */
--- a/src/gateway/create_gateway.ts
+++ b/src/gateway/create_gateway.ts
@@ -194,6 +194,7 @@
     const server = await findServer(exchange)
     if ('kind' in server) return server
     const expectedMs = loads.expectedMs(server)
+    if (isKeyed(exchange) && options.random() > loads.admitShare(server.id)) return { kind: 'refuse', reason: 'key-overloaded', retryAfterMs: retryAfterMs(leftMs(exchange), leftMs(exchange)) }
     const admission = admit({ isFull: loads.isFull(server.id), expectedMs, workMs: loads.workMs(server), latencyGoalMs: exchange.route.latencyGoalMs, leftMs: leftMs(exchange) })
     if (admission.kind === 'refuse') return { kind: 'refuse', reason: 'no-room', retryAfterMs: returnAfterMs(exchange, admission.roomAfterMs) }
     const inFlight = loads.inFlight(server.id)
--- a/src/gateway/server_loads.ts
+++ b/src/gateway/server_loads.ts
@@ -27,6 +27,8 @@
   readonly failed: number
   readonly shed: number
   readonly lost: number
+  /** Requests for its keys, those that were refused for want of room included. */
+  readonly wanted: number
   /** Connections that were refused; part of `lost`. */
   readonly refused: number
   /** Age of the oldest request in flight, brought down to an idle server, in milliseconds; 0 where there is none. */
@@ -42,6 +44,8 @@
   readonly failureShare: number
   /** Whether no host has had an answer for some time while requests were lost. */
   readonly silent: boolean
+  /** Share of the requests for its keys that hosts send; the others are refused, since all together are more than it can run. */
+  readonly admitShare: number
 }
 
 /** Loads of one host. */
@@ -59,6 +63,8 @@
   /** Expected time until a request that is sent now is answered, in milliseconds. */
   expectedMs (server: RoutedServer): number
   failureShare (id: string): number
+  /** Counts a request for one of the server's keys; returns the share of such requests that hosts send. */
+  admitShare (id: string): number
   /** Whether the server has just refused for want of room. */
   isFull (id: string): boolean
   /** Whether the server is better left alone at this moment. */
@@ -75,11 +81,12 @@
   ownWorkMs: number
   failureShare: number
   silentView: boolean
+  admitShare: number
   lostInRow: number
   silentUntil: number
   fullUntil: number
   readonly pending: Set<Pending>
-  sample: { served: number, workMs: number, failed: number, shed: number, lost: number, refused: number }
+  sample: { served: number, workMs: number, failed: number, shed: number, lost: number, refused: number, wanted: number }
 }
 
 /** A request in flight. */
@@ -126,7 +133,7 @@
     const known = tracks.get(id)
     if (known !== undefined) return known
     const fresh: Track = {
-      own: 0, reported: 0, others: 0, viewedWorkMs: 0, ownWorkMs: 0, failureShare: 0, silentView: false, lostInRow: 0, silentUntil: 0, fullUntil: 0, pending: new Set(), sample: emptySample()
+      own: 0, reported: 0, others: 0, viewedWorkMs: 0, ownWorkMs: 0, failureShare: 0, silentView: false, admitShare: 1, lostInRow: 0, silentUntil: 0, fullUntil: 0, pending: new Set(), sample: emptySample()
     }
     tracks.set(id, fresh)
     return fresh
@@ -205,11 +212,13 @@
         known.viewedWorkMs = view.workMs
         known.failureShare = view.failureShare
         known.silentView = view.silent
+        known.admitShare = view.admitShare
       }
       if (!complete) return
       for (const [id, known] of tracks) {
         if (!views.has(id)) {
           known.others = 0
+          known.admitShare = 1
           if (known.own === 0) tracks.delete(id)
         }
       }
@@ -222,6 +231,11 @@
       return workMs(server) * Math.max(1, ahead / server.slots)
     },
     failureShare: (id) => track(id).failureShare,
+    admitShare (id) {
+      const known = track(id)
+      known.sample.wanted++
+      return known.admitShare
+    },
     isFull: (id) => track(id).fullUntil > now(),
     isSilent: (id) => track(id).silentView || track(id).silentUntil > now(),
     report () {
@@ -229,7 +243,7 @@
       for (const [id, known] of tracks) {
         known.reported = known.own
         const { sample } = known
-        if (known.own === 0 && sample.served + sample.failed + sample.shed + sample.lost === 0) continue
+        if (known.own === 0 && sample.served + sample.failed + sample.shed + sample.lost + sample.wanted === 0) continue
         samples.set(id, { inFlight: known.own, oldestMs: oldestMs(known), ...sample })
         known.sample = emptySample()
       }
@@ -239,5 +253,5 @@
 }
 
 function emptySample (): Track['sample'] {
-  return { served: 0, workMs: 0, failed: 0, shed: 0, lost: 0, refused: 0 }
+  return { served: 0, workMs: 0, failed: 0, shed: 0, lost: 0, refused: 0, wanted: 0 }
 }
--- a/src/gateway/server_loads_test.ts
+++ b/src/gateway/server_loads_test.ts
@@ -11,14 +11,14 @@
   const loads = createServerLoads(() => 0)
   loads.begin(server)
   loads.report()
-  loads.merge(new Map([['s0', { inFlight: 3, workMs: 100, failureShare: 0, silent: false }]]))
+  loads.merge(new Map([['s0', { inFlight: 3, workMs: 100, failureShare: 0, silent: false, admitShare: 1 }]]))
   loads.begin(server)
   assert.is(loads.inFlight('s0'), 4)
 })
 
 test('expectedMs() grows with the queue, when all slots are taken', () => {
   const loads = createServerLoads(() => 0)
-  loads.merge(new Map([['s0', { inFlight: 11, workMs: 100, failureShare: 0, silent: false }]]))
+  loads.merge(new Map([['s0', { inFlight: 11, workMs: 100, failureShare: 0, silent: false, admitShare: 1 }]]))
   assert.is(loads.expectedMs(server), 300)
 })
 
@@ -57,21 +57,21 @@
   const loads = createServerLoads(() => 0)
   loads.begin(server)({ kind: 'shed' })
   assert.not(loads.isFull('s0'))
-  loads.merge(new Map([['s0', { inFlight: 9, workMs: 100, failureShare: 0, silent: false }]]))
+  loads.merge(new Map([['s0', { inFlight: 9, workMs: 100, failureShare: 0, silent: false, admitShare: 1 }]]))
   loads.begin(server)({ kind: 'shed' })
   assert.ok(loads.isFull('s0'))
 })
 
 test('workMs() does not fall far below what requests take, when the queue is believed to be longer than it is', () => {
   const loads = createServerLoads(() => 0)
-  loads.merge(new Map([['s0', { inFlight: 40, workMs: 0, failureShare: 0, silent: false }]]))
+  loads.merge(new Map([['s0', { inFlight: 40, workMs: 0, failureShare: 0, silent: false, admitShare: 1 }]]))
   for (let request = 0; request < 30; request++) loads.begin(server)({ kind: 'served', durationMs: 400 })
   assert.ok(loads.workMs(server) >= 200)
 })
 
 test('isFull() holds, when a crowded server resets connections', () => {
   const loads = createServerLoads(() => 0)
-  loads.merge(new Map([['s0', { inFlight: 9, workMs: 100, failureShare: 0, silent: false }]]))
+  loads.merge(new Map([['s0', { inFlight: 9, workMs: 100, failureShare: 0, silent: false, admitShare: 1 }]]))
   loads.begin(server)({ kind: 'failed' })
   assert.ok(loads.isFull('s0'))
 })
--- a/src/replication/messages.ts
+++ b/src/replication/messages.ts
@@ -7,8 +7,8 @@
 /** Owner of keys on the wire; times are remaining milliseconds, since clocks differ. */
 export type WireOwner = string | null | { readonly unservedMs: number }
 
-/** What the leading host knows of a server: requests in flight, work in ms, share of failures, 1 where silent. */
-export type WireView = readonly [server: string, inFlight: number, workMs: number, failureShare: number, silent: 0 | 1]
+/** What the leading host knows of a server: requests in flight, work in ms, share of failures, 1 where silent, share of requests to send. */
+export type WireView = readonly [server: string, inFlight: number, workMs: number, failureShare: number, silent: 0 | 1, admitShare: number]
 
 /** From the leading host. */
 export type Update =
