Smaller files: timing, listening, records and outcomes apart; one interface for what the platform publishes

Cause: reading the change as a newcomer: two factories of over 400 lines, and the same interface in platform/ and entry_host/. Change: moved only; no behaviour. Result: types, lint and the tests of the gateway and the store pass.

--- /dev/null
+++ b/src/entry_host/_task_timing.ts
@@ -0,0 +1,27 @@
+/** When the tasks of an entry host run. */
+
+/** Times of an entry host's tasks, in milliseconds. */
+export const TaskTiming = {
+  /** Grants and releases that are due are started this often. */
+  grantMs: 50,
+  /** Loads are told this often: about the time that one request takes. */
+  loadMs: 120,
+  /** Pause between two tellings for each connected host: the leader's work stays the same however many there are. */
+  loadPerHostMs: 4,
+  /** Longest such pause: below the silence after which hosts read for themselves. */
+  longestLoadMs: 600,
+  /** Keys are planned this often: a busy key should be served again within seconds. */
+  planMs: 400,
+  /** The leader reads the store this often, a third of the time in which changes must be in force. */
+  readMs: 600,
+  /** A host that does not hear the leader reads for itself this often. */
+  ownReadMs: 600,
+  /** A leader that is reached answers within this time: a connection, a greeting, and the pause between its messages. */
+  firstWordMs: 350,
+  /** Hosts that wait for a lease to end try for it within this time of one another. */
+  claimSpreadMs: 150,
+  /** The longest pause after reads that failed. */
+  longestPauseMs: 1600,
+  /** Silence of the leader, or age of what it has read, after which a host reads for itself, besides the pause between its messages. */
+  staleMs: 900
+} as const
--- a/src/entry_host/create_entry_host.ts
+++ b/src/entry_host/create_entry_host.ts
@@ -3,7 +3,7 @@
  * that must last in the table service. Its tasks are the listeners, the reader
  * of the store, the connection to the leader and, on one host, the leader.
  */
-import { createServer, type Server } from 'node:http'
+import { createServer } from 'node:http'
 import { createRetryBudget, type RetryBudget } from '../dispatch/retry_budget.ts'
 import {
   createCallerServer, createGateway, createKnowledge, createServerAgent, createServerLoads, type HeaderNames, type RequestRecord
@@ -13,6 +13,8 @@
 import type { ServerControl } from '../ownership/mod.ts'
 import type { TableService } from '../ports/mod.ts'
 import { createPeerHub, createPeerLink, type Report, type Update } from '../replication/mod.ts'
+import { listen, pause } from './_listen.ts'
+import { TaskTiming } from './_task_timing.ts'
 import { createLeader, decodeOwner, decodeViews } from './create_leader.ts'
 import { createRequestLog } from './request_log.ts'
 import { createStoreReader, type PublishedState } from './store_reader.ts'
@@ -52,32 +54,6 @@
   describe (): unknown
 }
 
-/** Times of an entry host's tasks, in milliseconds. */
-const TaskTiming = {
-  /** Grants and releases that are due are started this often. */
-  grantMs: 50,
-  /** Loads are told this often: about the time that one request takes. */
-  loadMs: 120,
-  /** Pause between two tellings for each connected host: the leader's work stays the same however many there are. */
-  loadPerHostMs: 4,
-  /** Longest such pause: below the silence after which hosts read for themselves. */
-  longestLoadMs: 600,
-  /** Keys are planned this often: a busy key should be served again within seconds. */
-  planMs: 400,
-  /** The leader reads the store this often, a third of the time in which changes must be in force. */
-  readMs: 600,
-  /** A host that does not hear the leader reads for itself this often. */
-  ownReadMs: 600,
-  /** A leader that is reached answers within this time: a connection, a greeting, and the pause between its messages. */
-  firstWordMs: 350,
-  /** Hosts that wait for a lease to end try for it within this time of one another. */
-  claimSpreadMs: 150,
-  /** The longest pause after reads that failed. */
-  longestPauseMs: 1600,
-  /** Silence of the leader, or age of what it has read, after which a host reads for itself, besides the pause between its messages. */
-  staleMs: 900
-} as const
-
 /** Every so many tellings of loads hold everything, for hosts that missed a change. */
 const COMPLETE_BEATS = 10
 
@@ -419,18 +395,3 @@
     })
   }
 }
-
-function pause (milliseconds: number): Promise<void> {
-  return new Promise((resolve) => { setTimeout(resolve, milliseconds) })
-}
-
-function listen (server: Server | import('node:net').Server, address: string): Promise<void> {
-  const [host, port] = address.split(':')
-  return new Promise((resolve, reject) => {
-    server.once('error', reject)
-    server.listen({ host, port: Number(port), backlog: 1024 }, () => {
-      server.off('error', reject)
-      resolve()
-    })
-  })
-}
--- a/src/entry_host/store_reader.ts
+++ b/src/entry_host/store_reader.ts
@@ -11,7 +11,9 @@
 
 /** Port of what operators and backend servers publish. */
 export interface PublishedState {
+  /** Reads the newest configuration; `null` where there is none that can be used. */
   readConfiguration (): Promise<Result<RoutingConfiguration | null, TableError>>
+  /** Reads the list of backend servers; entries that name none are left out. */
   readServers (): Promise<Result<readonly RoutedServer[], TableError>>
 }
 
--- a/src/gateway/create_gateway.ts
+++ b/src/gateway/create_gateway.ts
@@ -7,41 +7,16 @@
  */
 import type { Agent, IncomingMessage, ServerResponse } from 'node:http'
 import type { RetryBudget } from '../dispatch/retry_budget.ts'
-import { KEY_SPACE, RequestKind, type Route, type RoutedServer } from '../routing/mod.ts'
+import { RequestKind, type Route, type RoutedServer } from '../routing/mod.ts'
 import { admit, retryAfterMs } from './admission.ts'
 import { answerHeaders, requestHeaders } from './_forwarded_headers.ts'
 import { chooseServer } from './choose_server.ts'
 import type { HeaderNames } from './header_names.ts'
 import type { Knowledge } from './knowledge.ts'
+import { describeOutcome, readKey, servedOutcome } from './_outcomes.ts'
+import type { AttemptRecord, RequestRecord } from './request_record.ts'
 import { sendAttempt, type AttemptOutcome } from './send_attempt.ts'
-import type { ServedOutcome, ServerLoads } from './server_loads.ts'
-
-/** How a request ended, for logs and metrics. */
-export interface RequestRecord {
-  readonly id: string
-  readonly route: string
-  readonly service: string
-  readonly key: number | null
-  /** Status that the caller got; 0 where the caller had left. */
-  readonly status: number
-  /** Why the router answered itself; `served` where the answer is the server's. */
-  readonly reason: string
-  readonly durationMs: number
-  readonly attempts: readonly AttemptRecord[]
-  readonly retryAfterMs?: number
-}
-
-/** One offer to a server. */
-export interface AttemptRecord {
-  readonly server: string
-  readonly outcome: string
-  /** Why there was no answer. */
-  readonly detail?: string
-  readonly durationMs: number
-  /** Requests that were believed to be at the server, and the expected time, when it was chosen. */
-  readonly inFlight: number
-  readonly expectedMs: number
-}
+import type { ServerLoads } from './server_loads.ts'
 
 /** What a gateway works with. */
 export interface GatewayOptions {
@@ -203,7 +178,7 @@
     const outcome = await send(exchange, server, expectedMs)
     const durationMs = now() - sentAt
     end(servedOutcome(outcome, durationMs))
-    exchange.attempts.push({ server: server.id, outcome: describe(outcome), ...('detail' in outcome ? { detail: outcome.detail } : {}), durationMs: Math.round(durationMs), inFlight, expectedMs: Math.round(expectedMs) })
+    exchange.attempts.push({ server: server.id, outcome: describeOutcome(outcome), ...('detail' in outcome ? { detail: outcome.detail } : {}), durationMs: Math.round(durationMs), inFlight, expectedMs: Math.round(expectedMs) })
     return judge(exchange, server, outcome)
   }
 
@@ -397,22 +372,3 @@
   if (exchange.body === null) return 0
   return Buffer.isBuffer(exchange.body) ? exchange.body.length : Number(exchange.body.headers['content-length'] ?? WHOLE_BODY_BYTES)
 }
-
-function readKey (value: string | string[] | undefined): number | null {
-  const key = typeof value === 'string' && /^\d{1,5}$/.test(value) ? Number(value) : NaN
-  return key < KEY_SPACE ? key : null
-}
-
-function describe (outcome: AttemptOutcome): string {
-  if (outcome.kind === 'answer' || outcome.kind === 'stream') return `${outcome.status}`
-  if (outcome.kind === 'not-run') return outcome.misdirected ? 'misdirected' : `refused-${outcome.status}`
-  return outcome.kind
-}
-
-function servedOutcome (outcome: AttemptOutcome, durationMs: number): ServedOutcome {
-  if (outcome.kind === 'answer' || outcome.kind === 'stream') return outcome.status >= 500 ? { kind: 'failed' } : { kind: 'served', durationMs }
-  if (outcome.kind === 'not-run') return { kind: outcome.misdirected ? 'other' : 'shed' }
-  // A reset shows that something answers at the address; only silence and refused connections count as lost.
-  if (outcome.kind === 'lost') return outcome.aborted ? { kind: 'abandoned', durationMs } : { kind: 'failed' }
-  return { kind: 'lost', refused: outcome.refused }
-}
