A host that no longer leads sends no releases

Cause: reading: grants were guarded by the lease, releases were not; a late one would take keys from the server that the next leader chose, until its renewal. Ruled out: two owners by it; a release only takes away. Change: every call of the steward is guarded.

--- a/src/ownership/range_steward.ts
+++ b/src/ownership/range_steward.ts
@@ -290,7 +290,8 @@
 
   /** Starts the next call of a range, if one is due. */
   function drive (range: Range): void {
-    if (range.busy || range.planning || range.dueAt > now()) return
+    // A release of a host that no longer leads would take keys from the server that its successor chose.
+    if (range.busy || range.planning || range.dueAt > now() || !options.mayGrant()) return
     for (const [id, holder] of range.holders) {
       if (id === range.owner) continue
       const server = serverOf(id)
@@ -300,7 +301,7 @@
       return
     }
     const server = range.owner === null ? undefined : servers.get(range.owner)
-    if (server !== undefined && !server.leaving && hasRoom(server.id) && options.mayGrant()) grant(range, server).catch(reportFailure)
+    if (server !== undefined && !server.leaving && hasRoom(server.id)) grant(range, server).catch(reportFailure)
   }
 
   return {
