A new plan's steward knows the servers at once

The first plan of a service makes its steward, which was told the servers only by a change of the list. Ruled out: calls that never end (tests of the caller with answers that stall, break off, are reset, and with more calls than connections pass), a lease that was not renewed (hosts took the leader for fresh), grants of an older token (the first token of the block was used at the end). Change: a steward is given the servers when it is made.

--- a/soak/callers.ts
+++ b/soak/callers.ts
@@ -79,7 +79,7 @@
     start () {
       timer = setInterval(() => {
         const host = options.hosts[Math.floor(random() * options.hosts.length)]
-        if (host === undefined || !host.isUp()) return
+        if (host === undefined || !host.isRunning()) return
         const sent = send(host)
         pending.add(sent)
         sent.finally(() => { pending.delete(sent) }).catch(() => {})
--- a/soak/hosts.ts
+++ b/soak/hosts.ts
@@ -13,6 +13,8 @@
   readonly storeLink: Link
   /** Whether the process runs and has not been told to stop. */
   isUp (): boolean
+  /** Whether the process runs. */
+  isRunning (): boolean
   signal (signal: NodeJS.Signals): void
   start (): void
   /** Resolves with how the process ended. */
@@ -64,6 +66,10 @@
     return await new Promise((resolve) => { current.once('exit', (code) => { resolve(code) }) })
   }
 
+  function isRunning (): boolean {
+    return child !== null && child.exitCode === null && child.signalCode === null
+  }
+
   start()
   return {
     name,
@@ -71,7 +77,8 @@
     ip,
     callerPort: options.basePort,
     storeLink,
-    isUp: () => child !== null && child.exitCode === null && child.signalCode === null && !stopping,
+    isUp: () => isRunning() && !stopping,
+    isRunning,
     signal (signal) {
       if (signal === 'SIGTERM') stopping = true
       child?.kill(signal)
--- a/soak/run_soak.ts
+++ b/soak/run_soak.ts
@@ -59,6 +59,9 @@
 /** Time after its notice from which a leaving server gets nothing new, in milliseconds: the platform's bound and the store's answer. */
 const DRAIN_MS = 2200
 
+/** Resets in a series; each meets the few requests that are in flight. */
+const RESETS = 8
+
 /** Share of the requests that must be served once everything has healed. */
 const SERVED_SHARE = 0.9
 
@@ -180,10 +183,11 @@
     const link = world.links.get(backend.id)
     return link === undefined ? backend.id : disturb(world, link, backend.id)
   },
-  resetLink (world) {
-    const backend = pick(world, world.backends)
-    world.links.get(backend.id)?.reset()
-    return backend.id
+  resetLinks (world) {
+    for (let count = 0; count < RESETS; count++) {
+      setTimeout(() => { for (const link of world.links.values()) link.reset() }, count * 100)
+    }
+    return `all servers, ${RESETS} times`
   },
   storeBusy (world) {
     world.store.faults.busy = true
--- a/src/entry_host/create_leader.ts
+++ b/src/entry_host/create_leader.ts
@@ -112,6 +112,7 @@
       isAnswering: (server) => loads.isAnswering(server, now()),
       isRefusing: (server) => loads.isRefusing(server.id, server.zone)
     })
+    steward.setServers(serversOf(service), addresses())
     stewards.set(service, steward)
     return steward
   }
@@ -196,7 +197,7 @@
         const service = row.key.slice(PLAN_PREFIX.length)
         leadership.noteRevision(row.key, row.revision)
         if (recorded === null) logger.error({ key: row.key, revision: row.revision }, 'plan-unreadable')
-        else createSteward(service, recorded).setServers(serversOf(service), addresses())
+        else createSteward(service, recorded)
       }
       logger.info({ plans: rows.value.rows.length, revision: leadership.claimRevision() }, 'plans-taken-over')
       return true
