Soaks beside one another take loopback networks of their own

Ruled out: sockets left behind; the other run was still going. Change: a run takes the first loopback network that is free for its store.

--- a/soak/hosts.ts
+++ b/soak/hosts.ts
@@ -26,6 +26,7 @@
 export interface HostsOptions {
   readonly count: number
   readonly zones: readonly string[]
+  readonly storeHost: string
   readonly storePort: number
   /** First port that the run may use. */
   readonly basePort: number
@@ -46,7 +47,7 @@
   const ip = `127.0.${options.network}.${index + 1}`
   const name = `host-${index + 1}`
   const zone = options.zones[index % options.zones.length] ?? 'a'
-  const storeLink = await openLink({ host: '127.0.0.1', port: options.storePort }, { host: ip, port: options.basePort + 9 })
+  const storeLink = await openLink({ host: options.storeHost, port: options.storePort }, { host: ip, port: options.basePort + 9 })
   const settings = join(options.folder, `${name}.toml`)
   const log: WriteStream = createWriteStream(join(options.folder, `${name}.log`))
   writeFileSync(settings, settingsText({ name, ip, zone, basePort: options.basePort }))
--- a/soak/run_soak.ts
+++ b/soak/run_soak.ts
@@ -18,8 +18,6 @@
   readonly hosts?: number
   /** Length of the time with faults, in milliseconds. Default: 20,000. */
   readonly faultMs?: number
-  /** First port of the run. Default: derived from the seed. */
-  readonly basePort?: number
   readonly program: string
   /** Called for each fault. Default: nothing is told. */
   readonly onFault?: (text: string) => void
@@ -45,6 +43,13 @@
   version: number
 }
 
+/** First port of a run; runs differ by their loopback network. */
+const BASE_PORT = 20_000
+
+/** Loopback networks, and the last number of the store's address in each. */
+const NETWORKS = 200
+const STORE_HOST = 250
+
 const ZONES = ['a', 'b', 'c'] as const
 const KEYED_SERVERS = 5
 const ORDER_SERVERS = 3
@@ -77,14 +82,13 @@
   const random = (): number => uniformInt(generator, 0, 2 ** 30) / 2 ** 30
   const record = createRecord(() => performance.now() - startedAt)
   const folder = mkdtempSync(join(tmpdir(), `soak-${options.seed}-`))
-  const network = 1 + options.seed % 200
-  const basePort = options.basePort ?? 20_000 + options.seed % 200 * 40
+  const basePort = BASE_PORT
   const store = createSoakStore(random)
-  await new Promise<void>((resolve) => { store.server.listen(basePort + 39, '127.0.0.1', resolve) })
+  const network = await listenOnFreeNetwork(store, options.seed)
   const world: World = { hosts: [], backends: [], links: new Map(), store, record, random, graceful: new Set(), version: 1 }
   await startBackends(world, { network, basePort })
   putConfiguration(world)
-  world.hosts.push(...await createHosts({ count: options.hosts ?? 6, zones: ZONES, storePort: basePort + 39, basePort, network, folder, program: options.program }))
+  world.hosts.push(...await createHosts({ count: options.hosts ?? 6, zones: ZONES, storeHost: `127.0.${network}.${STORE_HOST}`, storePort: basePort + 39, basePort, network, folder, program: options.program }))
   const callers = createCallers({ hosts: world.hosts, record, random, perSecond: REQUESTS_PER_SECOND, graceful: world.graceful })
   const faults: string[] = []
   try {
@@ -110,6 +114,19 @@
   return { failures: record.failures, counts: record.counts, faults, folder }
 }
 
+/** Runs beside one another take loopback networks of their own: the first that is free for the store. */
+async function listenOnFreeNetwork (store: SoakStore, seed: number): Promise<number> {
+  for (let tried = 0; tried < NETWORKS; tried++) {
+    const network = 1 + (seed + tried) % NETWORKS
+    const isFree = await new Promise<boolean>((resolve) => {
+      store.server.once('error', () => { resolve(false) })
+      store.server.listen(BASE_PORT + 39, `127.0.${network}.${STORE_HOST}`, () => { resolve(true) })
+    })
+    if (isFree) return network
+  }
+  throw new Error(`No loopback network is free: all ${NETWORKS} are in use`)
+}
+
 async function startBackends (world: World, place: { readonly network: number, readonly basePort: number }): Promise<void> {
   const book = createKeyBook()
   for (let index = 0; index < KEYED_SERVERS + ORDER_SERVERS; index++) {
