--- a/soak/main.ts
+++ b/soak/main.ts
@@ -3,7 +3,7 @@
 import { runSoak } from './run_soak.ts'
 
 /** Path of the bundled program, the same that the platform runs. */
-const PROGRAM_PATH = 'target/gooseberryfold.mjs'
+const PROGRAM_PATH = 'target/gooseberryfold.cjs'
 
 const cli = meow(`
   Usage
--- a/src/gateway/choose_server.ts
+++ b/src/gateway/choose_server.ts
@@ -5,8 +5,7 @@
  * expected latency is chosen. If many hosts all chose the best server, they
  * would overload it before they received each other's loads.
  */
-import { hashText } from '../slices/slice_of_key.ts'
-import type { RoutedServer } from '../routing/mod.ts'
+import { rendezvousRank, type RoutedServer } from '../routing/mod.ts'
 import type { ServerLoads } from './server_loads.ts'
 
 /** Options of {@link chooseServer}. */
@@ -72,7 +71,7 @@
  */
 function selectSubset (servers: readonly RoutedServer[], options: ChooseServerOptions): readonly RoutedServer[] {
   if (servers.length <= LARGE_SERVICE_SERVERS) return servers
-  const ranked = servers.map((server) => ({ server, rank: hashText(`${options.host}/${server.id}`) })).sort((left, right) => left.rank - right.rank).map(({ server }) => server)
+  const ranked = servers.map((server) => ({ server, rank: rendezvousRank(options.host, server.id) })).sort((left, right) => left.rank - right.rank).map(({ server }) => server)
   const sameZone = ranked.filter((server) => server.zone === options.zone).slice(0, SAME_ZONE_SUBSET_SERVERS)
   const otherZones = ranked.filter((server) => server.zone !== options.zone).slice(0, OTHER_ZONES_SUBSET_SERVERS)
   const subset = [...sameZone, ...otherZones]
--- a/src/ownership/plan_record.ts
+++ b/src/ownership/plan_record.ts
@@ -4,7 +4,7 @@
  * Server identifiers are listed once and ranges refer to them by index, so that
  * a few thousand ranges fit into one row.
  */
-import { z } from 'zod'
+import * as z from 'zod/mini'
 import { KEY_SPACE } from '../routing/mod.ts'
 
 /** A range of a stored plan. */
@@ -18,7 +18,7 @@
 
 const rowSchema = z.object({
   servers: z.array(z.string()),
-  ranges: z.array(z.tuple([z.number().int().min(0).max(KEY_SPACE - 1), z.number().int().min(-1), z.number().int().min(-1)]))
+  ranges: z.array(z.tuple([z.int().check(z.gte(0), z.lte(KEY_SPACE - 1)), z.int().check(z.gte(-1)), z.int().check(z.gte(-1))]))
 })
 
 /**
--- a/src/relay/relay_directory.ts
+++ b/src/relay/relay_directory.ts
@@ -7,8 +7,7 @@
  * reuses its connections and knows all requests in flight at the server.
  */
 import { createGroupFailureDetector, type Relay, type RelaySelector } from '../gateway/mod.ts'
-import type { RoutedServer } from '../routing/mod.ts'
-import { hashText } from '../slices/slice_of_key.ts'
+import { rendezvousRank, type RoutedServer } from '../routing/mod.ts'
 
 /** A host that can relay requests. */
 export interface RelayHost {
@@ -34,9 +33,6 @@
   setHosts (hosts: readonly RelayHost[]): void
 }
 
-/** Number of values of a 32-bit hash. */
-const HASH_VALUE_COUNT = 2 ** 32
-
 /**
  * Creates a relay directory that has no hosts yet.
  *
@@ -54,7 +50,7 @@
     let best: RelayHost | null = null
     let lowestScore = Infinity
     for (const host of byZone.get(server.zone) ?? []) {
-      const score = -Math.log((hashText(`${host.host}/${server.id}`) + 0.5) / HASH_VALUE_COUNT) / host.weight
+      const score = -Math.log(rendezvousRank(host.host, server.id)) / host.weight
       if (score < lowestScore) {
         best = host
         lowestScore = score
