Bound what peers, servers and callers may send without end

Found by test on the code as it was: a server that sends interim responses without end, or switches to another protocol, held an attempt until its deadline (2,000 ms in the test); a response body without end was forwarded for as long as the caller stayed; bodies in chunks were buffered without limit and CallerLimits.bodyBytes was checked nowhere; a body that never ended kept its request open for good; responses to grants and reads of the store, lines between hosts (also inflated ones, 64 MB) had no or a far too large bound.

Ruled out by the new tests, which passed before: heads, chunk sizes and bytes without end that are no response; a second response in the same packet.

--- a/src/gateway/_exchange.ts
+++ b/src/gateway/_exchange.ts
@@ -1,6 +1,7 @@
 /** State of a request that the gateway is handling, and the decision after each attempt. */
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import type { Route } from '../routing/mod.ts'
+import type { RequestBody } from './_body_reader.ts'
 import type { AttemptRecord } from './request_record.ts'
 import type { BackendResponse } from './forward_response.ts'
 
@@ -18,7 +19,7 @@
   readonly abort: AbortController
   readonly attempts: AttemptRecord[]
   readonly triedServers: Set<string>
-  body: Buffer | IncomingMessage | null
+  body: RequestBody
   /** Whether a server may have run the request. */
   mayHaveRun: boolean
   /** Whether all further attempts go to servers directly. */
--- a/src/gateway/create_gateway.ts
+++ b/src/gateway/create_gateway.ts
@@ -88,6 +88,15 @@
     response.writeHead(status, headers).end()
   }
 
+  /** Responds to a request whose body was not read, and closes the connection, on which the rest of the body may follow. */
+  function refuseBody (exchange: Exchange, cause: 'too-long' | 'timed-out' | 'broken-off'): void {
+    if (cause === 'broken-off' || exchange.response.destroyed) return finish(exchange, 0, 'caller-broke-off')
+    const status = cause === 'too-long' ? 413 : 408
+    exchange.response.setHeader('Connection', 'close')
+    writeLocalResponse(exchange.response, status)
+    finish(exchange, status, `body-${cause}`)
+  }
+
   function remainingMs (exchange: Exchange): number {
     return exchange.deadlineAt - now()
   }
@@ -269,7 +278,7 @@
       writeLocalResponse(response, decision.status)
       return finish(exchange, decision.status, decision.reason)
     }
-    const isWhole = await forwardResponse(response, decision.outcome, { method: exchange.request.method ?? 'GET', closesConnection: options.isLeaving() })
+    const isWhole = await forwardResponse(response, decision.outcome, { method: exchange.request.method ?? 'GET', closesConnection: options.isLeaving(), signal: exchange.abort.signal })
     finish(exchange, decision.outcome.status, isWhole ? 'served' : 'answer-broke-off')
   }
 
@@ -300,9 +309,9 @@
     options.retryBudgetOf(service).deposit()
     if (key !== null && isKeyed(exchange)) options.onKeyRequested(service, key)
     try {
-      const body = await bodyReader.read(request)
-      if (body === false) return finish(exchange, 0, 'caller-broke-off')
-      exchange.body = body
+      const reading = await bodyReader.read(request, { maximumBytes: routingState.configuration()?.limits.bodyBytes ?? 0, signal: abort.signal })
+      if (reading.kind !== 'body') return refuseBody(exchange, reading.kind)
+      exchange.body = reading.body
       await runAttempts(exchange)
     } finally {
       clearTimeout(timer)
--- a/src/gateway/create_gateway_test.ts
+++ b/src/gateway/create_gateway_test.ts
@@ -1,6 +1,6 @@
 /** Tests of request handling: the statuses of responses, retries, and the effects of faults on callers. */
 import { createServer as createHttpServer, type Server } from 'node:http'
-import type { AddressInfo } from 'node:net'
+import { connect, type AddressInfo, type Socket } from 'node:net'
 import { suite } from 'uvu'
 import * as assert from 'uvu/assert'
 import { callPort, type CallerResponse, type CallPortOptions } from '../../testing/call_port.ts'
@@ -22,6 +22,8 @@
   readonly backends: readonly FakeBackend[]
   readonly records: RequestRecord[]
   call (path: string, options?: CallPortOptions): Promise<CallerResponse>
+  /** Opens a connection and passes it to `write`; resolves with all that the host has sent once the connection is closed. */
+  exchangeBytes (write: (socket: Socket) => void): Promise<string>
 }
 
 const route: Route = {
@@ -54,7 +56,15 @@
       routingState,
       backends,
       records,
-      call: (path, call = {}) => callPort({ port, path }, call)
+      call: (path, call = {}) => callPort({ port, path }, call),
+      exchangeBytes: (write) => new Promise((resolve) => {
+        const socket = connect(port, '127.0.0.1')
+        let received = ''
+        socket.on('data', (data) => { received += data.toString('latin1') })
+        socket.on('error', () => {})
+        socket.on('close', () => { resolve(received) })
+        write(socket)
+      })
     })
   } finally {
     server.closeAllConnections()
@@ -202,4 +212,91 @@
   }, { keyed: true })
 })
 
+/** Head of a POST request whose body is sent in chunks. */
+const CHUNKED_HEAD = 'POST /once/x HTTP/1.1\r\nHost: one.example\r\nX-Attempt: a1\r\nX-Deadline: 2000\r\nTransfer-Encoding: chunked\r\n\r\n'
+
+/** Writes 64 KiB chunks of a body, without end or until `total` bytes have been written. */
+function writeChunks (socket: Socket, total = Infinity): void {
+  const bytes = 64 * 1024
+  let written = 0
+  const timer = setInterval(() => {
+    while (written < total && socket.writableLength < 4 * bytes) {
+      socket.write(`${bytes.toString(16)}\r\n${'x'.repeat(bytes)}\r\n`)
+      written += bytes
+    }
+    if (written < total) return
+    clearInterval(timer)
+    socket.write('0\r\n\r\n')
+  }, 1)
+  socket.on('close', () => { clearInterval(timer) })
+}
+
+test('handle() responds with 413 and sends nothing, when the stated length of a body exceeds the limit', async () => {
+  await withGateway([respondWithPath], async ({ exchangeBytes, backends }) => {
+    const received = await exchangeBytes((socket) => { socket.write('POST /once/x HTTP/1.1\r\nHost: one.example\r\nX-Attempt: a1\r\nContent-Length: 1000001\r\n\r\n') })
+    assert.match(received, /^HTTP\/1\.1 413 /)
+    assert.is(backends[0]?.requests.length, 0)
+  })
+})
+
+test('handle() responds with 413, sends nothing and buffers no more than the limit, when a body in chunks has no end', async () => {
+  await withGateway([respondWithPath], async ({ exchangeBytes, backends }) => {
+    const before = process.memoryUsage().arrayBuffers
+    const received = await exchangeBytes((socket) => {
+      socket.write(CHUNKED_HEAD)
+      writeChunks(socket)
+      setTimeout(() => { socket.destroy() }, 800)
+    })
+    assert.match(received, /^HTTP\/1\.1 413 /)
+    assert.is(backends[0]?.requests.length, 0)
+    assert.ok(process.memoryUsage().arrayBuffers - before < 16 * 1024 * 1024)
+  })
+})
+
+test('handle() streams a body in chunks that is too long to be buffered, and aborts it once it exceeds the limit', async () => {
+  await withGateway([respondWithPath], async ({ exchangeBytes, backends, routingState }) => {
+    routingState.applyConfiguration({ ...configuration, version: 2, limits: { ...configuration.limits, bodyBytes: 3 * 1024 * 1024 } })
+    const received = await exchangeBytes((socket) => {
+      socket.write(CHUNKED_HEAD)
+      writeChunks(socket, 2 * 1024 * 1024)
+      setTimeout(() => { socket.end() }, 400)
+    })
+    assert.match(received, /^HTTP\/1\.1 200 /)
+    assert.is(backends[0]?.requests[0]?.body.length, 2 * 1024 * 1024)
+    const aborted = await exchangeBytes((socket) => {
+      socket.write(CHUNKED_HEAD)
+      writeChunks(socket)
+      setTimeout(() => { socket.destroy() }, 500)
+    })
+    assert.match(aborted, /^HTTP\/1\.1 502 /)
+    assert.is(backends[0]?.requests.length, 1)
+  })
+})
+
+test('handle() responds with 408 at the timeout of the route, when the rest of a body does not arrive', async () => {
+  await withGateway([respondWithPath], async ({ exchangeBytes, backends }) => {
+    const startedAt = performance.now()
+    const received = await exchangeBytes((socket) => { socket.write(`${CHUNKED_HEAD}5\r\nhello\r\n`) })
+    assert.match(received, /^HTTP\/1\.1 408 /)
+    assert.is(backends[0]?.requests.length, 0)
+    assert.ok(performance.now() - startedAt < 1100)
+  })
+})
+
+test('handle() closes the connections of caller and server at the timeout of the route, when the body of a response has no end', async () => {
+  const respondWithoutEnd: BackendHandler = (request, response) => {
+    response.writeHead(200, { [TEST_HEADER_NAMES.attemptId]: request.id, [TEST_HEADER_NAMES.signature]: 'signed' })
+    const timer = setInterval(() => { if (response.writableLength < 1_000_000) response.write('x'.repeat(256 * 1024)) }, 5)
+    response.on('close', () => { clearInterval(timer) })
+  }
+  await withGateway([respondWithoutEnd], async ({ call, backends, records }) => {
+    const startedAt = performance.now()
+    await call('/lookups/x', { abortAfterMs: 1500 }).then(() => assert.unreachable(), () => {})
+    assert.ok(performance.now() - startedAt < 1100)
+    await new Promise((resolve) => { setTimeout(resolve, 100) })
+    assert.equal(backends[0]?.abandonedRequestIds, ['a1'])
+    assert.is(records[0]?.reason, 'answer-broke-off')
+  })
+})
+
 test.run()
--- a/src/gateway/forward_response.ts
+++ b/src/gateway/forward_response.ts
@@ -12,6 +12,8 @@
   readonly method: string
   /** Whether the connection is closed after the response. */
   readonly closesConnection: boolean
+  /** Ends a response that is still being received: a server may send a body without end. */
+  readonly signal: AbortSignal
 }
 
 /**
@@ -42,6 +44,9 @@
   })
   response.on('drain', () => { backendResponse.rest.resume() })
   backendResponse.rest.resume()
+  const abort = (): void => { backendResponse.rest.destroy() }
+  options.signal.addEventListener('abort', abort)
+  if (options.signal.aborted) abort()
   await new Promise<void>((resolve) => {
     backendResponse.rest.on('close', () => {
       if (backendResponse.rest.complete) response.end()
@@ -50,5 +55,6 @@
     })
     response.on('close', () => { backendResponse.rest.destroy(); resolve() })
   })
+  options.signal.removeEventListener('abort', abort)
   return backendResponse.rest.complete
 }
--- a/src/gateway/send_attempt.ts
+++ b/src/gateway/send_attempt.ts
@@ -1,6 +1,7 @@
 /** Sends a request to one backend server and reports whether it has run, has not run, or may have run. */
 import { request as startRequest, type Agent, type ClientRequest, type IncomingMessage } from 'node:http'
 import type { RoutedServer } from '../routing/mod.ts'
+import type { RequestBody, StreamedBody } from './_body_reader.ts'
 import type { HeaderNames } from './header_names.ts'
 import { RelayHeader, RelayRefusal } from './relay_selector.ts'
 
@@ -12,8 +13,7 @@
   readonly path: string
   /** Headers as alternating names and values. */
   readonly headers: readonly string[]
-  /** The whole body, or the caller's request as a stream if the body is too long to be buffered. */
-  readonly body: Buffer | IncomingMessage | null
+  readonly body: RequestBody
   readonly deadlineMs: number
   readonly signal: AbortSignal
   /** Relay that the request is sent through, and the latency goal that is sent to it, in milliseconds; if absent, the request goes to the server directly. */
@@ -44,6 +44,9 @@
 /** Maximum length of a response that is buffered before it is forwarded, in bytes; if a shorter one is incomplete, the request can be retried. */
 const MAXIMUM_BUFFERED_RESPONSE_BYTES = 512 * 1024
 
+/** Maximum number of interim responses (status 1xx) before the final one: more than any server has a reason to send. */
+const MAXIMUM_INTERIM_RESPONSES = 8
+
 /**
  * Sends a request.
  *
@@ -62,6 +65,7 @@
     if (relay !== undefined) headers.push(RelayHeader.goalMs, String(relay.goalMs))
     let connected = false
     let settled = false
+    let interimResponses = 0
     const request = startRequest({ agent: options.agent, host, port, method: attempt.method, path: attempt.path, headers: headers as unknown as Record<string, string>, setHost: false })
     const connectTimer = setTimeout(() => { if (!connected) request.destroy(new Error('Connection timed out')) }, options.connectTimeoutMs ?? 400)
 
@@ -88,6 +92,14 @@
       if (socket.connecting) socket.once('connect', () => { connected = true; clearTimeout(connectTimer) })
       else connected = true
     })
+    request.on('information', () => {
+      interimResponses++
+      if (interimResponses > MAXIMUM_INTERIM_RESPONSES) request.destroy(new Error(`The server sent more than ${MAXIMUM_INTERIM_RESPONSES} interim responses`))
+    })
+    request.on('upgrade', (_response, socket) => {
+      socket.destroy()
+      settle({ kind: 'lost', detail: 'The server switched to another protocol', aborted: false })
+    })
     request.on('response', (response) => {
       // After the attempt is settled, forwardResponse() detects an incomplete stream when it closes.
       response.on('error', (error) => { settle({ kind: 'lost', detail: error.message, aborted: false }) })
@@ -111,13 +123,15 @@
       readResponse(request, response, settle)
     })
     if (attempt.body === null || Buffer.isBuffer(attempt.body)) request.end(attempt.body ?? undefined)
-    else attempt.body.pipe(request)
+    else {
+      attempt.body.stream.on('error', (error) => { request.destroy(error) })
+      attempt.body.stream.pipe(request)
+    }
   })
 }
 
-function framingHeaders (body: IncomingMessage): string[] {
-  const length = body.headers['content-length']
-  return length === undefined ? ['Transfer-Encoding', 'chunked'] : ['Content-Length', length]
+function framingHeaders (body: StreamedBody): string[] {
+  return body.contentLength === undefined ? ['Transfer-Encoding', 'chunked'] : ['Content-Length', body.contentLength]
 }
 
 /** Outcome of a request that a relay did not forward; `null` if the response is the server's. */
--- a/src/gateway/send_attempt_test.ts
+++ b/src/gateway/send_attempt_test.ts
@@ -1,7 +1,9 @@
 /** Tests of the outcomes of attempts, against servers that violate the protocol. */
 import { createServer, type AddressInfo, type Server, type Socket } from 'node:net'
+import fc from 'fast-check'
 import { suite } from 'uvu'
 import * as assert from 'uvu/assert'
+import { propertyParameters } from '../../testing/arbitrary_steps.ts'
 import type { HeaderNames } from './header_names.ts'
 import { sendAttempt, type AttemptOutcome } from './send_attempt.ts'
 import { createServerAgent } from './server_agent.ts'
@@ -45,6 +47,29 @@
   return `HTTP/1.1 200 OK\r\nX-Attempt: ${id}\r\nX-Signature: s\r\n${extra}Content-Length: ${body.length}\r\n\r\n${body}`
 }
 
+/** Writes `head`, then `part` again and again until the connection closes. */
+function sendWithoutEnd (socket: Socket, head: string, part: string): void {
+  socket.write(head)
+  const timer = setInterval(() => { if (socket.writableLength < 1_000_000) socket.write(part) }, 1)
+  socket.on('close', () => { clearInterval(timer) })
+}
+
+/** Asserts that an attempt ends as lost at once, and that the server's connection closes. */
+async function expectClosed (respond: (socket: Socket) => void): Promise<void> {
+  let closed = false
+  await withServer((socket) => {
+    socket.on('close', () => { closed = true })
+    respond(socket)
+  }, async (send) => {
+    const startedAt = performance.now()
+    assert.is((await send()).kind, 'lost')
+    const tookMs = performance.now() - startedAt
+    assert.ok(tookMs < 200, `${tookMs} ms`)
+    await new Promise((resolve) => { setTimeout(resolve, 100) })
+    assert.ok(closed, 'The connection is still open')
+  })
+}
+
 test('sendAttempt() returns the whole response, when the server responds', async () => {
   await withServer((socket) => { socket.write(responseText('a1', 'whole')) }, async (send) => {
     const outcome = await send()
@@ -139,4 +164,50 @@
   })
 })
 
+test('sendAttempt() does not return a second response for the next request, when both arrive in one packet', async () => {
+  await withServer((socket, count) => {
+    socket.write(responseText(`a${count}`, 'first') + (count === 1 ? responseText('a1', 'second') : ''))
+  }, async (send) => {
+    const first = await send('a1')
+    assert.is(first.kind === 'answer' && first.body.toString(), 'first')
+    const next = await send('a2')
+    assert.is(next.kind === 'answer' && next.body.toString(), 'first')
+  })
+})
+
+test('sendAttempt() returns lost within 200 ms and closes the connection, when the server sends a head without end', async () => {
+  await expectClosed((socket) => sendWithoutEnd(socket, 'HTTP/1.1 200 OK\r\nX-Filler: ', 'x'.repeat(4096)))
+})
+
+test('sendAttempt() returns lost within 200 ms and closes the connection, when the server sends bytes without end that are no response', async () => {
+  await expectClosed((socket) => sendWithoutEnd(socket, '', '\u0000'.repeat(4096)))
+})
+
+test('sendAttempt() returns lost within 200 ms and closes the connection, when the server sends interim responses without end', async () => {
+  await expectClosed((socket) => sendWithoutEnd(socket, '', 'HTTP/1.1 102 Processing\r\n\r\n'.repeat(8)))
+})
+
+test('sendAttempt() returns lost within 200 ms and closes the connection, when a body without end has no signature', async () => {
+  await expectClosed((socket) => sendWithoutEnd(socket, 'HTTP/1.1 200 OK\r\nX-Attempt: a1\r\n\r\n', 'x'.repeat(4096)))
+})
+
+test('sendAttempt() returns lost within 200 ms and closes the connection, when the size of a chunk has no end', async () => {
+  await expectClosed((socket) => sendWithoutEnd(socket, 'HTTP/1.1 200 OK\r\nX-Attempt: a1\r\nX-Signature: s\r\nTransfer-Encoding: chunked\r\n\r\n1;', 'x'.repeat(4096)))
+})
+
+test('sendAttempt() returns lost within 200 ms, when the server switches to another protocol', async () => {
+  await expectClosed((socket) => { socket.write('HTTP/1.1 101 Switching Protocols\r\nConnection: upgrade\r\nUpgrade: other\r\n\r\n') })
+})
+
+test('sendAttempt() settles and never returns a response, when the server sends arbitrary bytes in place of a signed response', async () => {
+  const line = fc.constantFrom('HTTP/1.1 200 OK', 'HTTP/1.1 99 Low', 'HTTP/1.1 999 High', 'HTTP/1.0 200', 'X-Attempt: a1', 'X-Attempt: a2', 'Content-Length: 3', 'Content-Length: -1', 'Transfer-Encoding: chunked', 'Connection: upgrade', 'Upgrade: other', '', 'abc', '3', '0')
+  const bytes = fc.oneof(fc.array(line, { maxLength: 12 }).map((lines) => Buffer.from(lines.join('\r\n') + '\r\n')), fc.uint8Array({ maxLength: 300 }).map((array) => Buffer.from(array)))
+  await fc.assert(fc.asyncProperty(bytes, async (response) => {
+    await withServer((socket) => { socket.end(response) }, async (send) => {
+      const { kind } = await send()
+      assert.ok(kind === 'lost' || kind === 'unsent', kind)
+    })
+  }), propertyParameters(60))
+})
+
 test.run()
--- a/src/http_call/create_http_client.ts
+++ b/src/http_call/create_http_client.ts
@@ -31,19 +31,25 @@
 export interface HttpClientOptions {
   /** Maximum connections to one address. Default: 8. */
   readonly connections?: number
+  /** Maximum length of a response, in bytes; a longer one counts as lost. Default: 16 MiB. */
+  readonly maximumResponseBytes?: number
 }
 
 /** Maximum duration of a call, as a multiple of its maximum time without response data. */
 const MAXIMUM_DURATION_FACTOR = 4
 
+/** Default maximum length of a response, in bytes: several pages of the store, and little of a host's memory. */
+const DEFAULT_MAXIMUM_RESPONSE_BYTES = 16 * 1024 * 1024
+
 /**
  * Creates an HTTP client.
  *
- * @param options Connection limit.
+ * @param options Limits of connections and responses.
  * @returns The client; its calls never throw.
  */
 export function createHttpClient (options: HttpClientOptions = {}): HttpClient {
   const agent = new Agent({ keepAlive: true, maxSockets: options.connections ?? 8, scheduling: 'lifo' })
+  const maximumResponseBytes = options.maximumResponseBytes ?? DEFAULT_MAXIMUM_RESPONSE_BYTES
 
   return {
     call: (call) => new Promise((resolve) => {
@@ -56,13 +62,15 @@
         path: call.path,
         headers: call.body === undefined ? call.headers : { ...call.headers, 'content-length': Buffer.byteLength(call.body) }
       })
-      function abort (): void {
+      function abort (cause: string): void {
         // Without a reset, data delayed by a network partition would still be delivered after the partition ends.
         if (request.socket?.connecting === false) request.socket.resetAndDestroy()
-        request.destroy(new Error(`No response within ${call.timeoutMs} ms`))
+        end({ kind: 'lost', detail: cause })
+        request.destroy()
       }
-      const inactivityTimer = setTimeout(abort, call.timeoutMs)
-      const durationTimer = setTimeout(abort, call.timeoutMs * MAXIMUM_DURATION_FACTOR)
+      const abortLate = (): void => { abort(`No response within ${call.timeoutMs} ms`) }
+      const inactivityTimer = setTimeout(abortLate, call.timeoutMs)
+      const durationTimer = setTimeout(abortLate, call.timeoutMs * MAXIMUM_DURATION_FACTOR)
       function end (outcome: HttpCallOutcome): void {
         clearTimeout(inactivityTimer)
         clearTimeout(durationTimer)
@@ -70,8 +78,11 @@
       }
       request.on('response', (response) => {
         const parts: Buffer[] = []
+        let bytes = 0
         response.on('data', (part: Buffer) => {
           parts.push(part)
+          bytes += part.length
+          if (bytes > maximumResponseBytes) return abort(`The response is longer than ${maximumResponseBytes} bytes`)
           inactivityTimer.refresh()
         })
         response.on('end', () => {
--- a/src/http_call/create_http_client_test.ts
+++ b/src/http_call/create_http_client_test.ts
@@ -2,11 +2,11 @@
 import { createServer, type AddressInfo, type Socket } from 'node:net'
 import { suite } from 'uvu'
 import * as assert from 'uvu/assert'
-import { createHttpClient, type HttpCallOutcome } from './create_http_client.ts'
+import { createHttpClient, type HttpCallOutcome, type HttpClientOptions } from './create_http_client.ts'
 
 const test = suite('createHttpClient')
 
-async function callServer (respond: (socket: Socket) => void): Promise<HttpCallOutcome | 'never ended'> {
+async function callServer (respond: (socket: Socket) => void, options: HttpClientOptions = {}): Promise<HttpCallOutcome | 'never ended'> {
   const sockets = new Set<Socket>()
   const server = createServer((socket) => {
     sockets.add(socket)
@@ -14,7 +14,7 @@
     socket.once('data', () => { respond(socket) })
   })
   await new Promise<void>((resolve) => { server.listen(0, '127.0.0.1', resolve) })
-  const client = createHttpClient()
+  const client = createHttpClient(options)
   try {
     return await Promise.race([
       client.call({ address: `127.0.0.1:${(server.address() as AddressInfo).port}`, method: 'GET', path: '/', timeoutMs: 150 }),
@@ -52,6 +52,21 @@
   assert.is(kindOf(await callServer((socket) => { socket.write('HTTP/1.1 200 OK\r\nContent-Length: 20\r\n\r\nbegin') })), 'lost')
 })
 
+test('call() returns lost and closes the connection, when a response has no end', async () => {
+  let closed = false
+  const outcome = await callServer((socket) => {
+    socket.write('HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n')
+    const timer = setInterval(() => { if (socket.writableLength < 1_000_000) socket.write(`10000\r\n${'x'.repeat(65536)}\r\n`) }, 1)
+    socket.on('close', () => {
+      closed = true
+      clearInterval(timer)
+    })
+  }, { maximumResponseBytes: 256 * 1024 })
+  assert.is(outcome !== 'never ended' && outcome.kind === 'lost' && outcome.detail, 'The response is longer than 262144 bytes')
+  await new Promise((resolve) => { setTimeout(resolve, 50) })
+  assert.ok(closed)
+})
+
 test('call() returns lost, when a response ends early or the connection is reset', async () => {
   assert.is(kindOf(await callServer((socket) => { socket.end('HTTP/1.1 200 OK\r\nContent-Length: 20\r\n\r\nbegin') })), 'lost')
   assert.is(kindOf(await callServer((socket) => { socket.write('HTTP/1.1 200 OK\r\nContent-Length: 20\r\n\r\nbegin', () => { socket.resetAndDestroy() }) })), 'lost')
--- a/src/relay/create_relay.ts
+++ b/src/relay/create_relay.ts
@@ -78,22 +78,22 @@
       method: request.method ?? 'GET',
       path: request.url ?? '/',
       headers: withoutRelayHeaders(requestHeaders(request.rawHeaders, names)),
-      body: request.headers['content-length'] === undefined && request.headers['transfer-encoding'] === undefined ? null : request,
+      body: request.headers['content-length'] === undefined && request.headers['transfer-encoding'] === undefined ? null : { stream: request, contentLength: request.headers['content-length'] },
       deadlineMs: remainingMs,
       signal: abort.signal
     }, { agent: options.agent, names })
     const durationMs = now() - startedAt
-    clearTimeout(timer)
     end(toLoadOutcome(outcome, durationMs))
-    await sendOutcome(response, { outcome, server, method: request.method ?? 'GET' })
+    await sendOutcome(response, { outcome, server, method: request.method ?? 'GET', signal: abort.signal })
+    clearTimeout(timer)
     response.off('close', onClose)
     record(request, { server, outcome, durationMs, inFlight, expectedMs })
   }
 
   /** Reports the outcome of a request to the host that sent it. */
-  async function sendOutcome (response: ServerResponse, { outcome, server, method }: { readonly outcome: AttemptOutcome, readonly server: RoutedServer, readonly method: string }): Promise<void> {
+  async function sendOutcome (response: ServerResponse, { outcome, server, method, signal }: { readonly outcome: AttemptOutcome, readonly server: RoutedServer, readonly method: string, readonly signal: AbortSignal }): Promise<void> {
     if (outcome.kind === 'answer' || outcome.kind === 'stream') {
-      await forwardResponse(response, outcome, { method, closesConnection: false })
+      await forwardResponse(response, outcome, { method, closesConnection: false, signal })
     } else if (outcome.kind === 'unsent') {
       refuse(response, RelayRefusal.unreachable)
     } else if (outcome.kind === 'lost') {
--- a/src/replication/encode_message.ts
+++ b/src/replication/encode_message.ts
@@ -8,8 +8,8 @@
 /** Minimum length of texts that are compressed, in characters: compressing shorter ones saves too little for its cost. */
 const COMPRESSION_THRESHOLD = 2048
 
-/** Maximum size of a decompressed text, in bytes; configurations and plans are far shorter. */
-const MAXIMUM_DECOMPRESSED_BYTES = 64 * 1024 * 1024
+/** Maximum size of a decompressed text, in bytes: many times a configuration of thousands of routes, and little of a host's memory. */
+const MAXIMUM_DECOMPRESSED_BYTES = 16 * 1024 * 1024
 
 /** Prefix of a compressed text; JSON objects begin with a brace. */
 const COMPRESSED_PREFIX = 'z'
--- a/src/replication/encode_message_test.ts
+++ b/src/replication/encode_message_test.ts
@@ -1,4 +1,5 @@
 /** Tests of the encoding of messages. */
+import { deflateRawSync } from 'node:zlib'
 import fc from 'fast-check'
 import { suite } from 'uvu'
 import * as assert from 'uvu/assert'
@@ -26,4 +27,8 @@
   assert.throws(() => decodeMessage('{"kind":'))
 })
 
+test('decodeMessage() throws, when a short line decompresses to more than the limit', () => {
+  assert.throws(() => decodeMessage(`z${deflateRawSync(Buffer.alloc(32 * 1024 * 1024)).toString('base64')}`), /larger than/)
+})
+
 test.run()
--- a/src/replication/messages.ts
+++ b/src/replication/messages.ts
@@ -1,6 +1,6 @@
 /** Messages between the leading host and the other hosts: one message per line over TCP. */
 import type { Socket } from 'node:net'
-import { createInterface } from 'node:readline'
+import split from 'split2'
 import type { ServerSample } from '../gateway/server_loads.ts'
 import type { ListChange } from '../list_change/mod.ts'
 import type { RelayHost } from '../relay/mod.ts'
@@ -40,6 +40,9 @@
     readonly keys: ReadonlyArray<readonly [service: string, counts: ReadonlyArray<readonly [key: number, requests: number]>]>
   }
 
+/** Maximum length of a line, in characters: a compressed configuration of thousands of routes has a small part of it. */
+const MAXIMUM_LINE_LENGTH = 1024 * 1024
+
 /**
  * Writes a message, unless the connection has been closed.
  *
@@ -51,20 +54,20 @@
 }
 
 /**
- * Calls `onMessage` for each message of a connection; a line that is not a valid message closes the connection.
+ * Calls `onMessage` for each message of a connection. A line that is too long or not a valid message closes the connection.
  *
  * @param socket The connection.
  * @param onMessage Called for each message.
  */
 export function readMessages (socket: Socket, onMessage: (message: unknown) => void): void {
-  const lines = createInterface({ input: socket, crlfDelay: Infinity })
-  lines.on('line', (line) => {
+  const lines = split({ maxLength: MAXIMUM_LINE_LENGTH })
+  lines.on('data', (line: string) => {
     try {
       onMessage(decodeMessage(line))
     } catch (error) {
       socket.destroy(error instanceof Error ? error : new Error(String(error)))
     }
   })
-  // Ignored because the interface only repeats the socket's errors, which the socket's owner logs.
-  lines.on('error', () => {})
+  lines.on('error', (error) => { socket.destroy(error) })
+  socket.pipe(lines)
 }
