Start a deployment with one read of the store for each host, and encode what all hosts get once

Small hosts read the lease each 350 ms until a larger one has claimed it.

Change: while a deployment starts for the first time, which the platform says in its settings, small hosts look for a leader 0.6 s later, and hosts that have found one wait for it (a claimable lease ends the wait). A process that restarts on its own reads the store at once, as before. Configuration, servers, owners and relays for newly connected hosts are the same objects, encoded once; a change of owners discards them. The order in which a host uses the servers of a large service is computed once for each list and not for each request.

Ruled out: discovery through the seeds of the settings; it needs a listener of its own on each host for what one read does.

--- a/src/entry_host/_task_timing.ts
+++ b/src/entry_host/_task_timing.ts
@@ -22,6 +22,12 @@
   leaderCheckIntervalMs: 100,
   /** Time within which a reachable leader sends its first message: connection setup, initial updates and one interval between its messages. */
   firstMessageTimeoutMs: 350,
+  /** The same while a deployment starts for the first time: the leader then reads everything, and sends it to all hosts at once. */
+  firstStartTimeoutMs: 4000,
+  /** Delay before small hosts look for a leader while a deployment starts for the first time: by then a larger host leads. */
+  firstStartDelayMs: 600,
+  /** Interval at which a host that has just connected checks for a heartbeat. */
+  heartbeatCheckIntervalMs: 25,
   /** Range of the random delay before hosts that start together look for a leader, so that few claim a free lease. */
   startJitterMs: 300,
   /** Range of the random delay before hosts claim an expired lease. */
--- a/src/entry_host/create_coordinator.ts
+++ b/src/entry_host/create_coordinator.ts
@@ -13,6 +13,7 @@
 import type { RoutedServer } from '../routing/mod.ts'
 import { createLoadAggregator, type LoadAggregator, type ReportingHost } from './load_aggregator.ts'
 import { encodeViews, encodeOwnersUpdate } from './encode_updates.ts'
+import { createInitialUpdates } from './initial_updates.ts'
 
 /** Key prefix of the rows that store plans; followed by the name of the service. */
 export const PLAN_PREFIX = 'plan/'
@@ -85,6 +86,7 @@
   let loads: LoadAggregator = createLoadAggregator()
   /** View of each server as it was last published. */
   const publishedViews = new Map<string, ServerView>()
+  const initialUpdates = createInitialUpdates(routingState)
   let active = false
   let tokenCount = 0
   let planning = false
@@ -107,6 +109,7 @@
       nextToken,
       publish (changes) {
         if (!active) return
+        initialUpdates.invalidateOwners()
         options.onOwnerChanges(service, changes)
         options.publish(encodeOwnersUpdate({ service, changes }, now()))
       },
@@ -192,6 +195,7 @@
   return {
     async takeOver () {
       rangeControllers.clear()
+      initialUpdates.invalidateOwners()
       loads = createLoadAggregator()
       tokenCount = 0
       const rows = await options.table.changes(PLAN_PREFIX, 0)
@@ -251,15 +255,7 @@
       for (const [server, view] of changed) publishedViews.set(server, view)
       return encodeViews(changed)
     },
-    initialUpdates (host) {
-      const configuration = routingState.configuration()
-      const isNewer = configuration !== null && configuration.version > host.version
-      return [
-        ...(isNewer ? [{ kind: 'configuration', configuration } as const] : []),
-        ...(host.servers === routingState.serversDigest() ? [] : [{ kind: 'servers', servers: routingState.servers() } as const]),
-        ...ownersUpdates()
-      ]
-    },
+    initialUpdates: (host) => initialUpdates.forHost(host, { ownersUpdates, now: now() }),
     ownersUpdates
   }
 }
--- a/src/entry_host/create_entry_host.ts
+++ b/src/entry_host/create_entry_host.ts
@@ -39,6 +39,8 @@
   readonly readinessAddress: string
   readonly peerPort: number
   readonly graceMs: number
+  /** Whether the whole deployment starts for the first time. */
+  readonly isFirstStart: boolean
   readonly retryRatio: number
   readonly retrySlack: number
   readonly maximumGrantDurationMs: number
@@ -174,6 +176,7 @@
     address: `${settings.ip}:${settings.peerPort}`,
     // Hosts with little processor time or a slow link lead only if no other host claims the lease first.
     isSmall: settings.processorShare < SMALL_PROCESSOR_SHARE || settings.linkMegabits < SMALL_LINK_MEGABITS,
+    isFirstStart: settings.isFirstStart,
     routingState,
     leadership,
     coordinator,
--- a/src/entry_host/create_leadership_controller.ts
+++ b/src/entry_host/create_leadership_controller.ts
@@ -22,6 +22,8 @@
   readonly address: string
   /** Whether this host delays its claim, so that larger hosts claim the lease first. */
   readonly isSmall: boolean
+  /** Whether the whole deployment starts for the first time: callers come later, so hosts wait for the leader to send what it reads instead of each reading the store. */
+  readonly isFirstStart: boolean
   readonly routingState: RoutingState
   readonly leadership: Leadership
   readonly coordinator: Coordinator
@@ -101,13 +103,19 @@
     await coordinator.plan()
   }
 
+  /** Waits until a recent heartbeat has arrived, for at most `timeoutMs`. */
+  async function waitForHeartbeat (timeoutMs: number): Promise<void> {
+    const until = now() + timeoutMs
+    while (!leaderMonitor.isFresh() && !leadership.mayClaim() && !options.isLeaving() && now() < until) await pause(TaskTiming.heartbeatCheckIntervalMs)
+  }
+
   /** Follows the holder of the lease; returns whether its heartbeats are recent, so that this host does not have to read the store itself. */
   async function followLeader (): Promise<boolean> {
     recordProcessAt(options.address, holder)
     const lease = leadership.lease()
     if (lease === null || lease.holder === holder || lease.released || leadership.mayClaim()) return false
     const isNewConnection = leaderConnection.follow(lease.address)
-    if (isNewConnection) await pause(TaskTiming.firstMessageTimeoutMs)
+    if (isNewConnection) await waitForHeartbeat(options.isFirstStart && routingState.configuration() === null ? TaskTiming.firstStartTimeoutMs : TaskTiming.firstMessageTimeoutMs)
     return leaderMonitor.isFresh()
   }
 
@@ -137,6 +145,7 @@
     recordProcessAt,
     async run (signal) {
       let pauseMs = 0
+      if (options.isFirstStart && options.isSmall) await pause(TaskTiming.firstStartDelayMs)
       while (!signal.aborted) {
         if (leading) {
           await reader.readPublished()
--- a/src/entry_host/create_leadership_controller_test.ts
+++ b/src/entry_host/create_leadership_controller_test.ts
@@ -36,7 +36,7 @@
   }
 }
 
-function createHost (rows: Map<string, TableRow>, options: { readonly isSmall?: boolean } = {}): Host {
+function createHost (rows: Map<string, TableRow>, options: { readonly isSmall?: boolean, readonly isFirstStart?: boolean } = {}): Host {
   const table = createTable(rows)
   const now = (): number => performance.now()
   const leadership = createLeadership({ table, logger, holder: 'h1/1', address: 'h1:1', now, wallClock: () => Date.now() })
@@ -63,6 +63,7 @@
     holder: 'h1/1',
     address: 'h1:1',
     isSmall: options.isSmall ?? false,
+    isFirstStart: options.isFirstStart ?? false,
     routingState: createRoutingState(),
     leadership,
     coordinator,
@@ -118,6 +119,27 @@
   assert.equal(host.reads, ['lease'])
 })
 
+test('run() reads the lease once and nothing else, when a whole deployment starts and the leader takes a second to send its first heartbeat', async () => {
+  const rows = new Map([[LEASE_KEY, { key: LEASE_KEY, revision: 3, value: { holder: 'h2/1', address: 'h2:1', released: false } }]])
+  const host = createHost(rows, { isFirstStart: true, isSmall: true })
+  let heartbeats: NodeJS.Timeout | undefined
+  setTimeout(() => {
+    heartbeats = setInterval(() => {
+      host.leaderMonitor.recordHeartbeat({ kind: 'beat', storeAgeMs: 10, lease: { revision: 3, value: null }, leading: true, complete: false, intervalMs: 120, hosts: 2, views: [] }, 'h2:1')
+    }, 50)
+  }, 1600)
+  await runFor(host, 2000)
+  clearInterval(heartbeats)
+  assert.equal(host.reads, ['lease'])
+})
+
+test('run() reads configuration, servers and plans at once, when its process restarts and the leader sends no heartbeat', async () => {
+  const rows = new Map([[LEASE_KEY, { key: LEASE_KEY, revision: 3, value: { holder: 'h2/1', address: 'h2:1', released: false } }]])
+  const host = createHost(rows)
+  await runFor(host, 500)
+  assert.equal(host.reads.slice(0, 3), ['lease', 'published', 'plans'])
+})
+
 test('run() claims the lease, when its holder has released it', async () => {
   const rows = new Map([[LEASE_KEY, { key: LEASE_KEY, revision: 3, value: { holder: 'h2/1', address: 'h2:1', released: true } }]])
   const host = createHost(rows)
--- a/src/entry_host/create_state_publisher.ts
+++ b/src/entry_host/create_state_publisher.ts
@@ -68,7 +68,7 @@
   let leadingSince = -Infinity
   /** Largest number of hosts connected at the same time since this host became leader, itself included. */
   let peakHosts = 1
-  let publishedRelays: string | null = null
+  let publishedRelays: { readonly text: string, readonly update: Update } | null = null
 
   function collectReport (): Extract<Report, { readonly kind: 'report' }> {
     const keys = [...keyCounts].map(([service, counts]) => [service, [...counts]] as const)
@@ -81,10 +81,10 @@
     if (now() - leadingSince < TaskTiming.relayDiscoveryMs) return
     const hosts = peerServer.relays().sort((left, right) => left.host < right.host ? -1 : 1)
     const text = hosts.map((relay) => `${relay.host} ${relay.address}`).join()
-    if (text === publishedRelays) return
-    publishedRelays = text
+    if (text === publishedRelays?.text) return
+    publishedRelays = { text, update: { kind: 'relays', hosts } }
     options.relays.setHosts(hosts)
-    peerServer.publish({ kind: 'relays', hosts })
+    peerServer.publish(publishedRelays.update)
   }
 
   /** As the leader, publishes the totals of all hosts in a heartbeat. */
@@ -133,6 +133,6 @@
       peakHosts = 1
       publishedRelays = null
     },
-    relaysUpdates: () => publishedRelays === null ? [] : [{ kind: 'relays', hosts: peerServer.relays() }]
+    relaysUpdates: () => publishedRelays === null ? [] : [publishedRelays.update]
   }
 }
--- a/src/gateway/choose_server.ts
+++ b/src/gateway/choose_server.ts
@@ -47,7 +47,7 @@
  * @returns The server, or `null` if every server has been tried.
  */
 export function chooseServer (servers: readonly RoutedServer[], options: ChooseServerOptions): RoutedServer | null {
-  const untried = servers.filter((server) => !options.tried.has(server.id))
+  const untried = rankServers(servers, options.host).filter((server) => !options.tried.has(server.id))
   const responsive = untried.filter((server) => !options.loads.isUnresponsive(server))
   const candidates = preferSameZone(selectSubset(responsive.length > 0 ? responsive : untried, options), options)
   let best: RoutedServer | null = null
@@ -64,16 +64,28 @@
   return best
 }
 
+/** Lists of servers in the order of a host, by the list they were made from. */
+const rankedLists = new WeakMap<readonly RoutedServer[], { readonly host: string, readonly ranked: readonly RoutedServer[] }>()
+
+/** Returns the servers of a large service in this host's own order, which is computed once for each list; other lists are returned unchanged. */
+function rankServers (servers: readonly RoutedServer[], host: string): readonly RoutedServer[] {
+  if (servers.length <= LARGE_SERVICE_SERVERS) return servers
+  const known = rankedLists.get(servers)
+  if (known?.host === host) return known.ranked
+  const ranked = servers.map((server) => ({ server, rank: rendezvousRank(host, server.id) })).sort((left, right) => left.rank - right.rank).map(({ server }) => server)
+  rankedLists.set(servers, { host, ranked })
+  return ranked
+}
+
 /**
  * Selects this host's subset of the servers of a large service, so that
  * connections are reused before their idle timeout. Returns all servers while
- * the subset has no free slot.
+ * the subset has no free slot. The servers are in the host's own order.
  */
 function selectSubset (servers: readonly RoutedServer[], options: ChooseServerOptions): readonly RoutedServer[] {
   if (servers.length <= LARGE_SERVICE_SERVERS) return servers
-  const ranked = servers.map((server) => ({ server, rank: rendezvousRank(options.host, server.id) })).sort((left, right) => left.rank - right.rank).map(({ server }) => server)
-  const sameZone = ranked.filter((server) => server.zone === options.zone).slice(0, SAME_ZONE_SUBSET_SERVERS)
-  const otherZones = ranked.filter((server) => server.zone !== options.zone).slice(0, OTHER_ZONES_SUBSET_SERVERS)
+  const sameZone = servers.filter((server) => server.zone === options.zone).slice(0, SAME_ZONE_SUBSET_SERVERS)
+  const otherZones = servers.filter((server) => server.zone !== options.zone).slice(0, OTHER_ZONES_SUBSET_SERVERS)
   const subset = [...sameZone, ...otherZones]
   return subset.some((server) => options.loads.inFlight(server.id) < server.slots) ? subset : servers
 }
--- a/src/replication/peer_server.ts
+++ b/src/replication/peer_server.ts
@@ -3,7 +3,7 @@
 import type { Logger } from '../logging/mod.ts'
 import type { RelayHost } from '../relay/mod.ts'
 import { encodeMessage } from './encode_message.ts'
-import { readMessages, writeMessage, type Report, type Update } from './messages.ts'
+import { readMessages, type Report, type Update } from './messages.ts'
 
 /** A host that has connected and identified itself. */
 export interface ConnectedHost {
@@ -20,7 +20,7 @@
 /** Options of {@link createPeerServer}. */
 export interface PeerServerOptions {
   readonly logger: Logger
-  /** Returns the updates to send to a host that has just connected. */
+  /** Returns the updates to send to a host that has just connected; an update that is returned again is encoded once. */
   readonly initialUpdates: (host: ConnectedHost) => readonly Update[]
   readonly onReport: (host: ConnectedHost, report: Extract<Report, { readonly kind: 'report' }>) => void
   readonly onHostDisconnected: (host: string) => void
@@ -49,6 +49,16 @@
  */
 export function createPeerServer (options: PeerServerOptions): PeerServer {
   const peers = new Map<Socket, ConnectedHost>()
+  /** Lines of updates that are sent to many hosts; compressing a long one takes milliseconds. */
+  const encodedLines = new WeakMap<Update, string>()
+
+  function encodeLine (update: Update): string {
+    const known = encodedLines.get(update)
+    if (known !== undefined) return known
+    const line = `${encodeMessage(update)}\n`
+    encodedLines.set(update, line)
+    return line
+  }
 
   function closeConnection (socket: Socket): void {
     const host = peers.get(socket)
@@ -65,7 +75,7 @@
       if (report.kind === 'hello') {
         const host = { name: report.host, zone: report.zone, version: report.version, servers: report.servers, relay: report.relay }
         peers.set(socket, host)
-        for (const update of options.initialUpdates(host)) writeMessage(socket, update)
+        for (const update of options.initialUpdates(host)) if (!socket.destroyed) socket.write(encodeLine(update))
         return
       }
       const host = peers.get(socket)
@@ -78,10 +88,10 @@
   return {
     server,
     publish (update) {
-      const text = `${encodeMessage(update)}\n`
+      const line = encodeLine(update)
       for (const [socket] of peers) {
         if (socket.writableLength > MAXIMUM_BUFFERED_BYTES) closeConnection(socket)
-        else socket.write(text)
+        else socket.write(line)
       }
     },
     disconnect () { for (const [socket] of [...peers]) closeConnection(socket) },
