Count a request as pending until its response is sent; spend no retry that is not made

In the soak, start() of a host that runs started a second process that the run did not know of.

Change: gateway and relay wait until a response has been handed to the network; the budget is asked last; start() leaves a running process alone.

Ruled out by a new test: responses of pipelined requests in the wrong order.

--- a/soak/hosts.ts
+++ b/soak/hosts.ts
@@ -16,6 +16,7 @@
   /** Returns whether the process is running. */
   isRunning (): boolean
   sendSignal (signal: NodeJS.Signals): void
+  /** Starts the process, unless it runs. */
   start (): void
   /** Resolves with the exit code of the process once it has ended; `null` if a signal ended it. */
   waitForExit (): Promise<number | null>
@@ -55,6 +56,7 @@
   let stopping = false
 
   function start (): void {
+    if (isRunning()) return
     stopping = false
     child = spawn(process.execPath, [options.program], { env: { PATH: process.env.PATH, GOOSEBERRYFOLD_BOOT: settingsPath }, stdio: ['ignore', 'pipe', 'pipe'] })
     child.stdout?.pipe(log, { end: false })
--- a/src/gateway/create_gateway.ts
+++ b/src/gateway/create_gateway.ts
@@ -20,7 +20,7 @@
 import type { AttemptRecord, RequestRecord } from './request_record.ts'
 import { sendAttempt, type Attempt, type AttemptOutcome, type SendAttemptOptions } from './send_attempt.ts'
 import type { ServerLoads } from './server_loads.ts'
-import { forwardResponse } from './forward_response.ts'
+import { forwardResponse, waitUntilSent } from './forward_response.ts'
 
 /** Options of {@link createGateway}. */
 export interface GatewayOptions {
@@ -47,7 +47,7 @@
 /** Gateway of one host. */
 export interface Gateway {
   handle (request: IncomingMessage, response: ServerResponse): Promise<void>
-  /** Number of requests that are being handled. */
+  /** Number of requests whose response has not been sent completely. */
   pending (): number
 }
 
@@ -227,13 +227,13 @@
 
   function decideNext (exchange: Exchange, server: RoutedServer, outcome: AttemptOutcome): AttemptDecision {
     const isIdempotent = exchange.route.kind === RequestKind.idempotent
-    const isStreamed = exchange.body !== null && !Buffer.isBuffer(exchange.body)
+    const canSendAgain = (exchange.body === null || Buffer.isBuffer(exchange.body)) && exchange.attempts.length < exchange.route.maximumAttempts + 2
     if (outcome.kind === 'stream') return { kind: 'answer', outcome }
     if (outcome.kind === 'answer') {
       if (outcome.status < 500) return { kind: 'answer', outcome }
       exchange.mayHaveRun = true
       if (!isKeyed(exchange)) exchange.triedServers.add(server.id)
-      return isIdempotent && reserveRetry(exchange) ? { kind: 'retry' } : { kind: 'answer', outcome }
+      return isIdempotent && canSendAgain && reserveRetry(exchange) ? { kind: 'retry' } : { kind: 'answer', outcome }
     }
     if (outcome.kind === 'lost') exchange.mayHaveRun = true
     // A key has one owner: another server is tried only if the cached owner is out of date or cannot be reached.
@@ -244,8 +244,8 @@
     const isFull = outcome.kind === 'not-run' && outcome.roomAfterMs !== undefined
     const isOwnerFull = isKeyedRequest && !(outcome.kind === 'not-run' && outcome.misdirected) && (isFull || loads.isFull(server.id))
     const skipsRetryBudget = outcome.kind === 'unsent' || (isFull && !isKeyedRequest)
-    const shouldRetry = skipsRetryBudget || (!isOwnerFull && (outcome.kind === 'not-run' || isIdempotent) && reserveRetry(exchange))
-    if (shouldRetry && !isStreamed && exchange.attempts.length < exchange.route.maximumAttempts + 2) return { kind: 'retry' }
+    // The budget is asked last, so that nothing is spent on a request that is not sent again.
+    if (canSendAgain && (skipsRetryBudget || (!isOwnerFull && (outcome.kind === 'not-run' || isIdempotent) && reserveRetry(exchange)))) return { kind: 'retry' }
     if (exchange.mayHaveRun && (outcome.kind === 'lost' || !isIdempotent)) return { kind: 'fail', reason: 'outcome-unknown', status: 502 }
     const suggestedMs = outcome.kind === 'not-run' ? outcome.roomAfterMs ?? loads.workMs(server) / 2 : DEFAULT_RETRY_AFTER_MS
     return { kind: 'refuse', reason: outcome.kind === 'not-run' ? (outcome.misdirected ? 'owner-changed' : 'server-full') : 'server-unreachable', retryAfterMs: jitteredRetryAfterMs(exchange, suggestedMs) }
@@ -324,6 +324,7 @@
       pending++
       try {
         await handleRequest(request, response)
+        await waitUntilSent(response)
       } finally {
         pending--
       }
--- a/src/gateway/create_gateway_test.ts
+++ b/src/gateway/create_gateway_test.ts
@@ -24,6 +24,7 @@
   call (path: string, options?: CallPortOptions): Promise<CallerResponse>
   /** Opens a connection and passes it to `write`; resolves with all that the host has sent once the connection is closed. */
   exchangeBytes (write: (socket: Socket) => void): Promise<string>
+  pending (): number
 }
 
 const route: Route = {
@@ -56,6 +57,7 @@
       routingState,
       backends,
       records,
+      pending: gateway.pending,
       call: (path, call = {}) => callPort({ port, path }, call),
       exchangeBytes: (write) => new Promise((resolve) => {
         const socket = connect(port, '127.0.0.1')
@@ -212,6 +214,48 @@
   }, { keyed: true })
 })
 
+test('pending() counts a request until its caller has received the whole response, so that a host that stops does not cut it', async () => {
+  const body = 'x'.repeat(450_000)
+  const respondLong: BackendHandler = (request, response) => { response.writeHead(200, { [TEST_HEADER_NAMES.attemptId]: request.id, [TEST_HEADER_NAMES.signature]: 'signed' }).end(body) }
+  await withGateway([respondLong], async ({ exchangeBytes, pending, routingState, backends }) => {
+    routingState.setServers(backends.map((backend) => ({ ...backend.server, slots: 1000 })))
+    // Together more than the largest socket buffers of common kernels.
+    const requests = 120
+    let pendingWhileUnread = 0
+    const received = await exchangeBytes((socket) => {
+      socket.pause()
+      for (let request = 0; request < requests; request++) socket.write(`GET /lookups/${request} HTTP/1.1\r\nHost: one.example\r\nX-Attempt: a${request}\r\nX-Deadline: 5000\r\n${request === requests - 1 ? 'Connection: close\r\n' : ''}\r\n`)
+      setTimeout(() => {
+        pendingWhileUnread = pending()
+        socket.resume()
+      }, 600)
+    })
+    assert.is(received.split(body).length - 1, requests)
+    assert.ok(pendingWhileUnread > 0, 'No request is pending although the caller has not read its response')
+    assert.is(pending(), 0)
+  })
+})
+
+test('handle() returns each response to its own request, when a caller pipelines requests and a later one is answered first', async () => {
+  const respondAfterDelay: BackendHandler = (request, response) => { setTimeout(() => { respondWithPath(request, response) }, request.path.endsWith('slow') ? 150 : 0) }
+  await withGateway([respondAfterDelay], async ({ exchangeBytes }) => {
+    const received = await exchangeBytes((socket) => {
+      socket.write('GET /lookups/slow HTTP/1.1\r\nHost: one.example\r\nX-Attempt: a1\r\n\r\nGET /lookups/fast HTTP/1.1\r\nHost: one.example\r\nX-Attempt: a2\r\nConnection: close\r\n\r\n')
+    })
+    assert.equal([...received.matchAll(/x-attempt: (\S+)|(\/lookups\/(?:slow|fast))/gi)].map((match) => match[1] ?? match[2]), ['a1', '/lookups/slow', 'a2', '/lookups/fast'])
+  })
+})
+
+test('handle() spends no retry budget, when a streamed body cannot be sent again', async () => {
+  const failing: BackendHandler = (request, response) => { response.writeHead(500, { [TEST_HEADER_NAMES.attemptId]: request.id, [TEST_HEADER_NAMES.signature]: 'signed' }).end() }
+  await withGateway([failing, respondWithPath], async ({ exchangeBytes, call, routingState }) => {
+    routingState.applyConfiguration({ ...configuration, version: 2, limits: { ...configuration.limits, bodyBytes: 8 * 1024 * 1024 } })
+    const received = await exchangeBytes((socket) => { socket.write(`PUT /lookups/x HTTP/1.1\r\nHost: one.example\r\nX-Attempt: a1\r\nConnection: close\r\nContent-Length: 2000000\r\n\r\n${'x'.repeat(2_000_000)}`) })
+    assert.match(received, /^HTTP\/1\.1 500 /)
+    assert.is((await call('/lookups/y')).status, 200)
+  }, { retries: 1 })
+})
+
 /** Head of a POST request whose body is sent in chunks. */
 const CHUNKED_HEAD = 'POST /once/x HTTP/1.1\r\nHost: one.example\r\nX-Attempt: a1\r\nX-Deadline: 2000\r\nTransfer-Encoding: chunked\r\n\r\n'
 
--- a/src/gateway/forward_response.ts
+++ b/src/gateway/forward_response.ts
@@ -58,3 +58,16 @@
   options.signal.removeEventListener('abort', abort)
   return backendResponse.rest.complete
 }
+
+/**
+ * Waits until a response that has ended is completely handed to the network, or its connection is closed.
+ *
+ * @param response The response.
+ */
+export async function waitUntilSent (response: ServerResponse): Promise<void> {
+  if (!response.writableEnded || response.writableFinished || response.destroyed) return
+  await new Promise<void>((resolve) => {
+    response.once('finish', resolve)
+    response.once('close', resolve)
+  })
+}
--- a/src/relay/create_relay.ts
+++ b/src/relay/create_relay.ts
@@ -7,7 +7,7 @@
  */
 import type { Agent, IncomingMessage, ServerResponse } from 'node:http'
 import {
-  admit, outcomeLabel, parseKey, RelayHeader, RelayRefusal, requestHeaders, sendAttempt, toLoadOutcome, forwardResponse,
+  admit, outcomeLabel, parseKey, RelayHeader, RelayRefusal, requestHeaders, sendAttempt, toLoadOutcome, forwardResponse, waitUntilSent,
   type AttemptOutcome, type HeaderNames, type RoutingState, type RequestRecord, type ServerLoads
 } from '../gateway/mod.ts'
 import type { RoutedServer } from '../routing/mod.ts'
@@ -129,6 +129,7 @@
       pending++
       try {
         await forward(request, response, server)
+        await waitUntilSent(response)
       } finally {
         pending--
       }
