Pass leadership on without every host reading the store

Change: two hosts of each availability zone read first (rendezvous ranks, other hosts after each leader), the others follow after 0.7 s without a fresh leader, which is within ConfigApply. A reader that reaches the store says so to the leader; a leader whose data is older than 1 s tries to renew at once, and resigns if it cannot. The next leader tells the last one, which passes its address on to the hosts that are still connected to it. A planned stop takes the same way. Plans are read only if no heartbeat arrives.

Ruled out: resigning without a trial of its own, which would give the lease away at the end of each outage of the whole store.

--- a/src/entry_host/_task_timing.ts
+++ b/src/entry_host/_task_timing.ts
@@ -32,6 +32,10 @@
   startJitterMs: 300,
   /** Range of the random delay before hosts claim an expired lease. */
   claimJitterMs: 150,
+  /** Time for which a host leaves reading to the readers of its zone while heartbeats show that the leader's data is out of date. Together with `staleAfterMs` it stays within the time in which a configuration must be in force. */
+  readerPrecedenceMs: 700,
+  /** Age of the leader's data from the store from which it resigns if other hosts reach the store, in milliseconds. */
+  resignAfterMs: 1000,
   /** Maximum pause after failed reads. */
   maximumReadBackoffMs: 1600,
   /** Time without a heartbeat, or age of the leader's last read, after which a host reads the store itself; the interval between load messages is added. */
--- a/src/entry_host/create_entry_host.ts
+++ b/src/entry_host/create_entry_host.ts
@@ -139,7 +139,9 @@
       hostReportTracker.recordReport(reportingHost.name)
       coordinator.onReport(reportingHost, report)
     },
-    onHostDisconnected: coordinator.onHostLeft
+    onHostDisconnected: coordinator.onHostLeft,
+    onStoreReachable () { leadershipController.onStoreReachable().catch(reportFailure) },
+    onLeaseClaimed (lease) { leadershipController.onLeaseClaimed(lease) }
   })
   const leaderConnection = createLeaderConnection({
     host: settings.host,
@@ -177,6 +179,9 @@
     // Hosts with little processor time or a slow link lead only if no other host claims the lease first.
     isSmall: settings.processorShare < SMALL_PROCESSOR_SHARE || settings.linkMegabits < SMALL_LINK_MEGABITS,
     isFirstStart: settings.isFirstStart,
+    host: settings.host,
+    zone: settings.zone,
+    relays,
     routingState,
     leadership,
     coordinator,
@@ -250,7 +255,9 @@
       leadershipController.recordProcessAt(address, update.holder)
       return
     }
-    if (update.kind === 'relays') relays.setHosts(update.hosts)
+    if (update.kind === 'resigned') leadershipController.onResigned(update.holder)
+    else if (update.kind === 'successor') leadershipController.onSuccessor(update.lease)
+    else if (update.kind === 'relays') relays.setHosts(update.hosts)
     else if (update.kind === 'owners') {
       routingState.setOwners(update.service, update.changes.map(([from, to, owner]) => ({ from, to, owner: decodeOwner(owner, now()) })))
     } else if (update.kind === 'beat') {
--- a/src/entry_host/create_leadership_controller.ts
+++ b/src/entry_host/create_leadership_controller.ts
@@ -7,8 +7,10 @@
 import type { Leadership } from '../leadership/mod.ts'
 import type { Logger } from '../logging/mod.ts'
 import type { PeerServer, LeaderConnection } from '../replication/mod.ts'
+import type { RelayDirectory } from '../relay/mod.ts'
 import { pause } from './_listen.ts'
 import { TaskTiming } from './_task_timing.ts'
+import { isStoreReader } from './is_store_reader.ts'
 import type { Coordinator } from './create_coordinator.ts'
 import type { StatePublisher } from './create_state_publisher.ts'
 import type { LeaderMonitor } from './leader_monitor.ts'
@@ -29,7 +31,11 @@
   readonly coordinator: Coordinator
   readonly statePublisher: StatePublisher
   readonly peerServer: Pick<PeerServer, 'disconnect' | 'publish'>
-  readonly leaderConnection: Pick<LeaderConnection, 'follow'>
+  readonly leaderConnection: Pick<LeaderConnection, 'follow' | 'send'>
+  /** Name and availability zone of this host. */
+  readonly host: string
+  readonly zone: string
+  readonly relays: Pick<RelayDirectory, 'hostsIn'>
   readonly reader: StoreReader
   readonly leaderMonitor: LeaderMonitor
   readonly logger: Logger
@@ -38,12 +44,23 @@
   readonly now: () => number
 }
 
+/** A lease and the revision of its row. */
+export interface ObservedLease { readonly revision: number, readonly value: unknown }
+
 /** Leadership controller of one host. */
 export interface LeadershipController {
   /** Whether this host has the leader's role; it acts as leader only while its lease is valid. */
   isLeading (): boolean
   /** Records which process responds at an address: a different process, or `null` for none, shows that the holder of the lease has ended. */
   recordProcessAt (address: string, presentHolder: string | null): void
+  /** As the leader, resigns if this host still cannot reach the store: another host has just read it. */
+  onStoreReachable (): Promise<void>
+  /** As the last leader, passes the lease of the next one on to the hosts that are still connected. */
+  onLeaseClaimed (lease: ObservedLease): void
+  /** Records that the leader has resigned; this host claims the lease if it is one of the readers of its zone. */
+  onResigned (formerHolder: string): void
+  /** Follows the next leader, which the last one has announced. */
+  onSuccessor (lease: ObservedLease): void
   /** Runs the loop of following, reading and leading until `signal` aborts. */
   run (signal: AbortSignal): Promise<void>
   /** Gives up leadership and releases the lease, if this host leads. */
@@ -66,6 +83,7 @@
   const { holder, routingState, leadership, coordinator, statePublisher, peerServer, leaderConnection, reader, leaderMonitor, logger, now } = options
   let leading = false
   let claimableSince: number | null = null
+  let checksStore = false
 
   function recordProcessAt (address: string, presentHolder: string | null): void {
     const lease = leadership.lease()
@@ -80,6 +98,17 @@
     peerServer.disconnect()
   }
 
+  /** Stops leading, but keeps the connections of the other hosts, which learn about the next leader over them. */
+  function handOver (): void {
+    leading = false
+    coordinator.stop()
+  }
+
+  function followSuccessor (): void {
+    const successor = leadership.lease()
+    if (!leading && successor !== null && successor.holder !== holder && !successor.released) leaderConnection.follow(successor.address)
+  }
+
   async function tryToClaim (): Promise<void> {
     if (options.isLeaving() || !leadership.mayClaim(leaderMonitor.isRespondingAt(leadership.lease()?.address))) {
       claimableSince = null
@@ -88,6 +117,8 @@
     claimableSince ??= now()
     if (options.isSmall && now() - claimableSince < SMALL_HOST_CLAIM_DELAY_MS) return
     if (!await leadership.claim()) return
+    // The last leader may have resigned; it then still has connections to all hosts.
+    leaderConnection.send({ kind: 'claimed', lease: { revision: leadership.leaseRevision(), value: leadership.lease() } })
     leaderConnection.follow(null)
     if (!await coordinator.takeOver()) {
       await leadership.release()
@@ -125,12 +156,21 @@
     return leading || await followLeader()
   }
 
+  /** Whether this host may leave reading the store to others: the leader responds, though its data is out of date. */
+  function leavesReadingToOthers (): boolean {
+    const holder = leadership.lease()?.holder
+    if (holder === undefined || !leaderMonitor.isReceiving() || leaderMonitor.staleMs() > TaskTiming.readerPrecedenceMs) return false
+    return !isStoreReader(options.host, { candidates: options.relays.hostsIn(options.zone).map((relay) => relay.host), subject: holder })
+  }
+
   /** Runs one iteration without a leader; returns the pause before the next one in milliseconds, computed from the last pause. */
   async function readWithoutLeader (lastPauseMs: number): Promise<number> {
     if (await reader.readLease(false) && (await followLeader() || await claimOrFollow())) return 0
     // A newly started host that waits for a larger one to claim has nothing to read before there is a leader.
     if (claimableSince !== null && routingState.configuration() === null) return TaskTiming.firstMessageTimeoutMs
-    const read = await Promise.all([reader.readPublished(), reader.readLease(true)])
+    // A leader that responds still sends changes of owners.
+    const read = await Promise.all([reader.readPublished(), reader.readLease(!leaderMonitor.isReceiving())])
+    if (read.every(Boolean) && leaderMonitor.isReceiving()) leaderConnection.send({ kind: 'store-reachable' })
     return read.every(Boolean) ? TaskTiming.directReadIntervalMs : Math.min(TaskTiming.maximumReadBackoffMs, Math.max(TaskTiming.directReadIntervalMs, lastPauseMs) * BACKOFF_FACTOR)
   }
 
@@ -143,6 +183,32 @@
   return {
     isLeading: () => leading,
     recordProcessAt,
+    async onStoreReachable () {
+      if (!leading || checksStore || reader.ageMs() < TaskTiming.resignAfterMs) return
+      checksStore = true
+      const reachesStore = await leadership.renewNow()
+      checksStore = false
+      if (reachesStore || !leading) return
+      handOver()
+      leadership.resign()
+      logger.warn({ storeAgeMs: Math.round(reader.ageMs()) }, 'resigned')
+      peerServer.publish({ kind: 'resigned', holder })
+    },
+    onLeaseClaimed (lease) {
+      leadership.observeLease(lease)
+      if (leadership.lease()?.holder === holder) return
+      if (leading) handOver()
+      peerServer.publish({ kind: 'successor', lease })
+      followSuccessor()
+    },
+    onResigned (formerHolder) {
+      leadership.recordEnded(formerHolder)
+      leaderMonitor.recordResigned()
+    },
+    onSuccessor (lease) {
+      leadership.observeLease(lease)
+      followSuccessor()
+    },
     async run (signal) {
       let pauseMs = 0
       if (options.isFirstStart && options.isSmall) await pause(TaskTiming.firstStartDelayMs)
@@ -151,7 +217,7 @@
           await reader.readPublished()
           if (leadership.lease()?.holder !== holder) stopLeading()
           await pause(TaskTiming.leaderReadIntervalMs)
-        } else if (leaderMonitor.isFresh()) {
+        } else if (leaderMonitor.isFresh() || leavesReadingToOthers()) {
           pauseMs = 0
           await pause(TaskTiming.leaderCheckIntervalMs)
         } else {
@@ -162,8 +228,9 @@
     },
     async release () {
       if (!leading) return
-      stopLeading()
+      handOver()
       await leadership.release(coordinator.remainingGrantDurationsMs())
+      peerServer.publish({ kind: 'resigned', holder })
     }
   }
 }
--- a/src/entry_host/create_leadership_controller_test.ts
+++ b/src/entry_host/create_leadership_controller_test.ts
@@ -8,6 +8,7 @@
 import { createLeadershipController, type LeadershipController } from './create_leadership_controller.ts'
 import type { Coordinator } from './create_coordinator.ts'
 import type { StatePublisher } from './create_state_publisher.ts'
+import { isStoreReader } from './is_store_reader.ts'
 import { createLeaderMonitor, type LeaderMonitor } from './leader_monitor.ts'
 import type { StoreReader } from './store_reader.ts'
 
@@ -20,6 +21,9 @@
   /** Reads of the store, in order. */
   readonly reads: string[]
   readonly followed: Array<string | null>
+  /** Kinds of the messages that were sent to the leader, and published as the leader. */
+  readonly sent: string[]
+  readonly published: string[]
 }
 
 function createTable (rows: Map<string, TableRow>): TableService {
@@ -36,13 +40,15 @@
   }
 }
 
-function createHost (rows: Map<string, TableRow>, options: { readonly isSmall?: boolean, readonly isFirstStart?: boolean } = {}): Host {
+function createHost (rows: Map<string, TableRow>, options: { readonly isSmall?: boolean, readonly isFirstStart?: boolean, readonly hostsInZone?: readonly string[], readonly storeAgeMs?: number } = {}): Host {
   const table = createTable(rows)
   const now = (): number => performance.now()
   const leadership = createLeadership({ table, logger, holder: 'h1/1', address: 'h1:1', now, wallClock: () => Date.now() })
   const leaderMonitor = createLeaderMonitor(now)
   const reads: string[] = []
   const followed: Array<string | null> = []
+  const sent: string[] = []
+  const published: string[] = []
   const reader: StoreReader = {
     async readPublished () {
       reads.push('published')
@@ -55,7 +61,7 @@
       if (row.ok) leadership.observeLease(row.value)
       return row.ok
     },
-    ageMs: () => 0
+    ageMs: () => options.storeAgeMs ?? 0
   }
   const coordinator = { takeOver: async () => true, onServersChanged: () => {}, plan: async () => {}, ownersUpdates: () => [], stop: () => {}, remainingGrantDurationsMs: () => ({ 'i-1': 900 }) } as unknown as Coordinator
   const statePublisher = { reset: () => {}, publishChanges: () => {} } as unknown as StatePublisher
@@ -68,20 +74,24 @@
     leadership,
     coordinator,
     statePublisher,
-    peerServer: { disconnect: () => {}, publish: () => {} },
+    peerServer: { disconnect: () => {}, publish (update) { published.push(update.kind) } },
     leaderConnection: {
       follow (address) {
         followed.push(address)
         return true
-      }
+      },
+      send (report) { sent.push(report.kind) }
     },
     reader,
     leaderMonitor,
+    host: 'h1',
+    zone: 'a',
+    relays: { hostsIn: () => (options.hostsInZone ?? []).map((host) => ({ host, zone: 'a', address: `${host}:2`, weight: 1 })) },
     logger,
     isLeaving: () => false,
     now
   })
-  return { leadershipController, leaderMonitor, reads, followed }
+  return { leadershipController, leaderMonitor, reads, followed, sent, published }
 }
 
 async function runFor (host: Host, lengthMs: number): Promise<void> {
@@ -156,4 +166,109 @@
   assert.equal(rows.get(LEASE_KEY)?.value, { holder: 'h1/1', address: 'h1:1', released: true, holdsMs: { 'i-1': 900 } })
 })
 
+const LEASE_OF_H2 = { holder: 'h2/1', address: 'h2:1', released: false }
+const HOSTS_IN_ZONE = ['h1', 'h3', 'h4', 'h5', 'h6', 'h7', 'h8', 'h9']
+
+/** Whether h1 reads the store first among {@link HOSTS_IN_ZONE} while `holder` leads. */
+function isReader (holder: string): boolean {
+  return isStoreReader('h1', { candidates: HOSTS_IN_ZONE, subject: holder })
+}
+
+/** Name of a holder for which h1 is, or is not, one of the readers of its zone. */
+function holderWith (reads: boolean): string {
+  return Array.from({ length: 100 }, (_, index) => `h2/${index}`).find((holder) => isReader(holder) === reads) ?? ''
+}
+
+/** Sends heartbeats of a leader that cannot reach the store. */
+function sendStaleHeartbeats (host: Host): NodeJS.Timeout {
+  const startedAt = performance.now()
+  return setInterval(() => {
+    host.leaderMonitor.recordHeartbeat({ kind: 'beat', storeAgeMs: performance.now() - startedAt, lease: { revision: 3, value: null }, leading: true, complete: false, intervalMs: 120, hosts: 9, views: [] }, 'h2:1')
+  }, 40)
+}
+
+test('run() leaves reading to two hosts of the zone for 0.7 s, when the store turns the leader away', async () => {
+  const holder = holderWith(false)
+  const rows = new Map([[LEASE_KEY, { key: LEASE_KEY, revision: 3, value: { ...LEASE_OF_H2, holder } }]])
+  const host = createHost(rows, { hostsInZone: HOSTS_IN_ZONE })
+  const heartbeats = sendStaleHeartbeats(host)
+  await runFor(host, 1500)
+  assert.equal(host.reads, ['lease'])
+  await runFor(host, 900)
+  clearInterval(heartbeats)
+  assert.ok(host.reads.includes('published'))
+})
+
+test('run() reads without plans and tells the leader, when the store turns the leader away and this host reads first', async () => {
+  const holder = holderWith(true)
+  const rows = new Map([[LEASE_KEY, { key: LEASE_KEY, revision: 3, value: { ...LEASE_OF_H2, holder } }]])
+  const host = createHost(rows, { hostsInZone: HOSTS_IN_ZONE })
+  const heartbeats = sendStaleHeartbeats(host)
+  await runFor(host, 1500)
+  clearInterval(heartbeats)
+  assert.ok(host.reads.includes('published'))
+  assert.not(host.reads.includes('plans'))
+  assert.ok(host.sent.includes('store-reachable'))
+})
+
+test('onStoreReachable() resigns, when the store turns only this host away, and leads on when the store responds', async () => {
+  const rows = new Map<string, TableRow>()
+  const host = createHost(rows, { storeAgeMs: 1500 })
+  await runFor(host, 50)
+  await host.leadershipController.onStoreReachable()
+  assert.ok(host.leadershipController.isLeading())
+  rows.set(LEASE_KEY, { key: LEASE_KEY, revision: 99, value: { holder: 'h1/1', address: 'h1:1', released: false } })
+  await host.leadershipController.onStoreReachable()
+  assert.not(host.leadershipController.isLeading())
+  assert.equal(host.published, ['resigned'])
+})
+
+test('onStoreReachable() leads on, when the data from the store is recent', async () => {
+  const host = createHost(new Map(), { storeAgeMs: 300 })
+  await runFor(host, 50)
+  await host.leadershipController.onStoreReachable()
+  assert.ok(host.leadershipController.isLeading())
+})
+
+test('onResigned() makes a reader claim the lease at once, and another host follow the successor without a read', async () => {
+  for (const reads of [true, false]) {
+    const holder = holderWith(reads)
+    const rows = new Map([[LEASE_KEY, { key: LEASE_KEY, revision: 3, value: { ...LEASE_OF_H2, holder } }]])
+    const host = createHost(rows, { hostsInZone: HOSTS_IN_ZONE })
+    const heartbeats = setInterval(() => {
+      host.leaderMonitor.recordHeartbeat({ kind: 'beat', storeAgeMs: 10, lease: { revision: 3, value: null }, leading: true, complete: false, intervalMs: 120, hosts: 9, views: [] }, 'h2:1')
+    }, 40)
+    setTimeout(() => {
+      clearInterval(heartbeats)
+      host.leadershipController.onResigned(holder)
+      if (!reads) setTimeout(() => { host.leadershipController.onSuccessor({ revision: 4, value: { holder: 'h3/1', address: 'h3:1', released: false } }) }, 100)
+    }, 300)
+    await runFor(host, 800)
+    assert.is(host.leadershipController.isLeading(), reads)
+    assert.equal(host.sent, reads ? ['claimed'] : [])
+    assert.equal(host.followed, reads ? ['h2:1', null] : ['h2:1', 'h3:1'])
+    if (!reads) assert.equal(host.reads, ['lease'])
+  }
+})
+
+test('onLeaseClaimed() passes the next lease on and follows it, when another host has claimed the lease of this one', async () => {
+  const host = createHost(new Map())
+  await runFor(host, 50)
+  host.leadershipController.onLeaseClaimed({ revision: 50, value: LEASE_OF_H2 })
+  assert.not(host.leadershipController.isLeading())
+  assert.equal(host.published, ['successor'])
+  assert.is(host.followed.at(-1), 'h2:1')
+})
+
+test('isStoreReader() chooses two hosts of each zone, and others for another leader', () => {
+  const readers = (subject: string): string[] => HOSTS_IN_ZONE.filter((host) => isStoreReader(host, { candidates: HOSTS_IN_ZONE, subject }))
+  const chosen = new Set<string>()
+  for (let leader = 0; leader < 40; leader++) {
+    assert.is(readers(`h${leader}/1`).length, 2)
+    for (const host of readers(`h${leader}/1`)) chosen.add(host)
+  }
+  assert.is(chosen.size, HOSTS_IN_ZONE.length)
+  assert.ok(isStoreReader('unlisted', { candidates: HOSTS_IN_ZONE, subject: 'h2/1' }))
+})
+
 test.run()
--- a/src/entry_host/leader_monitor.ts
+++ b/src/entry_host/leader_monitor.ts
@@ -9,8 +9,14 @@
 export interface LeaderMonitor {
   /** Records a heartbeat and the address that sent it. */
   recordHeartbeat (heartbeat: Heartbeat, address: string): void
+  /** Records that the leader has resigned, so that its data is out of date from now on. */
+  recordResigned (): void
   /** Whether the last heartbeat is recent and the leader had recently read the store. */
   isFresh (): boolean
+  /** Whether heartbeats arrive, however old the leader's data from the store is. */
+  isReceiving (): boolean
+  /** Time for which heartbeats have shown data that is too old, in milliseconds; 0 if they have not. */
+  staleMs (): number
   /** Whether the process at the address still sends heartbeats; it may be unable to reach the store. */
   isRespondingAt (address: string | undefined): boolean
   /** Interval between two reports of a host, in milliseconds. */
@@ -37,10 +43,13 @@
       lastHeartbeat = { storeAgeMs: heartbeat.leading ? heartbeat.storeAgeMs : Infinity, at: now(), address }
       intervalMs = heartbeat.intervalMs
     },
+    recordResigned () { lastHeartbeat = { ...lastHeartbeat, at: now(), storeAgeMs: staleAfterMs() } },
     isFresh () {
       const sinceMs = now() - lastHeartbeat.at
       return sinceMs < staleAfterMs() && lastHeartbeat.storeAgeMs + sinceMs < staleAfterMs()
     },
+    isReceiving: () => now() - lastHeartbeat.at < staleAfterMs(),
+    staleMs: () => Math.max(0, lastHeartbeat.storeAgeMs + now() - lastHeartbeat.at - staleAfterMs()),
     isRespondingAt: (address) => lastHeartbeat.address === address && now() - lastHeartbeat.at < staleAfterMs(),
     intervalMs: () => intervalMs,
     setIntervalMs (milliseconds) { intervalMs = milliseconds }
--- a/src/leadership/create_leadership.ts
+++ b/src/leadership/create_leadership.ts
@@ -97,6 +97,10 @@
   write (rows: readonly Omit<RowWrite, 'expectedRevision'>[]): Promise<LeaderWriteResult>
   /** Renews the lease if a renewal is due. */
   renew (): Promise<void>
+  /** Renews the lease whether or not a renewal is due; returns whether the store acknowledged it. */
+  renewNow (): Promise<boolean>
+  /** Stops leading without a write, because only this process cannot reach the store; the holder's lease counts as ended for those that are notified. */
+  resign (): void
   /** Releases the lease, so that another host may claim it at once, and stores the remaining grant duration of each server, if known. */
   release (remainingMs?: Readonly<Record<string, number>>): Promise<void>
 }
@@ -241,6 +245,8 @@
         if (outcome === 'unavailable') logger.warn({ sinceMs: Math.round(now() - acknowledgedAt) }, 'lease-not-renewed')
       })
     },
+    renewNow: () => enqueue(async () => leading && await writeWithLease(ownRecord(false), []) === 'written'),
+    resign () { stepDown('other hosts reach the store and this one does not') },
     release: (remainingMs) => enqueue(async () => {
       if (!leading) return
       stepDown('the host is shutting down')
--- a/src/relay/relay_directory.ts
+++ b/src/relay/relay_directory.ts
@@ -31,6 +31,8 @@
 export interface RelayDirectory extends RelaySelector {
   /** Replaces the hosts that can relay requests. */
   setHosts (hosts: readonly RelayHost[]): void
+  /** Hosts of an availability zone that can relay requests. */
+  hostsIn (zone: string): readonly RelayHost[]
 }
 
 /**
@@ -73,6 +75,7 @@
       relays = new Map()
       for (const host of hosts) byZone.set(host.zone, [...byZone.get(host.zone) ?? [], host])
     },
+    hostsIn: (zone) => byZone.get(zone) ?? [],
     select (server): Relay | null {
       const host = relayOf(server)
       if (host === null || host.host === options.host || failureDetector.isUnresponsive(host.host)) return null
--- a/src/replication/leader_connection.ts
+++ b/src/replication/leader_connection.ts
@@ -84,7 +84,8 @@
       clearTimeout(timer)
       const previous = socket
       socket = null
-      previous?.destroy()
+      // The last message may still have to be sent.
+      previous?.end()
       open()
       return true
     },
--- a/src/replication/messages.ts
+++ b/src/replication/messages.ts
@@ -25,6 +25,10 @@
   /** Hosts that relay requests. */
   | { readonly kind: 'relays', readonly hosts: readonly RelayHost[] }
   | { readonly kind: 'owners', readonly service: string, readonly changes: ReadonlyArray<readonly [from: number, to: number, owner: WireOwner]> }
+  /** The sender stops leading, because it shuts down, or cannot reach the store and other hosts can; its lease may be claimed at once. */
+  | { readonly kind: 'resigned', readonly holder: string }
+  /** The lease of the leader that has followed the sender, with the revision of its row. */
+  | { readonly kind: 'successor', readonly lease: { readonly revision: number, readonly value: unknown } }
   /** Heartbeat, sent regularly. `views` holds changed entries, or all of them if `complete` is set; `storeAgeMs` is the age of the data that the leader has read from the store; `lease` is its lease with the revision of that row; `hosts` is the number of hosts that share limits set for all of them. */
   | { readonly kind: 'beat', readonly storeAgeMs: number, readonly lease: { readonly revision: number, readonly value: unknown }, readonly leading: boolean, readonly complete: boolean, readonly intervalMs: number, readonly hosts: number, readonly views: readonly WireServerView[] }
 
@@ -32,6 +36,10 @@
 export type Report =
   /** First message. `version` is the version of the host's configuration and `servers` the digest of its list of servers, so that data it already has is not sent; `relay` is its relay address and weight. */
   | { readonly kind: 'hello', readonly host: string, readonly zone: string, readonly version: number, readonly servers: string, readonly relay: RelayHost | null }
+  /** The host has read the store while the leader's own data from it is out of date. */
+  | { readonly kind: 'store-reachable' }
+  /** The host has claimed the lease of the leader that it reports to. */
+  | { readonly kind: 'claimed', readonly lease: { readonly revision: number, readonly value: unknown } }
   /** The host is about to stop and accepts no more requests to relay. */
   | { readonly kind: 'leaving' }
   | {
--- a/src/replication/peer_server.ts
+++ b/src/replication/peer_server.ts
@@ -24,6 +24,10 @@
   readonly initialUpdates: (host: ConnectedHost) => readonly Update[]
   readonly onReport: (host: ConnectedHost, report: Extract<Report, { readonly kind: 'report' }>) => void
   readonly onHostDisconnected: (host: string) => void
+  /** Called when a host has read the store while this host's data from it is out of date. */
+  readonly onStoreReachable: () => void
+  /** Called when a host has claimed the lease that this host held. */
+  readonly onLeaseClaimed: (lease: Extract<Report, { readonly kind: 'claimed' }>['lease']) => void
 }
 
 /** Server that other hosts connect to. */
@@ -81,6 +85,8 @@
       const host = peers.get(socket)
       if (host === undefined) return
       if (report.kind === 'leaving') peers.set(socket, { ...host, relay: null })
+      else if (report.kind === 'store-reachable') options.onStoreReachable()
+      else if (report.kind === 'claimed') options.onLeaseClaimed(report.lease)
       else options.onReport(host, report)
     })
   })
