Publish relays as soon as the hosts have connected

Change: relays are published once no further host has connected for 0.2 s, at 1.5 s at the latest; a relay that has gone is taken out at once, as before.

Ruled out: publishing each host as it connects, which changes the relays of many servers at each heartbeat.

--- a/src/entry_host/_task_timing.ts
+++ b/src/entry_host/_task_timing.ts
@@ -10,7 +10,9 @@
   loadIntervalPerHostMs: 4,
   /** Maximum interval between load messages: shorter than the time without messages after which hosts read the store themselves. */
   maximumLoadIntervalMs: 600,
-  /** Time for hosts to connect to a new leader before relays are published: each host looks for a leader at every read. */
+  /** Time without another host that connects after which new relays are published. */
+  relaySettlingMs: 200,
+  /** Time after which a new leader publishes relays even if hosts still connect. */
   relayDiscoveryMs: 1500,
   /** Interval between plans: a busy key should be served again within seconds. */
   planIntervalMs: 400,
--- a/src/entry_host/create_state_publisher.ts
+++ b/src/entry_host/create_state_publisher.ts
@@ -11,6 +11,7 @@
 import type { Coordinator } from './create_coordinator.ts'
 import type { LeaderMonitor } from './leader_monitor.ts'
 import { createPublishedUpdates } from './published_updates.ts'
+import { createRelayPublication } from './relay_publication.ts'
 import type { RetryBudgets } from './retry_budgets.ts'
 import type { StoreReader } from './store_reader.ts'
 
@@ -65,10 +66,10 @@
   let updates = createPublishedUpdates(routingState)
   let sentAt = -Infinity
   let heartbeats = 0
-  let leadingSince = -Infinity
+  let relayPublication = createRelayPublication(-Infinity)
   /** Largest number of hosts connected at the same time since this host became leader, itself included. */
   let peakHosts = 1
-  let publishedRelays: { readonly text: string, readonly update: Update } | null = null
+  let publishedRelays: Update | null = null
 
   function collectReport (): Extract<Report, { readonly kind: 'report' }> {
     const keys = [...keyCounts].map(([service, counts]) => [service, [...counts]] as const)
@@ -76,15 +77,12 @@
     return { kind: 'report', samples: [...loads.takeSamples()], keys }
   }
 
-  /** Publishes the relays if they have changed; a new leader first waits for hosts to connect to it. */
   function publishRelays (): void {
-    if (now() - leadingSince < TaskTiming.relayDiscoveryMs) return
-    const hosts = peerServer.relays().sort((left, right) => left.host < right.host ? -1 : 1)
-    const text = hosts.map((relay) => `${relay.host} ${relay.address}`).join()
-    if (text === publishedRelays?.text) return
-    publishedRelays = { text, update: { kind: 'relays', hosts } }
+    const hosts = relayPublication.next(peerServer.relays(), now())
+    if (hosts === null) return
+    publishedRelays = { kind: 'relays', hosts }
     options.relays.setHosts(hosts)
-    peerServer.publish(publishedRelays.update)
+    peerServer.publish(publishedRelays)
   }
 
   /** As the leader, publishes the totals of all hosts in a heartbeat. */
@@ -129,10 +127,10 @@
     },
     reset () {
       updates = createPublishedUpdates(routingState)
-      leadingSince = now()
+      relayPublication = createRelayPublication(now())
       peakHosts = 1
       publishedRelays = null
     },
-    relaysUpdates: () => publishedRelays === null ? [] : [publishedRelays.update]
+    relaysUpdates: () => publishedRelays === null ? [] : [publishedRelays]
   }
 }
