Serve what can be in time first when a key is hotter than its server

Cause: on every site one key gets a third of the lookups for some seconds, three to thirty times what its one server can run. Callers were told to return after 100 to 300 ms, used up their two retries within half a second, while the key was still hot, and competed with requests that could still have been in time; the hot key filled the whole queue, so that other keys of its server were refused too. Retry delays were bounded by a third of the route's timeout, half of what callers wait.

Change: one admission control for a host's relay and its direct requests. Late requests are admitted only up to 1.5 times the slots; one key leaves half a slot count of the queue to others; refused callers of a keyed service return at half the server's rate, up to a third of the time that they have left. How long a caller has waited is learned from the deadlines that requests state.

--- a/src/entry_host/create_entry_host.ts
+++ b/src/entry_host/create_entry_host.ts
@@ -5,7 +5,7 @@
  */
 import { Agent, createServer } from 'node:http'
 import {
-  createCallerServer, createGateway, createRoutingState, createServerAgent, createServerLoads, type HeaderNames, type RequestRecord
+  createCallerServer, createGateway, createRoutingState, createServerAdmission, createServerAgent, createServerLoads, type HeaderNames, type RequestRecord
 } from '../gateway/mod.ts'
 import { createLeadership } from '../leadership/mod.ts'
 import type { Logger } from '../logging/mod.ts'
@@ -103,6 +103,7 @@
   const now = (): number => performance.now()
   const routingState = createRoutingState()
   const loads = createServerLoads(now, routingState.assumedWorkMs)
+  const admission = createServerAdmission(loads, now)
   const agent = createServerAgent()
   const relayAgent = new Agent({ keepAlive: true, maxFreeSockets: RELAY_IDLE_CONNECTIONS, scheduling: 'lifo' })
   const relayAddress = `${settings.ip}:${settings.peerPort + 1}`
@@ -198,6 +199,7 @@
   const gateway = createGateway({
     routingState,
     loads,
+    admission,
     agent,
     relays,
     relayAgent,
@@ -215,7 +217,7 @@
     isLeaving: () => leaving
   })
   const relay = createRelay({
-    routingState, loads, agent, names: options.names, now, onEnd (record) { requestLog.write(record, describeRoutingState()) }
+    routingState, loads, admission, agent, names: options.names, now, onEnd (record) { requestLog.write(record, describeRoutingState()) }
   })
   const relayServer = createCallerServer({
     limits: RELAY_LIMITS, maximumConnections: settings.sockets, handle: relay.handle, onError: reportConnectionError
--- a/src/gateway/_exchange.ts
+++ b/src/gateway/_exchange.ts
@@ -16,6 +16,10 @@
   readonly startedAt: number
   /** When the timeout of the caller or of the route expires, whichever is earlier; monotonic time in milliseconds. */
   readonly deadlineAt: number
+  /** When the timeout of the caller expires; monotonic time in milliseconds. */
+  readonly callerDeadlineAt: number
+  /** Estimated time from the caller's first attempt to this one, in milliseconds. */
+  readonly elapsedMs: number
   readonly abort: AbortController
   readonly attempts: AttemptRecord[]
   readonly triedServers: Set<string>
--- a/src/gateway/admission.ts
+++ b/src/gateway/admission.ts
@@ -58,5 +58,15 @@
  * @returns The retry delay in milliseconds.
  */
 export function clampRetryAfterMs (suggestedMs: number, remainingMs: number): number {
-  return Math.max(MINIMUM_RETRY_AFTER_MS, Math.min(suggestedMs, remainingMs * MAXIMUM_RETRY_AFTER_SHARE))
+  return Math.max(MINIMUM_RETRY_AFTER_MS, Math.min(suggestedMs, maximumRetryAfterMs(remainingMs)))
+}
+
+/**
+ * Returns the longest retry delay that a caller waits for.
+ *
+ * @param remainingMs Time until the caller's timeout, in milliseconds.
+ * @returns The retry delay in milliseconds.
+ */
+export function maximumRetryAfterMs (remainingMs: number): number {
+  return remainingMs * MAXIMUM_RETRY_AFTER_SHARE
 }
--- a/src/gateway/create_gateway.ts
+++ b/src/gateway/create_gateway.ts
@@ -8,9 +8,10 @@
 import type { Agent, IncomingMessage, ServerResponse } from 'node:http'
 import type { RetryBudget } from '../dispatch/retry_budget.ts'
 import { pickTarget, RequestKind, type RoutedServer } from '../routing/mod.ts'
-import { admit, clampRetryAfterMs } from './admission.ts'
+import { clampRetryAfterMs } from './admission.ts'
 import { bodyBytes, createBodyReader } from './_body_reader.ts'
 import type { Exchange, AttemptDecision } from './_exchange.ts'
+import { createCallerDeadlines } from './caller_deadlines.ts'
 import { requestHeaders } from './forwarded_headers.ts'
 import { chooseServer } from './choose_server.ts'
 import type { HeaderNames } from './header_names.ts'
@@ -19,6 +20,7 @@
 import type { Relay, RelaySelector } from './relay_selector.ts'
 import type { AttemptRecord, RequestRecord } from './request_record.ts'
 import { sendAttempt, type Attempt, type AttemptOutcome, type SendAttemptOptions } from './send_attempt.ts'
+import type { ServerAdmission, ServerAdmissionQuery } from './server_admission.ts'
 import type { ServerLoads } from './server_loads.ts'
 import { forwardResponse, waitUntilSent } from './forward_response.ts'
 
@@ -26,6 +28,8 @@
 export interface GatewayOptions {
   readonly routingState: RoutingState
   readonly loads: ServerLoads
+  /** Admission control for requests that this host sends to servers itself. */
+  readonly admission: ServerAdmission
   readonly agent: Agent
   /** Selects the hosts that relay requests to servers. */
   readonly relays: RelaySelector
@@ -79,6 +83,7 @@
   const { routingState, loads, names, now } = options
   let pending = 0
   const bodyReader = createBodyReader()
+  const callerDeadlines = createCallerDeadlines()
 
   function writeLocalResponse (response: ServerResponse, status: number, retryAfterMs?: number): void {
     if (response.headersSent || response.destroyed) return
@@ -101,9 +106,18 @@
     return exchange.deadlineAt - now()
   }
 
+  function callerRemainingMs (exchange: Exchange): number {
+    return exchange.callerDeadlineAt - now()
+  }
+
+  /** Whether a response of the server can no longer arrive within the latency goal, counted from the caller's first attempt. */
+  function isLate (exchange: Exchange, server: RoutedServer): boolean {
+    return exchange.elapsedMs > 0 && exchange.elapsedMs + now() - exchange.startedAt + loads.workMs(server) > exchange.route.latencyGoalMs
+  }
+
   /** Retry delay with jitter, so that callers refused at the same time do not retry at the same time. */
   function jitteredRetryAfterMs (exchange: Exchange, suggestedMs: number): number {
-    return clampRetryAfterMs(suggestedMs * (1 + options.random()), remainingMs(exchange))
+    return clampRetryAfterMs(suggestedMs * (1 + options.random()), callerRemainingMs(exchange))
   }
 
   function finish (exchange: Exchange, status: number, reason: string, retryAfterMs?: number): void {
@@ -130,7 +144,7 @@
         if (server !== undefined && !server.leaving && !exchange.triedServers.has(server.id)) return server
       }
       if (owner.kind === 'unserved') {
-        return { kind: 'refuse', reason: 'key-unserved', retryAfterMs: clampRetryAfterMs(owner.until - now(), remainingMs(exchange)) }
+        return { kind: 'refuse', reason: 'key-unserved', retryAfterMs: clampRetryAfterMs(owner.until - now(), callerRemainingMs(exchange)) }
       }
       if (now() >= waitEndsAt || exchange.abort.signal.aborted) {
         return { kind: 'refuse', reason: `key-${owner.kind}`, retryAfterMs: jitteredRetryAfterMs(exchange, DEFAULT_RETRY_AFTER_MS) }
@@ -163,17 +177,36 @@
     return relay === null ? await attemptDirectly(exchange, server) : await attemptThroughRelay(exchange, server, relay)
   }
 
+  function admissionQuery (exchange: Exchange, server: RoutedServer): ServerAdmissionQuery {
+    const key = isKeyed(exchange) ? exchange.key : null
+    return {
+      key,
+      latencyGoalMs: exchange.route.latencyGoalMs,
+      remainingMs: remainingMs(exchange),
+      callerRemainingMs: callerRemainingMs(exchange),
+      isLate: isLate(exchange, server),
+      // Without a relay, this host does not know all requests without a key at the server.
+      ...(key === null ? { maximumOccupancy: Infinity } : {})
+    }
+  }
+
+  /** Retry delay after a refusal for want of room. Callers of one key already have different ones. */
+  function retryAfterFullMs (exchange: Exchange, returnAfterMs: number): number {
+    return isKeyed(exchange) ? clampRetryAfterMs(returnAfterMs, callerRemainingMs(exchange)) : jitteredRetryAfterMs(exchange, returnAfterMs)
+  }
+
   async function attemptDirectly (exchange: Exchange, server: RoutedServer): Promise<AttemptDecision> {
     const expectedMs = loads.expectedMs(server)
-    if (isKeyed(exchange) && options.random() > loads.admitShare(server.id)) return { kind: 'refuse', reason: 'key-overloaded', retryAfterMs: clampRetryAfterMs(remainingMs(exchange), remainingMs(exchange)) }
-    const admission = admit({ isFull: loads.isFull(server.id), expectedMs, workMs: loads.workMs(server), latencyGoalMs: exchange.route.latencyGoalMs, remainingMs: remainingMs(exchange) })
-    if (admission.kind === 'refuse') return { kind: 'refuse', reason: 'no-room', retryAfterMs: jitteredRetryAfterMs(exchange, admission.roomAfterMs) }
+    if (isKeyed(exchange) && options.random() > loads.admitShare(server.id)) return { kind: 'refuse', reason: 'key-overloaded', retryAfterMs: clampRetryAfterMs(callerRemainingMs(exchange), callerRemainingMs(exchange)) }
+    const admission = options.admission.decide(server, admissionQuery(exchange, server))
+    if (admission.kind === 'refuse') return { kind: 'refuse', reason: 'no-room', retryAfterMs: retryAfterFullMs(exchange, admission.returnAfterMs) }
     const inFlight = loads.inFlight(server.id)
     const sentAt = now()
     const complete = loads.trackRequest(server)
     const outcome = await sendWithTimeout(exchange, { attempt: createAttempt(exchange, server), connections: { agent: options.agent, names }, expectedMs })
     const durationMs = now() - sentAt
     complete(toLoadOutcome(outcome, durationMs))
+    admission.end()
     recordAttempt(exchange, { server: server.id, outcome, durationMs, inFlight, expectedMs })
     return decideNext(exchange, server, outcome)
   }
@@ -184,7 +217,7 @@
     const sentAt = now()
     const completions = [relay.trackRequest(exchange.id, expectedMs), loads.trackRelayedRequest(server)]
     const outcome = await sendWithTimeout(exchange, {
-      attempt: { ...createAttempt(exchange, server), relay: { address: relay.address, goalMs: exchange.route.latencyGoalMs } },
+      attempt: { ...createAttempt(exchange, server), relay: { address: relay.address, goalMs: exchange.route.latencyGoalMs, callerRemainingMs: callerRemainingMs(exchange), isLate: isLate(exchange, server) } },
       connections: { agent: options.relayAgent, names, connectTimeoutMs: RELAY_CONNECT_TIMEOUT_MS },
       expectedMs
     })
@@ -247,8 +280,9 @@
     // The budget is asked last, so that nothing is spent on a request that is not sent again.
     if (canSendAgain && (skipsRetryBudget || (!isOwnerFull && (outcome.kind === 'not-run' || isIdempotent) && reserveRetry(exchange)))) return { kind: 'retry' }
     if (exchange.mayHaveRun && (outcome.kind === 'lost' || !isIdempotent)) return { kind: 'fail', reason: 'outcome-unknown', status: 502 }
-    const suggestedMs = outcome.kind === 'not-run' ? outcome.roomAfterMs ?? loads.workMs(server) / 2 : DEFAULT_RETRY_AFTER_MS
-    return { kind: 'refuse', reason: outcome.kind === 'not-run' ? (outcome.misdirected ? 'owner-changed' : 'server-full') : 'server-unreachable', retryAfterMs: jitteredRetryAfterMs(exchange, suggestedMs) }
+    if (outcome.kind !== 'not-run') return { kind: 'refuse', reason: 'server-unreachable', retryAfterMs: jitteredRetryAfterMs(exchange, DEFAULT_RETRY_AFTER_MS) }
+    if (outcome.misdirected) return { kind: 'refuse', reason: 'owner-changed', retryAfterMs: jitteredRetryAfterMs(exchange, loads.workMs(server) / 2) }
+    return { kind: 'refuse', reason: 'server-full', retryAfterMs: retryAfterFullMs(exchange, outcome.roomAfterMs ?? options.admission.returnAfterMs(server, admissionQuery(exchange, server))) }
   }
 
   function reserveRetry (exchange: Exchange): boolean {
@@ -297,11 +331,12 @@
       return
     }
     const deadline = Number(request.headers[names.deadlineMs])
-    const timeoutMs = Math.min(Number.isFinite(deadline) && deadline > 0 ? deadline : Infinity, route.timeoutMs)
+    const statedMs = Number.isFinite(deadline) && deadline > 0 ? deadline : null
+    const timeoutMs = Math.min(statedMs ?? Infinity, route.timeoutMs)
     const key = parseKey(request.headers[names.key])
     const abort = new AbortController()
     const exchange: Exchange = {
-      request, response, id, route, service, key, startedAt, deadlineAt: startedAt + timeoutMs, abort, attempts: [], triedServers: new Set(), body: null, mayHaveRun: false, bypassesRelays: false
+      request, response, id, route, service, key, startedAt, deadlineAt: startedAt + timeoutMs, callerDeadlineAt: startedAt + (statedMs ?? timeoutMs), elapsedMs: statedMs === null ? 0 : callerDeadlines.elapsedMs(route.name, statedMs), abort, attempts: [], triedServers: new Set(), body: null, mayHaveRun: false, bypassesRelays: false
     }
     const timer = setTimeout(() => { abort.abort() }, timeoutMs)
     const onClose = (): void => { if (!response.writableFinished) abort.abort() }
--- a/src/gateway/create_gateway_test.ts
+++ b/src/gateway/create_gateway_test.ts
@@ -12,6 +12,7 @@
 import { RelayHeader, RelayRefusal, type RelaySelector } from './relay_selector.ts'
 import type { RequestRecord } from './request_record.ts'
 import { createRoutingState, type RoutingState } from './routing_state.ts'
+import { createServerAdmission } from './server_admission.ts'
 import { createServerAgent } from './server_agent.ts'
 import { createServerLoads } from './server_loads.ts'
 
@@ -45,9 +46,10 @@
   const records: RequestRecord[] = []
   const agent = createServerAgent()
   const now = (): number => performance.now()
+  const loads = createServerLoads(now)
   const budget = createRetryBudget({ share: 0, maximum: options.retries ?? 5 })
   const gateway = createGateway({
-    routingState, loads: createServerLoads(now), agent, relays: options.relays ?? { select: () => null }, relayAgent: agent, names: TEST_HEADER_NAMES, host: 'h1', zone: 'a', retryBudgetOf: () => budget, now, random: () => 0, onKeyRequested: () => {}, onRequestEnd: (record) => { records.push(record) }, isLeaving: () => false
+    routingState, loads, admission: createServerAdmission(loads, now), agent, relays: options.relays ?? { select: () => null }, relayAgent: agent, names: TEST_HEADER_NAMES, host: 'h1', zone: 'a', retryBudgetOf: () => budget, now, random: () => 0, onKeyRequested: () => {}, onRequestEnd: (record) => { records.push(record) }, isLeaving: () => false
   })
   const server: Server = createCallerServer({ limits: configuration.limits, maximumConnections: 100, handle: gateway.handle, onError: () => {} })
   await new Promise<void>((resolve) => { server.listen(0, '127.0.0.1', resolve) })
@@ -201,7 +203,9 @@
     const response = await call('/lookups/x', { key: 7 })
     assert.is(response.status, 503)
     assert.ok(performance.now() - startedAt < 100)
-    assert.ok(Number(response.headers['retry-after']) <= 0.2)
+    // A third of the two seconds that the caller states: it waits no longer, and the key is not served before.
+    const retryAfterSeconds = Number(response.headers['retry-after'])
+    assert.ok(retryAfterSeconds > 0.6 && retryAfterSeconds <= 0.667, `${retryAfterSeconds} s`)
   }, { keyed: true })
 })
 
--- a/src/gateway/relay_selector.ts
+++ b/src/gateway/relay_selector.ts
@@ -22,9 +22,13 @@
 export const RelayHeader = {
   /** From the host: latency goal of the request, in milliseconds. */
   goalMs: 'x-gooseberryfold-goal-ms',
+  /** From the host: time until the timeout of the caller, in milliseconds. */
+  callerRemainingMs: 'x-gooseberryfold-caller-remaining-ms',
+  /** From the host: present if a response can no longer arrive within the latency goal. */
+  late: 'x-gooseberryfold-late',
   /** From the relay: why the request was not forwarded; one of {@link RelayRefusal}. */
   refusal: 'x-gooseberryfold-relay-refusal',
-  /** From the relay: time until the server has capacity, in milliseconds. */
+  /** From the relay: time after which the caller may return, in milliseconds. */
   roomAfterMs: 'x-gooseberryfold-room-after-ms'
 } as const
 
--- a/src/gateway/send_attempt.ts
+++ b/src/gateway/send_attempt.ts
@@ -16,8 +16,8 @@
   readonly body: RequestBody
   readonly deadlineMs: number
   readonly signal: AbortSignal
-  /** Relay that the request is sent through, and the latency goal that is sent to it, in milliseconds; if absent, the request goes to the server directly. */
-  readonly relay?: { readonly address: string, readonly goalMs: number }
+  /** Relay that the request is sent through, and what it needs for admission control, in milliseconds; if absent, the request goes to the server directly. */
+  readonly relay?: { readonly address: string, readonly goalMs: number, readonly callerRemainingMs: number, readonly isLate: boolean }
 }
 
 /** Outcome of an attempt. */
@@ -26,7 +26,7 @@
   | { readonly kind: 'answer', readonly isFramed: boolean, readonly status: number, readonly headers: readonly string[], readonly body: Buffer }
   /** Response of the server of which only the beginning, `start`, has been received. */
   | { readonly kind: 'stream', readonly status: number, readonly headers: readonly string[], readonly start: Buffer, readonly rest: IncomingMessage }
-  /** The server or its relay reports that the request was not run; `roomAfterMs` is set if a relay reports that the server is full. */
+  /** The server or its relay reports that the request was not run; `roomAfterMs` is set if a relay reports that the server is full, and is the time after which the caller may return. */
   | { readonly kind: 'not-run', readonly status: number, readonly misdirected: boolean, readonly roomAfterMs?: number }
   /** The request has not been sent to the server. `atRelay` is set if the relay failed before the server was tried. */
   | { readonly kind: 'unsent', readonly detail: string, readonly refused: boolean, readonly atRelay?: boolean }
@@ -62,7 +62,7 @@
     const headers = [...attempt.headers, names.deadlineMs, String(Math.max(1, Math.floor(attempt.deadlineMs))), names.targetServer, attempt.server.id]
     if (Buffer.isBuffer(attempt.body)) headers.push('Content-Length', String(attempt.body.length))
     else if (attempt.body !== null) headers.push(...framingHeaders(attempt.body))
-    if (relay !== undefined) headers.push(RelayHeader.goalMs, String(relay.goalMs))
+    if (relay !== undefined) headers.push(RelayHeader.goalMs, String(relay.goalMs), RelayHeader.callerRemainingMs, String(Math.round(relay.callerRemainingMs)), ...(relay.isLate ? [RelayHeader.late, '1'] : []))
     let connected = false
     let settled = false
     let interimResponses = 0
--- /dev/null
+++ b/src/gateway/server_admission.ts
@@ -0,0 +1,114 @@
+/**
+ * Admission control of one server for the host that knows the requests in
+ * flight at it, and the order in which refused callers may return.
+ *
+ * A hot key gets many times the requests that its only server can run. Requests
+ * that can still be answered within their latency goal go first; those that
+ * cannot only take free slots, or a short queue. Part of the queue is reserved
+ * for the server's other keys. Refused callers are given different times to
+ * return, at a rate that the server can take, up to the longest time that they
+ * wait: coming back while the key is still hot would use up their retries.
+ */
+import type { RoutedServer } from '../routing/mod.ts'
+import { admit, maximumRetryAfterMs } from './admission.ts'
+import type { ServerLoads } from './server_loads.ts'
+
+/** A request that is about to be sent to a server. */
+export interface ServerAdmissionQuery {
+  /** Its key, if its service is keyed. */
+  readonly key: number | null
+  readonly latencyGoalMs: number
+  /** Time until the timeout of the caller or of the route, in milliseconds. */
+  readonly remainingMs: number
+  /** Time until the timeout of the caller, in milliseconds. */
+  readonly callerRemainingMs: number
+  /** Whether a response can no longer arrive within the latency goal. */
+  readonly isLate: boolean
+  /** Maximum requests in flight, as a multiple of the server's slots. Default: {@link MAXIMUM_OCCUPANCY}. */
+  readonly maximumOccupancy?: number
+}
+
+/** The decision; `end` is called when an admitted request has ended. */
+export type ServerAdmissionDecision =
+  | { readonly kind: 'admit', readonly end: () => void }
+  /** `returnAfterMs` is the time after which the caller may return, in milliseconds. */
+  | { readonly kind: 'refuse', readonly returnAfterMs: number }
+
+/** Admission control of the servers that one host sends to. */
+export interface ServerAdmission {
+  decide (server: RoutedServer, query: ServerAdmissionQuery): ServerAdmissionDecision
+  /** Returns when the caller of a request that its server refused may return, in milliseconds from now. */
+  returnAfterMs (server: RoutedServer, query: Pick<ServerAdmissionQuery, 'key' | 'callerRemainingMs'>): number
+}
+
+/** Maximum requests in flight at a server, as a multiple of its slots: all slots busy and a queue that every server accepts. */
+export const MAXIMUM_OCCUPANCY = 2
+
+/** The same for a request whose response can no longer arrive within its latency goal. */
+const LATE_OCCUPANCY = 1.5
+
+/** Share of the slots that one key leaves to the other keys of its server while that is full. */
+const RESERVED_SHARE = 0.5
+
+/** Factor by which callers return more slowly than the server works: new requests arrive meanwhile. */
+const RETURN_INTERVAL_FACTOR = 2
+
+/**
+ * Creates the admission control of a host.
+ *
+ * @param loads Loads of the servers.
+ * @param now Monotonic time in milliseconds.
+ * @returns The admission control.
+ */
+export function createServerAdmission (loads: ServerLoads, now: () => number): ServerAdmission {
+  /** Requests in flight by server and key. */
+  const keysInFlight = new Map<string, Map<number, number>>()
+  /** When the next caller that a server has refused may return. */
+  const nextReturnAt = new Map<string, number>()
+
+  function trackKey (server: RoutedServer, key: number | null): () => void {
+    if (key === null) return () => {}
+    const keys = keysInFlight.get(server.id) ?? new Map<number, number>()
+    keysInFlight.set(server.id, keys)
+    keys.set(key, (keys.get(key) ?? 0) + 1)
+    return () => {
+      const left = (keys.get(key) ?? 1) - 1
+      if (left > 0) keys.set(key, left)
+      else keys.delete(key)
+      if (keys.size === 0 && keysInFlight.get(server.id) === keys) keysInFlight.delete(server.id)
+    }
+  }
+
+  /** Number of requests by which the server, or the key's share of it, is over its limit. */
+  function excess (server: RoutedServer, query: ServerAdmissionQuery): number {
+    const maximum = query.maximumOccupancy ?? MAXIMUM_OCCUPANCY
+    const limit = server.slots * (query.isLate ? Math.min(LATE_OCCUPANCY, maximum) : maximum)
+    const serverExcess = loads.inFlight(server.id) + 1 - limit
+    if (query.key === null) return serverExcess
+    const keyLimit = server.slots * (MAXIMUM_OCCUPANCY - RESERVED_SHARE)
+    return Math.max(serverExcess, (keysInFlight.get(server.id)?.get(query.key) ?? 0) + 1 - keyLimit)
+  }
+
+  /** Returns the time after which a refused caller may return, given the time until the server has room. */
+  function scheduleReturn (server: RoutedServer, roomAfterMs: number, query: Pick<ServerAdmissionQuery, 'key' | 'callerRemainingMs'>): number {
+    // A request without a key may find room at another server.
+    if (query.key === null) return roomAfterMs
+    const longestMs = maximumRetryAfterMs(query.callerRemainingMs)
+    const at = Math.max(now() + roomAfterMs, nextReturnAt.get(server.id) ?? 0)
+    if (at - now() >= longestMs) return longestMs
+    nextReturnAt.set(server.id, at + loads.workMs(server) / server.slots * RETURN_INTERVAL_FACTOR)
+    return at - now()
+  }
+
+  return {
+    decide (server, query) {
+      const workMs = loads.workMs(server)
+      const over = excess(server, query)
+      if (over > 0) return { kind: 'refuse', returnAfterMs: scheduleReturn(server, workMs * over / server.slots, query) }
+      const admission = admit({ isFull: loads.isFull(server.id), expectedMs: loads.expectedMs(server), workMs, latencyGoalMs: query.latencyGoalMs, remainingMs: query.remainingMs })
+      if (admission.kind === 'refuse') return { kind: 'refuse', returnAfterMs: scheduleReturn(server, admission.roomAfterMs, query) }
+      return { kind: 'admit', end: trackKey(server, query.key) }
+    },
+    returnAfterMs: (server, query) => scheduleReturn(server, loads.workMs(server), query)
+  }
+}
--- a/src/relay/create_relay.ts
+++ b/src/relay/create_relay.ts
@@ -7,8 +7,8 @@
  */
 import type { Agent, IncomingMessage, ServerResponse } from 'node:http'
 import {
-  admit, outcomeLabel, parseKey, RelayHeader, RelayRefusal, requestHeaders, sendAttempt, toLoadOutcome, forwardResponse, waitUntilSent,
-  type AttemptOutcome, type HeaderNames, type RoutingState, type RequestRecord, type ServerLoads
+  outcomeLabel, parseKey, RelayHeader, RelayRefusal, requestHeaders, sendAttempt, toLoadOutcome, forwardResponse, waitUntilSent,
+  type AttemptOutcome, type HeaderNames, type RoutingState, type RequestRecord, type ServerAdmission, type ServerAdmissionQuery, type ServerLoads
 } from '../gateway/mod.ts'
 import type { RoutedServer } from '../routing/mod.ts'
 
@@ -16,6 +16,7 @@
 export interface RelayOptions {
   readonly routingState: RoutingState
   readonly loads: ServerLoads
+  readonly admission: ServerAdmission
   /** Connections to servers. */
   readonly agent: Agent
   readonly names: HeaderNames
@@ -31,8 +32,8 @@
   pending (): number
 }
 
-/** Maximum requests in flight at a server, as a multiple of its slots: all slots busy and a queue that every server accepts. */
-const MAXIMUM_OCCUPANCY = 2
+/** Headers that are meant for the relay only. */
+const RELAY_HEADERS: ReadonlySet<string> = new Set([RelayHeader.goalMs, RelayHeader.callerRemainingMs, RelayHeader.late])
 
 /** Route name in the records of relayed requests. */
 const ROUTE_NAME = 'relayed'
@@ -51,20 +52,23 @@
     response.writeHead(503, { 'Content-Length': '0', [RelayHeader.refusal]: refusal, [RelayHeader.roomAfterMs]: String(Math.ceil(roomAfterMs)) }).end()
   }
 
-  /** Returns the time until the server has capacity for a request, in milliseconds, or `null` if it has capacity now. */
-  function capacityDelayMs (server: RoutedServer, request: { readonly goalMs: number, readonly remainingMs: number }): number | null {
-    const workMs = loads.workMs(server)
-    const excess = loads.inFlight(server.id) + 1 - server.slots * MAXIMUM_OCCUPANCY
-    if (excess > 0) return workMs * excess / server.slots
-    const admission = admit({ isFull: loads.isFull(server.id), expectedMs: loads.expectedMs(server), workMs, latencyGoalMs: request.goalMs, remainingMs: request.remainingMs })
-    return admission.kind === 'admit' ? null : admission.roomAfterMs
+  function admissionQuery (request: IncomingMessage, server: RoutedServer): ServerAdmissionQuery {
+    const remainingMs = Number(request.headers[names.deadlineMs])
+    return {
+      key: routingState.service(server.service)?.keyed === true ? parseKey(request.headers[names.key]) : null,
+      latencyGoalMs: Number(request.headers[RelayHeader.goalMs]),
+      remainingMs,
+      callerRemainingMs: Number(request.headers[RelayHeader.callerRemainingMs] ?? remainingMs),
+      isLate: request.headers[RelayHeader.late] !== undefined
+    }
   }
 
   async function forward (request: IncomingMessage, response: ServerResponse, server: RoutedServer): Promise<void> {
     const startedAt = now()
     const remainingMs = Number(request.headers[names.deadlineMs])
-    const delayMs = capacityDelayMs(server, { goalMs: Number(request.headers[RelayHeader.goalMs]), remainingMs })
-    if (delayMs !== null) return refuse(response, RelayRefusal.full, delayMs)
+    const query = admissionQuery(request, server)
+    const admission = options.admission.decide(server, query)
+    if (admission.kind === 'refuse') return refuse(response, RelayRefusal.full, admission.returnAfterMs)
     const abort = new AbortController()
     const timer = setTimeout(() => { abort.abort() }, remainingMs)
     const onClose = (): void => { if (!response.writableFinished) abort.abort() }
@@ -84,14 +88,15 @@
     }, { agent: options.agent, names })
     const durationMs = now() - startedAt
     end(toLoadOutcome(outcome, durationMs))
-    await sendOutcome(response, { outcome, server, method: request.method ?? 'GET', signal: abort.signal })
+    admission.end()
+    await sendOutcome(response, { outcome, server, query, method: request.method ?? 'GET', signal: abort.signal })
     clearTimeout(timer)
     response.off('close', onClose)
     record(request, { server, outcome, durationMs, inFlight, expectedMs })
   }
 
   /** Reports the outcome of a request to the host that sent it. */
-  async function sendOutcome (response: ServerResponse, { outcome, server, method, signal }: { readonly outcome: AttemptOutcome, readonly server: RoutedServer, readonly method: string, readonly signal: AbortSignal }): Promise<void> {
+  async function sendOutcome (response: ServerResponse, { outcome, server, query, method, signal }: { readonly outcome: AttemptOutcome, readonly server: RoutedServer, readonly query: ServerAdmissionQuery, readonly method: string, readonly signal: AbortSignal }): Promise<void> {
     if (outcome.kind === 'answer' || outcome.kind === 'stream') {
       await forwardResponse(response, outcome, { method, closesConnection: false, signal })
     } else if (outcome.kind === 'unsent') {
@@ -100,7 +105,7 @@
       // The other host must not mistake this for a response of the server: the request may have run.
       response.destroy()
     } else if (!outcome.misdirected && loads.isFull(server.id)) {
-      refuse(response, RelayRefusal.full, loads.workMs(server))
+      refuse(response, RelayRefusal.full, options.admission.returnAfterMs(server, query))
     } else {
       response.writeHead(outcome.status, { 'Content-Length': '0', [names.notRun]: 'true' }).end()
     }
@@ -139,5 +144,5 @@
 }
 
 function withoutRelayHeaders (headers: readonly string[]): string[] {
-  return headers.filter((_, index) => headers[index - index % 2]?.toLowerCase() !== RelayHeader.goalMs)
+  return headers.filter((_, index) => !RELAY_HEADERS.has(headers[index - index % 2]?.toLowerCase() ?? ''))
 }
