--- a/src/entry_host/create_leadership_controller.ts
+++ b/src/entry_host/create_leadership_controller.ts
@@ -98,7 +98,7 @@
     peerServer.disconnect()
   }
 
-  /** Stops leading, but keeps the connections of the other hosts, which learn about the next leader over them. */
+  /** Stops leading, but keeps the connections of the other hosts, over which they are notified of the next leader. */
   function handOver (): void {
     leading = false
     coordinator.stop()
--- a/src/entry_host/create_leadership_controller_test.ts
+++ b/src/entry_host/create_leadership_controller_test.ts
@@ -199,7 +199,7 @@
   assert.ok(host.reads.includes('published'))
 })
 
-test('run() reads without plans and tells the leader, when the store turns the leader away and this host reads first', async () => {
+test('run() reads without plans and notifies the leader, when the store turns the leader away and this host reads first', async () => {
   const holder = holderWith(true)
   const rows = new Map([[LEASE_KEY, { key: LEASE_KEY, revision: 3, value: { ...LEASE_OF_H2, holder } }]])
   const host = createHost(rows, { hostsInZone: HOSTS_IN_ZONE })
--- a/src/entry_host/initial_updates.ts
+++ b/src/entry_host/initial_updates.ts
@@ -23,7 +23,7 @@
   invalidateOwners (): void
 }
 
-/** Maximum age of owners, in milliseconds: the remaining time of keys that nobody serves is relative. */
+/** Maximum age of owners, in milliseconds: the remaining time of unserved keys is relative. */
 const MAXIMUM_OWNERS_AGE_MS = 100
 
 /**
