--- a/tools/_mutation_list.ts
+++ b/tools/_mutation_list.ts
@@ -10,6 +10,12 @@
 }
 
 const HOSTS = 'src/host/host_core_test.ts'
+const ADMISSION = 'src/gateway/server_admission_test.ts'
+const ATTEMPTS = 'src/gateway/send_attempt_test.ts'
+const GATEWAY = 'src/gateway/create_gateway_test.ts'
+const INITIAL_UPDATES = 'src/entry_host/initial_updates_test.ts'
+const LEADERSHIP = 'src/entry_host/create_leadership_controller_test.ts'
+const LOADS = 'src/entry_host/load_aggregator_test.ts'
 const GRANTS = 'src/dispatch/server_grant_test.ts'
 const PROMISES = 'src/cell/promise_tracker_test.ts'
 const TRACES = 'src/host/trace_replay_test.ts'
@@ -35,5 +41,12 @@
   { name: 'lost server stays lost after it has recovered', file: 'src/cell/assignment.ts', find: 'if (hasRecovered) state.lost = false', replace: '', test: HOSTS },
   { name: 'lapsed lease is granted again for an old view', file: 'src/cell/cell.ts', find: 'appliedView.version < lease.floor || ', replace: '', test: HOSTS },
   { name: 'slices of servers that do not check grants move before every host has reported', file: 'src/cell/release_tracker.ts', find: 'if (release.slice !== null && !checksGrants && mayHaveOtherRequests(release, context)) return false', replace: '', test: TRACES },
-  { name: 'host leads the same epoch twice', file: 'src/cell/candidate.ts', find: 'lastLedEpoch = campaign.epoch', replace: '', test: HOSTS }
+  { name: 'host leads the same epoch twice', file: 'src/cell/candidate.ts', find: 'lastLedEpoch = campaign.epoch', replace: '', test: HOSTS },
+  { name: 'late requests fill the queue of a hot key', file: 'src/gateway/server_admission.ts', find: 'query.isLate ? Math.min(LATE_OCCUPANCY, maximum) : maximum', replace: 'maximum', test: ADMISSION },
+  { name: 'one key fills the queue of its server', file: 'src/gateway/server_admission.ts', find: '(MAXIMUM_OCCUPANCY - RESERVED_SHARE)', replace: 'MAXIMUM_OCCUPANCY', test: ADMISSION },
+  { name: 'interim responses have no limit', file: 'src/gateway/send_attempt.ts', find: 'interimResponses > MAXIMUM_INTERIM_RESPONSES', replace: 'interimResponses < 0', test: ATTEMPTS },
+  { name: 'a request has ended before its response is sent', file: 'src/gateway/create_gateway.ts', find: 'await waitUntilSent(response)', replace: '', test: GATEWAY },
+  { name: 'a new host is sent owners from before a change', file: 'src/entry_host/initial_updates.ts', find: 'invalidateOwners () { owners = null }', replace: 'invalidateOwners () {}', test: INITIAL_UPDATES },
+  { name: 'a leader that reaches the store resigns', file: 'src/entry_host/create_leadership_controller.ts', find: 'if (reachesStore || !leading) return', replace: 'if (!leading) return', test: LEADERSHIP },
+  { name: 'the first request defines the speed of a server', file: 'src/entry_host/load_aggregator.ts', find: 'assumedWorkMs(server) ?? mean', replace: 'mean', test: LOADS }
 ]
--- a/tools/faults.ts
+++ b/tools/faults.ts
@@ -92,11 +92,13 @@
       lines.push(line)
       console.log(line)
     }
-    if (patternText !== undefined && patternText !== 'publication') return
+    const configurationRuns = patternText === undefined || patternText === 'publication' ? CONFIGURATION_RUNS : []
     const header = ['', '| publication | exit codes | ms until in force on every host | readings of an older version | 4 s |', '| --- | --- | --- | --- | --- |']
-    lines.push(...header)
-    console.log(header.join('\n'))
-    for (const run of CONFIGURATION_RUNS) {
+    if (configurationRuns.length > 0) {
+      lines.push(...header)
+      console.log(header.join('\n'))
+    }
+    for (const run of configurationRuns) {
       const line = await measureConfigurationRun(cluster, run)
       lines.push(line)
       console.log(line)
