Order only keyed requests by whether they can be in time

A late request without a key was refused by the one server that a host had chosen for it, although another may have room.

Ruled out: dropping the order through relays only, which try other servers; one rule for both is easier to follow.

--- a/src/gateway/create_gateway.ts
+++ b/src/gateway/create_gateway.ts
@@ -110,9 +110,9 @@
     return exchange.callerDeadlineAt - now()
   }
 
-  /** Whether a response of the server can no longer arrive within the latency goal, counted from the caller's first attempt. */
+  /** Whether a response of the only server can no longer arrive within the latency goal, counted from the caller's first attempt. */
   function isLate (exchange: Exchange, server: RoutedServer): boolean {
-    return exchange.elapsedMs > 0 && exchange.elapsedMs + now() - exchange.startedAt + loads.workMs(server) > exchange.route.latencyGoalMs
+    return isKeyed(exchange) && exchange.elapsedMs > 0 && exchange.elapsedMs + now() - exchange.startedAt + loads.workMs(server) > exchange.route.latencyGoalMs
   }
 
   /** Retry delay with jitter, so that callers refused at the same time do not retry at the same time. */
