Late requests of a hot key take free slots only; callers return at the server's rate

Change: late requests only where a slot is free, returns at the server's rate in place of half of it.

--- a/src/gateway/server_admission.ts
+++ b/src/gateway/server_admission.ts
@@ -4,7 +4,7 @@
  *
  * A hot key gets many times the requests that its only server can run. Requests
  * that can still be answered within their latency goal go first; those that
- * cannot only take free slots, or a short queue. Part of the queue is reserved
+ * cannot only take free slots. Part of the queue is reserved
  * for the server's other keys. Refused callers are given different times to
  * return, at a rate that the server can take, up to the longest time that they
  * wait: coming back while the key is still hot would use up their retries.
@@ -44,15 +44,12 @@
 /** Maximum requests in flight at a server, as a multiple of its slots: all slots busy and a queue that every server accepts. */
 export const MAXIMUM_OCCUPANCY = 2
 
-/** The same for a request whose response can no longer arrive within its latency goal. */
-const LATE_OCCUPANCY = 1.5
+/** The same for a request whose response can no longer arrive within its latency goal: it takes a free slot and does not delay others. */
+const LATE_OCCUPANCY = 1
 
 /** Share of the slots that one key leaves to the other keys of its server while that is full. */
 const RESERVED_SHARE = 0.5
 
-/** Factor by which callers return more slowly than the server works: new requests arrive meanwhile. */
-const RETURN_INTERVAL_FACTOR = 2
-
 /**
  * Creates the admission control of a host.
  *
@@ -96,7 +93,7 @@
     const longestMs = maximumRetryAfterMs(query.callerRemainingMs)
     const at = Math.max(now() + roomAfterMs, nextReturnAt.get(server.id) ?? 0)
     if (at - now() >= longestMs) return longestMs
-    nextReturnAt.set(server.id, at + loads.workMs(server) / server.slots * RETURN_INTERVAL_FACTOR)
+    nextReturnAt.set(server.id, at + loads.workMs(server) / server.slots)
     return at - now()
   }
 
