Log how late a host runs and whether a request outlived its caller

Lines of requests now have loopDelayMs, the largest delay of a periodic timer in the last second, and caller=disconnected where the caller's connection was closed when the request ended; such a request is logged also if it was served. No change of logic.

--- a/src/entry_host/create_entry_host.ts
+++ b/src/entry_host/create_entry_host.ts
@@ -19,6 +19,7 @@
 import { createHostReportTracker } from './host_report_tracker.ts'
 import { createLeadershipController } from './create_leadership_controller.ts'
 import { createLeaderMonitor } from './leader_monitor.ts'
+import { createLoopDelayMonitor } from './loop_delay_monitor.ts'
 import { createStatePublisher } from './create_state_publisher.ts'
 import { applyPublishedUpdate } from './published_updates.ts'
 import { createRequestLog } from './request_log.ts'
@@ -117,6 +118,7 @@
   let leaving = false
   const stop = new AbortController()
   const leaderMonitor = createLeaderMonitor(now)
+  const loopDelayMonitor = createLoopDelayMonitor({ intervalMs: TaskTiming.loadIntervalMs, now })
   const hostReportTracker = createHostReportTracker({ now, reportIntervalMs: leaderMonitor.intervalMs })
   const coordinator = createCoordinator({
     routingState,
@@ -230,7 +232,7 @@
   })
   /** Describes the state that routing decisions are based on, for log lines of requests. */
   function describeRoutingState (): Record<string, unknown> {
-    return { version: routingState.configuration()?.version, leaderAgeMs: leadershipController.isLeading() ? 0 : Math.round(now() - leaderConnection.lastMessageAt()) }
+    return { version: routingState.configuration()?.version, leaderAgeMs: leadershipController.isLeading() ? 0 : Math.round(now() - leaderConnection.lastMessageAt()), loopDelayMs: loopDelayMonitor.delayMs() }
   }
 
   function reportConnectionError (error: unknown): void {
@@ -287,7 +289,10 @@
   const timers = [
     setInterval(() => { coordinator.tick() }, TaskTiming.grantIntervalMs),
     setInterval(() => { leadership.renew().catch(reportFailure) }, TaskTiming.loadIntervalMs),
-    setInterval(statePublisher.sendLoads, TaskTiming.loadIntervalMs),
+    setInterval(() => {
+      loopDelayMonitor.recordTick()
+      statePublisher.sendLoads()
+    }, TaskTiming.loadIntervalMs),
     setInterval(() => { coordinator.plan().catch(reportFailure) }, TaskTiming.planIntervalMs)
   ]
   await Promise.all([
@@ -334,6 +339,7 @@
       version: routingState.configuration()?.version ?? null,
       servers: routingState.servers(),
       pending: gateway.pending(),
+      loopDelayMs: loopDelayMonitor.delayMs(),
       views: [...coordinator.views()]
     })
   }
--- a/src/entry_host/request_log.ts
+++ b/src/entry_host/request_log.ts
@@ -29,7 +29,7 @@
 
   return {
     write (record, context) {
-      const isOrdinary = record.reason === 'served' && record.status < 500 && record.attempts.length === 1
+      const isOrdinary = record.reason === 'served' && record.status < 500 && record.attempts.length === 1 && record.isCallerConnected
       if (isOrdinary) return
       const current = Math.floor(now() / 1000)
       if (current !== second) {
@@ -50,6 +50,8 @@
         status: record.status,
         reason: record.reason,
         ms: Math.round(record.durationMs),
+        // A request that was served to nobody shows that the host has not noticed that its caller had left.
+        caller: record.isCallerConnected ? undefined : 'disconnected',
         retryAfterMs: record.retryAfterMs === undefined ? undefined : Math.round(record.retryAfterMs),
         attempts: record.attempts.map((attempt) => `${attempt.server}:${attempt.outcome}${attempt.detail === undefined ? '' : `(${attempt.detail})`}:${attempt.durationMs}ms:${attempt.inFlight}busy:${attempt.expectedMs}expected${attempt.relay === undefined ? '' : `:via=${attempt.relay}`}`).join(','),
         ...context
--- a/src/gateway/create_gateway.ts
+++ b/src/gateway/create_gateway.ts
@@ -130,6 +130,7 @@
       reason,
       durationMs: now() - exchange.startedAt,
       attempts: exchange.attempts,
+      isCallerConnected: !exchange.request.socket.destroyed,
       ...(retryAfterMs === undefined ? {} : { retryAfterMs })
     })
   }
--- a/src/gateway/request_record.ts
+++ b/src/gateway/request_record.ts
@@ -13,6 +13,8 @@
   readonly durationMs: number
   readonly attempts: readonly AttemptRecord[]
   readonly retryAfterMs?: number
+  /** Whether the connection of the caller was still open when the request ended. */
+  readonly isCallerConnected: boolean
   /** Whether this host relayed the request for another host. */
   readonly isRelayed?: boolean
 }
--- a/src/relay/create_relay.ts
+++ b/src/relay/create_relay.ts
@@ -121,6 +121,7 @@
       status: outcome.kind === 'answer' || outcome.kind === 'stream' ? outcome.status : 0,
       reason: outcome.kind === 'answer' || outcome.kind === 'stream' ? 'served' : outcome.kind,
       durationMs,
+      isCallerConnected: !request.socket.destroyed,
       isRelayed: true,
       attempts: [{ server: server.id, outcome: outcomeLabel(outcome), ...('detail' in outcome ? { detail: outcome.detail } : {}), durationMs: Math.round(durationMs), inFlight, expectedMs: Math.round(attempt.expectedMs) }]
     })
