--- a/src/relay/create_relay_test.ts
+++ b/src/relay/create_relay_test.ts
@@ -1,6 +1,6 @@
 /** Tests of requests that one host sends to a server through another host. */
 import { Agent, type Server } from 'node:http'
-import type { AddressInfo } from 'node:net'
+import { connect, type AddressInfo } from 'node:net'
 import { suite } from 'uvu'
 import * as assert from 'uvu/assert'
 import { callPort, type CallerResponse, type CallPortOptions } from '../../testing/call_port.ts'
@@ -17,6 +17,7 @@
   /** Server loads as the relay counts them. */
   readonly loads: ServerLoads
   readonly relayState: RoutingState
+  readonly relayPort: number
   closeRelay (): Promise<void>
   call (path: string, options?: CallPortOptions): Promise<CallerResponse>
 }
@@ -48,7 +49,8 @@
   const agents = [createServerAgent(), createServerAgent(), new Agent({ keepAlive: true })] as const
   const relay = createRelay({ routingState: relayState, loads, admission: createServerAdmission(loads, now), agent: agents[0], names: TEST_HEADER_NAMES, now, onEnd: () => {} })
   const relayServer = createCallerServer({ limits: configuration.limits, maximumConnections: 100, handle: relay.handle, onError: () => {} })
-  const address = `127.0.0.1:${await listen(relayServer)}`
+  const relayPort = await listen(relayServer)
+  const address = `127.0.0.1:${relayPort}`
   const budget = createRetryBudget({ share: 0, maximum: 5 })
   const gateway = createGateway({
     routingState: originState,
@@ -78,6 +80,7 @@
       backend,
       loads,
       relayState,
+      relayPort,
       closeRelay,
       call: (path, call = {}) => callPort({ port, path }, { ...call, key: 7 })
     })
@@ -133,6 +136,22 @@
   })
 })
 
+test('handle() sends nothing to a server, when the host that sent the request has disconnected before the relay reads it', async () => {
+  await withRelay(respondWithPath, async ({ backend, relayPort }) => {
+    const socket = connect(relayPort, '127.0.0.1')
+    await new Promise<void>((resolve) => {
+      socket.on('connect', () => {
+        // Both are waiting in the relay's socket buffer when the relay reads it, as after a pause of its process.
+        socket.write('POST /once/x HTTP/1.1\r\nHost: one.example\r\nX-Attempt: a1\r\nX-Deadline: 2000\r\nX-Target: s0\r\nX-Gooseberryfold-Goal-Ms: 300\r\nContent-Length: 5\r\n\r\nhello')
+        socket.destroy()
+        resolve()
+      })
+    })
+    await new Promise((resolve) => { setTimeout(resolve, 500) })
+    assert.equal(backend.requests, [])
+  })
+})
+
 test('handle() never reports a broken connection as a refusal, when the request may have run', async () => {
   const abortResponse: BackendHandler = (_request, response) => { response.destroy() }
   await withRelay(abortResponse, async ({ call, backend }) => {
