Abort every request of a connection when its caller leaves

What callers' servers saw: of the requests that a caller had sent one behind the other, all but the first ran on after it had closed its connection. Cause: hosts and relays learned of it from 'close' of the response, which Node emits only for the response that the connection is sending. Change: watchDisconnect() listens once to each connection, to its end and its close, and notifies all requests in progress on it; gateway and relay use it. The end is the earlier sign: 'close' waits until what was written has been sent. The tests of requests that are read late now open a connection to the server first: without one, the end of the connection arrives before the request can be sent, and the tests would pass by chance.

--- a/src/gateway/_exchange.ts
+++ b/src/gateway/_exchange.ts
@@ -26,6 +26,8 @@
   body: RequestBody
   /** Whether a server may have run the request. */
   mayHaveRun: boolean
+  /** Whether the caller has closed its connection. */
+  hasCallerLeft: boolean
   /** Whether all further attempts go to servers directly. */
   bypassesRelays: boolean
 }
--- a/src/gateway/caller_disconnect_test.ts
+++ b/src/gateway/caller_disconnect_test.ts
@@ -7,7 +7,7 @@
 import { suite } from 'uvu'
 import * as assert from 'uvu/assert'
 import { respondWithPath, type BackendHandler } from '../../testing/fake_backend.ts'
-import { TEST_CONFIGURATION, withGateway } from '../../testing/with_gateway.ts'
+import { TEST_CONFIGURATION, withGateway, type GatewaySetup } from '../../testing/with_gateway.ts'
 import type { RoutingConfiguration } from '../routing/mod.ts'
 
 const test = suite('createGateway, callers that leave')
@@ -26,6 +26,11 @@
   return `POST /once/${id} HTTP/1.1\r\nHost: one.example\r\nX-Attempt: ${id}\r\nX-Deadline: 5000\r\nContent-Length: 0\r\n\r\n`
 }
 
+/** Leaves an idle connection to the server, on which the next request is sent without a delay. */
+async function openServerConnection (call: GatewaySetup['call']): Promise<void> {
+  assert.is((await call('/once/first', { id: 'a0', body: '' })).status, 200)
+}
+
 /** The configuration with a timeout of all routes that no test reaches. */
 const longTimeouts: RoutingConfiguration = {
   ...TEST_CONFIGURATION,
@@ -79,7 +84,8 @@
 })
 
 test('handle() sends nothing to a server, when the caller has left before its request is read', async () => {
-  await withGateway([respondWithPath], async ({ exchangeBytes, backends }) => {
+  await withGateway([respondWithPath], async ({ call, exchangeBytes, backends }) => {
+    await openServerConnection(call)
     await exchangeBytes((socket) => {
       socket.on('connect', () => {
         // Both are waiting in the host's socket buffer when the host reads it, as after a pause of its process.
@@ -88,12 +94,13 @@
       })
     })
     await pause(DISCONNECT_BOUND_MS)
-    assert.equal(backends[0]?.requests, [])
+    assert.equal(backends[0]?.requests.map((request) => request.id), ['a0'])
   })
 })
 
 test('handle() sends nothing to a server, when a caller with a body has left before its request is read', async () => {
-  await withGateway([respondWithPath], async ({ exchangeBytes, backends }) => {
+  await withGateway([respondWithPath], async ({ call, exchangeBytes, backends }) => {
+    await openServerConnection(call)
     await exchangeBytes((socket) => {
       socket.on('connect', () => {
         socket.write('POST /once/x HTTP/1.1\r\nHost: one.example\r\nX-Attempt: a1\r\nX-Deadline: 5000\r\nContent-Length: 5\r\n\r\nhello')
@@ -101,7 +108,7 @@
       })
     })
     await pause(DISCONNECT_BOUND_MS)
-    assert.equal(backends[0]?.requests, [])
+    assert.equal(backends[0]?.requests.map((request) => request.id), ['a0'])
   })
 })
 
--- a/src/gateway/create_gateway.ts
+++ b/src/gateway/create_gateway.ts
@@ -23,6 +23,7 @@
 import type { ServerAdmission, ServerAdmissionQuery } from './server_admission.ts'
 import type { ServerLoads } from './server_loads.ts'
 import { forwardResponse, waitUntilSent } from './forward_response.ts'
+import { watchDisconnect } from './watch_disconnect.ts'
 
 /** Options of {@link createGateway}. */
 export interface GatewayOptions {
@@ -95,7 +96,7 @@
 
   /** Responds to a request whose body was not read, and closes the connection, on which the rest of the body may follow. */
   function refuseBody (exchange: Exchange, cause: 'too-long' | 'timed-out' | 'broken-off'): void {
-    if (cause === 'broken-off' || exchange.response.destroyed) return finish(exchange, 0, 'caller-broke-off')
+    if (cause === 'broken-off' || exchange.hasCallerLeft) return finish(exchange, 0, 'caller-broke-off')
     const status = cause === 'too-long' ? 413 : 408
     exchange.response.setHeader('Connection', 'close')
     writeLocalResponse(exchange.response, status)
@@ -302,7 +303,7 @@
       decision = remainingMs(exchange) <= 0 || exchange.abort.signal.aborted ? decideOnTimeout(exchange) : await makeAttempt(exchange)
     }
     const { response } = exchange
-    if (response.destroyed) return finish(exchange, 0, 'caller-left')
+    if (exchange.hasCallerLeft || response.destroyed) return finish(exchange, 0, 'caller-left')
     if (decision.kind === 'refuse') {
       // 503 means that the request has not run, so it is never sent for a request that may have run, idempotent or not.
       const status = exchange.mayHaveRun ? 502 : 503
@@ -337,11 +338,13 @@
     const key = parseKey(request.headers[names.key])
     const abort = new AbortController()
     const exchange: Exchange = {
-      request, response, id, route, service, key, startedAt, deadlineAt: startedAt + timeoutMs, callerDeadlineAt: startedAt + (statedMs ?? timeoutMs), elapsedMs: statedMs === null ? 0 : callerDeadlines.elapsedMs(route.name, statedMs), abort, attempts: [], triedServers: new Set(), body: null, mayHaveRun: false, bypassesRelays: false
+      request, response, id, route, service, key, startedAt, deadlineAt: startedAt + timeoutMs, callerDeadlineAt: startedAt + (statedMs ?? timeoutMs), elapsedMs: statedMs === null ? 0 : callerDeadlines.elapsedMs(route.name, statedMs), abort, attempts: [], triedServers: new Set(), body: null, mayHaveRun: false, bypassesRelays: false, hasCallerLeft: false
     }
     const timer = setTimeout(() => { abort.abort() }, timeoutMs)
-    const onClose = (): void => { if (!response.writableFinished) abort.abort() }
-    response.on('close', onClose)
+    const endWatch = watchDisconnect(request, () => {
+      exchange.hasCallerLeft = true
+      abort.abort()
+    })
     options.retryBudgetOf(service).deposit()
     if (key !== null && isKeyed(exchange)) options.onKeyRequested(service, key)
     try {
@@ -351,7 +354,7 @@
       await runAttempts(exchange)
     } finally {
       clearTimeout(timer)
-      response.off('close', onClose)
+      endWatch()
     }
   }
 
--- a/src/relay/create_relay.ts
+++ b/src/relay/create_relay.ts
@@ -7,7 +7,7 @@
  */
 import type { Agent, IncomingMessage, ServerResponse } from 'node:http'
 import {
-  outcomeLabel, parseKey, RelayHeader, RelayRefusal, requestHeaders, sendAttempt, toLoadOutcome, forwardResponse, waitUntilSent,
+  outcomeLabel, parseKey, RelayHeader, RelayRefusal, requestHeaders, sendAttempt, toLoadOutcome, forwardResponse, waitUntilSent, watchDisconnect,
   type AttemptOutcome, type HeaderNames, type RoutingState, type RequestRecord, type ServerAdmission, type ServerAdmissionQuery, type ServerLoads
 } from '../gateway/mod.ts'
 import type { RoutedServer } from '../routing/mod.ts'
@@ -71,8 +71,7 @@
     if (admission.kind === 'refuse') return refuse(response, RelayRefusal.full, admission.returnAfterMs)
     const abort = new AbortController()
     const timer = setTimeout(() => { abort.abort() }, remainingMs)
-    const onClose = (): void => { if (!response.writableFinished) abort.abort() }
-    response.on('close', onClose)
+    const endWatch = watchDisconnect(request, () => { abort.abort() })
     const inFlight = loads.inFlight(server.id)
     const expectedMs = loads.expectedMs(server)
     const end = loads.trackRequest(server)
@@ -91,7 +90,7 @@
     admission.end()
     await sendOutcome(response, { outcome, server, query, method: request.method ?? 'GET', signal: abort.signal })
     clearTimeout(timer)
-    response.off('close', onClose)
+    endWatch()
     record(request, { server, outcome, durationMs, inFlight, expectedMs })
   }
 
--- a/src/relay/create_relay_test.ts
+++ b/src/relay/create_relay_test.ts
@@ -137,7 +137,9 @@
 })
 
 test('handle() sends nothing to a server, when the host that sent the request has disconnected before the relay reads it', async () => {
-  await withRelay(respondWithPath, async ({ backend, relayPort }) => {
+  await withRelay(respondWithPath, async ({ call, backend, relayPort }) => {
+    // Leaves an idle connection to the server, on which the next request is sent without a delay.
+    assert.is((await call('/once/first', { id: 'a0', body: '' })).status, 200)
     const socket = connect(relayPort, '127.0.0.1')
     await new Promise<void>((resolve) => {
       socket.on('connect', () => {
@@ -148,7 +150,7 @@
       })
     })
     await new Promise((resolve) => { setTimeout(resolve, 500) })
-    assert.equal(backend.requests, [])
+    assert.equal(backend.requests.map((request) => request.id), ['a0'])
   })
 })
 
