Send no request whose caller has left before it was read

What servers saw: a request arrived after its caller had closed the connection. Cause: a process that was suspended, or had no processor time, finds requests and the end of their connections together in its socket buffers. It reads the data first, and forwarded it before it read the end; the relay did the same with requests of other hosts. Class: what starts work is processed before what has already ended it. Change: pollConnections() lets the process poll its connections once; the gateway does so before each attempt and after a wait for an owner, the relay before admission. What has been closed by then is not sent.

--- a/src/gateway/create_gateway.ts
+++ b/src/gateway/create_gateway.ts
@@ -23,6 +23,7 @@
 import type { ServerAdmission, ServerAdmissionQuery } from './server_admission.ts'
 import type { ServerLoads } from './server_loads.ts'
 import { forwardResponse, waitUntilSent } from './forward_response.ts'
+import { pollConnections } from './poll_connections.ts'
 import { watchDisconnect } from './watch_disconnect.ts'
 
 /** Options of {@link createGateway}. */
@@ -152,6 +153,7 @@
         return { kind: 'refuse', reason: `key-${owner.kind}`, retryAfterMs: jitteredRetryAfterMs(exchange, DEFAULT_RETRY_AFTER_MS) }
       }
       await routingState.waitForOwnerChange(Math.max(1, waitEndsAt - now()))
+      await pollConnections()
     }
   }
 
@@ -300,6 +302,7 @@
   async function runAttempts (exchange: Exchange): Promise<void> {
     let decision: AttemptDecision = { kind: 'retry' }
     while (decision.kind === 'retry') {
+      await pollConnections()
       decision = remainingMs(exchange) <= 0 || exchange.abort.signal.aborted ? decideOnTimeout(exchange) : await makeAttempt(exchange)
     }
     const { response } = exchange
--- a/src/relay/create_relay.ts
+++ b/src/relay/create_relay.ts
@@ -7,7 +7,7 @@
  */
 import type { Agent, IncomingMessage, ServerResponse } from 'node:http'
 import {
-  outcomeLabel, parseKey, RelayHeader, RelayRefusal, requestHeaders, sendAttempt, toLoadOutcome, forwardResponse, waitUntilSent, watchDisconnect,
+  outcomeLabel, parseKey, RelayHeader, RelayRefusal, requestHeaders, sendAttempt, toLoadOutcome, forwardResponse, waitUntilSent, watchDisconnect, pollConnections,
   type AttemptOutcome, type HeaderNames, type RoutingState, type RequestRecord, type ServerAdmission, type ServerAdmissionQuery, type ServerLoads
 } from '../gateway/mod.ts'
 import type { RoutedServer } from '../routing/mod.ts'
@@ -63,18 +63,32 @@
     }
   }
 
+  /** Forwards a request, unless the host that sent it has closed its connection. */
   async function forward (request: IncomingMessage, response: ServerResponse, server: RoutedServer): Promise<void> {
-    const startedAt = now()
+    const receivedAt = now()
     const remainingMs = Number(request.headers[names.deadlineMs])
-    const query = admissionQuery(request, server)
-    const admission = options.admission.decide(server, query)
-    if (admission.kind === 'refuse') return refuse(response, RelayRefusal.full, admission.returnAfterMs)
     const abort = new AbortController()
     const timer = setTimeout(() => { abort.abort() }, remainingMs)
     const endWatch = watchDisconnect(request, () => { abort.abort() })
+    try {
+      await pollConnections()
+      if (abort.signal.aborted) return record(request, { server, outcome: null, durationMs: now() - receivedAt })
+      await sendToServer(request, response, { server, signal: abort.signal, deadlineAt: receivedAt + remainingMs })
+    } finally {
+      clearTimeout(timer)
+      endWatch()
+    }
+  }
+
+  /** Sends a request to its server if that has room, and reports the outcome. */
+  async function sendToServer (request: IncomingMessage, response: ServerResponse, { server, signal, deadlineAt }: { readonly server: RoutedServer, readonly signal: AbortSignal, readonly deadlineAt: number }): Promise<void> {
+    const query = admissionQuery(request, server)
+    const admission = options.admission.decide(server, query)
+    if (admission.kind === 'refuse') return refuse(response, RelayRefusal.full, admission.returnAfterMs)
     const inFlight = loads.inFlight(server.id)
     const expectedMs = loads.expectedMs(server)
     const end = loads.trackRequest(server)
+    const sentAt = now()
     const outcome = await sendAttempt({
       server,
       id: String(request.headers[names.attemptId] ?? ''),
@@ -82,15 +96,13 @@
       path: request.url ?? '/',
       headers: withoutRelayHeaders(requestHeaders(request.rawHeaders, names)),
       body: request.headers['content-length'] === undefined && request.headers['transfer-encoding'] === undefined ? null : { stream: request, contentLength: request.headers['content-length'] },
-      deadlineMs: remainingMs,
-      signal: abort.signal
+      deadlineMs: deadlineAt - sentAt,
+      signal
     }, { agent: options.agent, names })
-    const durationMs = now() - startedAt
+    const durationMs = now() - sentAt
     end(toLoadOutcome(outcome, durationMs))
     admission.end()
-    await sendOutcome(response, { outcome, server, query, method: request.method ?? 'GET', signal: abort.signal })
-    clearTimeout(timer)
-    endWatch()
+    await sendOutcome(response, { outcome, server, query, method: request.method ?? 'GET', signal })
     record(request, { server, outcome, durationMs, inFlight, expectedMs })
   }
 
@@ -110,19 +122,20 @@
     }
   }
 
-  function record (request: IncomingMessage, attempt: { readonly server: RoutedServer, readonly outcome: AttemptOutcome, readonly durationMs: number, readonly inFlight: number, readonly expectedMs: number }): void {
-    const { server, outcome, durationMs, inFlight } = attempt
+  /** Records a request; its outcome is `null` if it was not sent because the other host had disconnected. */
+  function record (request: IncomingMessage, { server, outcome, durationMs, inFlight = 0, expectedMs = 0 }: { readonly server: RoutedServer, readonly outcome: AttemptOutcome | null, readonly durationMs: number, readonly inFlight?: number, readonly expectedMs?: number }): void {
+    const isAnswered = outcome?.kind === 'answer' || outcome?.kind === 'stream'
     options.onEnd({
       id: String(request.headers[names.attemptId] ?? ''),
       route: ROUTE_NAME,
       service: server.service,
       key: parseKey(request.headers[names.key]),
-      status: outcome.kind === 'answer' || outcome.kind === 'stream' ? outcome.status : 0,
-      reason: outcome.kind === 'answer' || outcome.kind === 'stream' ? 'served' : outcome.kind,
+      status: isAnswered ? outcome.status : 0,
+      reason: outcome === null ? 'caller-left' : isAnswered ? 'served' : outcome.kind,
       durationMs,
       isCallerConnected: !request.socket.destroyed,
       isRelayed: true,
-      attempts: [{ server: server.id, outcome: outcomeLabel(outcome), ...('detail' in outcome ? { detail: outcome.detail } : {}), durationMs: Math.round(durationMs), inFlight, expectedMs: Math.round(attempt.expectedMs) }]
+      attempts: outcome === null ? [] : [{ server: server.id, outcome: outcomeLabel(outcome), ...('detail' in outcome ? { detail: outcome.detail } : {}), durationMs: Math.round(durationMs), inFlight, expectedMs: Math.round(expectedMs) }]
     })
   }
 
