Write a request only to a connection that is established

What servers saw: a request whose caller left while the connection was being established arrived if both events were read together, as after a suspension. Cause: the request was handed to Node at once, which writes it in the same turn in which the connection is established. Change: sendAttempt() hands a request over once its connection is established and the process has polled its connections.

--- a/src/gateway/send_attempt.ts
+++ b/src/gateway/send_attempt.ts
@@ -3,6 +3,7 @@
 import type { RoutedServer } from '../routing/mod.ts'
 import type { RequestBody, StreamedBody } from './_body_reader.ts'
 import type { HeaderNames } from './header_names.ts'
+import { pollConnections } from './poll_connections.ts'
 import { RelayHeader, RelayRefusal } from './relay_selector.ts'
 
 /** A request that is sent to one server. */
@@ -28,8 +29,8 @@
   | { readonly kind: 'stream', readonly status: number, readonly headers: readonly string[], readonly start: Buffer, readonly rest: IncomingMessage }
   /** The server or its relay reports that the request was not run; `roomAfterMs` is set if a relay reports that the server is full, and is the time after which the caller may return. */
   | { readonly kind: 'not-run', readonly status: number, readonly misdirected: boolean, readonly roomAfterMs?: number }
-  /** The request has not been sent to the server. `atRelay` is set if the relay failed before the server was tried. */
-  | { readonly kind: 'unsent', readonly detail: string, readonly refused: boolean, readonly atRelay?: boolean }
+  /** The request has not been sent to the server. `atRelay` is set if the relay failed before the server was tried, `wasConnected` if the connection was closed after it had been established. */
+  | { readonly kind: 'unsent', readonly detail: string, readonly refused: boolean, readonly atRelay?: boolean, readonly wasConnected?: boolean }
   /** The request was sent and may have run. */
   | { readonly kind: 'lost', readonly detail: string, readonly aborted: boolean }
 
@@ -63,7 +64,10 @@
     if (Buffer.isBuffer(attempt.body)) headers.push('Content-Length', String(attempt.body.length))
     else if (attempt.body !== null) headers.push(...framingHeaders(attempt.body))
     if (relay !== undefined) headers.push(RelayHeader.goalMs, String(relay.goalMs), RelayHeader.callerRemainingMs, String(Math.round(relay.callerRemainingMs)), ...(relay.isLate ? [RelayHeader.late, '1'] : []))
+    /** Whether the connection is established; a request that fails then shows that its address responds. */
     let connected = false
+    /** Whether the request has been handed to the connection. */
+    let sent = false
     let settled = false
     let interimResponses = 0
     const request = startRequest({ agent: options.agent, host, port, method: attempt.method, path: attempt.path, headers: headers as unknown as Record<string, string>, setHost: false })
@@ -77,20 +81,39 @@
       resolve(outcome)
     }
     function abort (): void {
-      settle(connected ? { kind: 'lost', detail: 'The router aborted the attempt', aborted: true } : { kind: 'unsent', detail: 'The router aborted the attempt', refused: false })
+      settle(sent ? { kind: 'lost', detail: 'The router aborted the attempt', aborted: true } : { kind: 'unsent', detail: 'The router aborted the attempt', refused: false })
       // Without a reset, data delayed by a partition would still reach the server later.
-      if (connected) request.socket?.resetAndDestroy()
+      if (sent) request.socket?.resetAndDestroy()
       request.destroy()
     }
 
     request.on('error', (error: NodeJS.ErrnoException) => {
-      settle(connected ? { kind: 'lost', detail: error.message, aborted: false } : { kind: 'unsent', detail: error.message, refused: error.code === 'ECONNREFUSED', ...(relay === undefined ? {} : { atRelay: true }) })
+      settle(sent ? { kind: 'lost', detail: error.message, aborted: false } : { kind: 'unsent', detail: error.message, refused: error.code === 'ECONNREFUSED', wasConnected: connected, ...(relay === undefined ? {} : { atRelay: true }) })
     })
     attempt.signal.addEventListener('abort', abort)
     if (attempt.signal.aborted) return abort()
+    function send (): void {
+      // The attempt may have been aborted while the connection was established.
+      if (settled || request.destroyed) return
+      sent = true
+      if (attempt.body === null || Buffer.isBuffer(attempt.body)) request.end(attempt.body ?? undefined)
+      else attempt.body.stream.pipe(request)
+    }
+    function onConnected (): void {
+      connected = true
+      clearTimeout(connectTimer)
+    }
+    if (attempt.body !== null && !Buffer.isBuffer(attempt.body)) attempt.body.stream.on('error', (error) => { request.destroy(error) })
     request.on('socket', (socket) => {
-      if (socket.connecting) socket.once('connect', () => { connected = true; clearTimeout(connectTimer) })
-      else connected = true
+      if (!socket.connecting) {
+        onConnected()
+        return send()
+      }
+      socket.once('connect', () => {
+        onConnected()
+        // The caller may have left while the process waited for the connection.
+        pollConnections().then(send, (error: unknown) => { request.destroy(error instanceof Error ? error : new Error(String(error))) })
+      })
     })
     request.on('information', () => {
       interimResponses++
@@ -122,11 +145,6 @@
       }
       readResponse(request, response, settle)
     })
-    if (attempt.body === null || Buffer.isBuffer(attempt.body)) request.end(attempt.body ?? undefined)
-    else {
-      attempt.body.stream.on('error', (error) => { request.destroy(error) })
-      attempt.body.stream.pipe(request)
-    }
   })
 }
 
--- a/src/gateway/send_attempt_test.ts
+++ b/src/gateway/send_attempt_test.ts
@@ -1,4 +1,5 @@
 /** Tests of the outcomes of attempts, against servers that violate the protocol. */
+import { Agent } from 'node:http'
 import { createServer, type AddressInfo, type Server, type Socket } from 'node:net'
 import fc from 'fast-check'
 import { suite } from 'uvu'
@@ -146,6 +147,45 @@
   assert.is(outcome.kind, 'unsent')
 })
 
+// Guards against work for callers that have gone: a close that arrives together with an established connection.
+test('sendAttempt() writes nothing and returns unsent, when it is aborted just after its connection is established', async () => {
+  let receivedBytes = 0
+  const sockets = new Set<Socket>()
+  const server = createServer((socket) => {
+    sockets.add(socket)
+    socket.on('error', () => {})
+    socket.on('data', (data) => { receivedBytes += data.length })
+  })
+  await new Promise<void>((resolve) => { server.listen(0, '127.0.0.1', resolve) })
+  const controller = new AbortController()
+  const agent = new Agent()
+  const createConnection = agent.createConnection.bind(agent)
+  agent.createConnection = (options, callback) => {
+    const socket = createConnection(options, callback)
+    socket?.once('connect', () => { setImmediate(() => { controller.abort() }) })
+    return socket
+  }
+  try {
+    const outcome = await sendAttempt({
+      server: { id: 's1', bornAt: 1, service: 'orders', address: `127.0.0.1:${(server.address() as AddressInfo).port}`, zone: 'a', slots: 4, leaving: false, warmUpLeftMs: 0 },
+      id: 'a1',
+      method: 'POST',
+      path: '/orders/1',
+      headers: ['Host', 'example.org', 'X-Attempt', 'a1'],
+      body: Buffer.from('two ammonites'),
+      deadlineMs: 1000,
+      signal: controller.signal
+    }, { agent, names })
+    await new Promise((resolve) => { setTimeout(resolve, 100) })
+    assert.is(outcome.kind, 'unsent')
+    assert.is(receivedBytes, 0)
+  } finally {
+    agent.destroy()
+    for (const socket of sockets) socket.destroy()
+    server.close()
+  }
+})
+
 test('sendAttempt() ends without an uncaught error, when its signal is already aborted', async () => {
   await withServer(() => {}, async () => {
     const agent = createServerAgent()
