Read streamed bodies ahead of their server

What servers saw: an upload whose caller had closed or reset its connection stayed open until the timeout, while the server was not reading. Cause: a body of more than 1 MB was read as fast as the server took it, and Node notices that a connection was closed only while it reads it. At a relay the same held for bodies of up to 16 KiB. Change: readAhead() reads a body as fast as it arrives, within the 32 MiB that all bodies of a host may take; beyond that, as fast as its server does, as before. Relays buffer the short bodies that they get. What is left of a body when its request has ended is discarded, up to the limit, so that the caller's connection can be used again; before, a server that responded early blocked it. Ruled out: reading a little now and then while a body is paused, which finds a close only after all the data before it. What remains: a caller that leaves while the host's bodies take all 32 MiB is noticed when its server reads on, or at the timeout.

--- a/src/gateway/_exchange.ts
+++ b/src/gateway/_exchange.ts
@@ -1,7 +1,7 @@
 /** State of a request that the gateway is handling, and the decision after each attempt. */
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import type { Route } from '../routing/mod.ts'
-import type { RequestBody } from './_body_reader.ts'
+import type { RequestBody } from './body_reader.ts'
 import type { AttemptRecord } from './request_record.ts'
 import type { BackendResponse } from './forward_response.ts'
 
--- a/src/gateway/_body_reader.ts
+++ b/src/gateway/body_reader.ts
@@ -1,11 +1,12 @@
-/** Reads request bodies. Short bodies are buffered before the request is sent, so that it can be retried; long ones are streamed. */
+/** Reads request bodies. Short bodies are buffered before the request is sent, so that it can be retried; long ones are streamed, and read ahead of their server. */
 import type { IncomingMessage } from 'node:http'
-import { Transform, type Readable } from 'node:stream'
+import type { Readable } from 'node:stream'
+import { readAhead } from './_read_ahead.ts'
 
 /** Maximum length of a body that is buffered, in bytes; longer bodies are streamed. */
 const MAXIMUM_BUFFERED_BODY_BYTES = 1024 * 1024
 
-/** Total length of buffered bodies above which further bodies are streamed, in bytes. */
+/** Total length of buffered bodies above which further bodies are streamed, and no stream is read ahead of its server, in bytes. */
 const BUFFER_CAPACITY_BYTES = 32 * 1024 * 1024
 
 /** A body that is forwarded while it is received. */
@@ -38,13 +39,27 @@
 
 /** Reads the request bodies of one gateway. */
 export interface BodyReader {
-  /** Buffers a short body. The stream of a long body ends with an error once it exceeds the maximum length. */
+  /** Buffers a short body. The stream of a long body fails once it exceeds the maximum length. */
   read (request: IncomingMessage, options: ReadBodyOptions): Promise<BodyReading>
 }
 
 /** Creates a body reader with an empty buffer. */
 export function createBodyReader (): BodyReader {
   let bufferedBytes = 0
+  const streams = new Set<Readable>()
+
+  function hasCapacity (): boolean {
+    let bytes = bufferedBytes
+    for (const stream of streams) bytes += stream.readableLength
+    return bytes <= BUFFER_CAPACITY_BYTES
+  }
+
+  function stream (request: IncomingMessage, maximumBytes: number): BodyReading {
+    const body = readAhead(request, { maximumBytes, hasCapacity })
+    streams.add(body)
+    body.on('close', () => { streams.delete(body) })
+    return { kind: 'body', body: { stream: body, contentLength: request.headers['content-length'] } }
+  }
 
   /** Buffers a body until it ends or becomes too long to be buffered. */
   function buffer (request: IncomingMessage, { maximumBytes, signal }: ReadBodyOptions): Promise<BodyReading> {
@@ -66,10 +81,10 @@
         if (bytes > maximumBytes) {
           request.pause()
           settle({ kind: 'too-long' })
-        } else if (bytes > MAXIMUM_BUFFERED_BODY_BYTES || bufferedBytes > BUFFER_CAPACITY_BYTES) {
+        } else if (bytes > MAXIMUM_BUFFERED_BODY_BYTES || !hasCapacity()) {
           request.pause()
           request.unshift(Buffer.concat(parts))
-          settle({ kind: 'body', body: { stream: limitLength(request, maximumBytes), contentLength: request.headers['content-length'] } })
+          settle(stream(request, maximumBytes))
         }
       }
       function onEnd (): void { settle({ kind: 'body', body: Buffer.concat(parts) }) }
@@ -88,27 +103,19 @@
       }
       const length = Number(contentLength ?? 0)
       if (length > options.maximumBytes) return { kind: 'too-long' }
-      if (length > MAXIMUM_BUFFERED_BODY_BYTES) return { kind: 'body', body: { stream: request, contentLength } }
+      if (length > MAXIMUM_BUFFERED_BODY_BYTES) return stream(request, options.maximumBytes)
       return await buffer(request, options)
     }
   }
 }
 
-/** Returns a stream of the same bytes that fails once there are more than `maximumBytes`. */
-function limitLength (request: IncomingMessage, maximumBytes: number): Readable {
-  let bytes = 0
-  const limited = new Transform({
-    transform (part: Buffer, _encoding, done) {
-      bytes += part.length
-      if (bytes > maximumBytes) done(new Error(`The body is longer than ${maximumBytes} bytes`))
-      else done(null, part)
-    }
-  })
-  return request.pipe(limited)
-}
-
 /** Length of a body in bytes; for a stream without a `Content-Length`, the maximum length of a buffered body. */
 export function bodyBytes (body: RequestBody): number {
   if (body === null) return 0
   return Buffer.isBuffer(body) ? body.length : Number(body.contentLength ?? MAXIMUM_BUFFERED_BODY_BYTES)
 }
+
+/** Discards the rest of a streamed body whose request has ended, so that the caller's connection can be used again. */
+export function discardBody (body: RequestBody): void {
+  if (body !== null && !Buffer.isBuffer(body) && !body.stream.readableEnded) body.stream.destroy()
+}
--- a/src/gateway/create_gateway.ts
+++ b/src/gateway/create_gateway.ts
@@ -9,7 +9,7 @@
 import type { RetryBudget } from '../dispatch/retry_budget.ts'
 import { pickTarget, RequestKind, type RoutedServer } from '../routing/mod.ts'
 import { clampRetryAfterMs } from './admission.ts'
-import { bodyBytes, createBodyReader } from './_body_reader.ts'
+import { bodyBytes, createBodyReader, discardBody } from './body_reader.ts'
 import type { Exchange, AttemptDecision } from './_exchange.ts'
 import { createCallerDeadlines } from './caller_deadlines.ts'
 import { requestHeaders } from './forwarded_headers.ts'
@@ -17,7 +17,7 @@
 import type { HeaderNames } from './header_names.ts'
 import type { RoutingState } from './routing_state.ts'
 import { outcomeLabel, parseKey, toLoadOutcome } from './outcomes.ts'
-import type { Relay, RelaySelector } from './relay_selector.ts'
+import { MAXIMUM_RELAYED_BODY_BYTES, type Relay, type RelaySelector } from './relay_selector.ts'
 import type { AttemptRecord, RequestRecord } from './request_record.ts'
 import { sendAttempt, type Attempt, type AttemptOutcome, type SendAttemptOptions } from './send_attempt.ts'
 import type { ServerAdmission, ServerAdmissionQuery } from './server_admission.ts'
@@ -69,9 +69,6 @@
 /** Minimum remaining time for another attempt, in milliseconds. */
 const MINIMUM_ATTEMPT_MS = 20
 
-/** Maximum length of a body that is sent through a relay, in bytes: a second transfer over a slow network would take long. */
-const MAXIMUM_RELAYED_BODY_BYTES = 16 * 1024
-
 /** Timeout for connecting to a relay, in milliseconds: many round trips within a region. After it, the request goes to the server directly. */
 const RELAY_CONNECT_TIMEOUT_MS = 200
 
@@ -358,6 +355,7 @@
     } finally {
       clearTimeout(timer)
       endWatch()
+      discardBody(exchange.body)
     }
   }
 
--- a/src/gateway/create_gateway_test.ts
+++ b/src/gateway/create_gateway_test.ts
@@ -1,6 +1,6 @@
 /** Tests of request handling: the statuses of responses, retries, and the effects of faults on callers. */
 import { createServer as createHttpServer } from 'node:http'
-import type { AddressInfo, Socket } from 'node:net'
+import { createServer, type AddressInfo, type Socket } from 'node:net'
 import { suite } from 'uvu'
 import * as assert from 'uvu/assert'
 import { respondNotRun, respondWithPath, TEST_HEADER_NAMES, type BackendHandler } from '../../testing/fake_backend.ts'
@@ -193,6 +193,29 @@
   }, { retries: 1 })
 })
 
+test('handle() reads the next request of a connection, when the server has responded before it read a long body', async () => {
+  const server = createServer((socket) => {
+    socket.on('error', () => {})
+    socket.once('data', () => { socket.write(`HTTP/1.1 200 OK\r\n${TEST_HEADER_NAMES.attemptId}: a1\r\n${TEST_HEADER_NAMES.signature}: signed\r\nContent-Length: 5\r\n\r\nearly`) })
+  })
+  await new Promise<void>((resolve) => { server.listen(0, '127.0.0.1', resolve) })
+  try {
+    await withGateway([respondWithPath], async ({ exchangeBytes, routingState, backends }) => {
+      const bytes = 3 * 1024 * 1024
+      routingState.applyConfiguration({ ...TEST_CONFIGURATION, version: 2, limits: { ...TEST_CONFIGURATION.limits, bodyBytes: bytes } })
+      routingState.setServers(backends.map((backend) => ({ ...backend.server, address: `127.0.0.1:${(server.address() as AddressInfo).port}` })))
+      const received = await exchangeBytes((socket) => {
+        socket.write(`PUT /once/x HTTP/1.1\r\nHost: one.example\r\nX-Attempt: a1\r\nContent-Length: ${bytes}\r\n\r\n${'x'.repeat(bytes / 2)}`)
+        setTimeout(() => { socket.write(`${'x'.repeat(bytes / 2)}GET /nowhere/ HTTP/1.1\r\nHost: one.example\r\nConnection: close\r\n\r\n`) }, 100)
+        setTimeout(() => { socket.destroy() }, 1500)
+      })
+      assert.match(received, /^HTTP\/1\.1 200 [^]*earlyHTTP\/1\.1 404 /)
+    })
+  } finally {
+    server.close()
+  }
+})
+
 /** Head of a POST request whose body is sent in chunks. */
 const CHUNKED_HEAD = 'POST /once/x HTTP/1.1\r\nHost: one.example\r\nX-Attempt: a1\r\nX-Deadline: 2000\r\nTransfer-Encoding: chunked\r\n\r\n'
 
--- a/src/gateway/mod.ts
+++ b/src/gateway/mod.ts
@@ -1,5 +1,6 @@
 /** Forwards requests of callers to backend servers, and their responses back. */
 export * from './admission.ts'
+export * from './body_reader.ts'
 export * from './choose_server.ts'
 export * from './create_gateway.ts'
 export * from './forwarded_headers.ts'
--- a/src/gateway/relay_selector.ts
+++ b/src/gateway/relay_selector.ts
@@ -32,6 +32,9 @@
   roomAfterMs: 'x-gooseberryfold-room-after-ms'
 } as const
 
+/** Maximum length of a body that is sent through a relay, in bytes: a second transfer over a slow network would take long. */
+export const MAXIMUM_RELAYED_BODY_BYTES = 16 * 1024
+
 /** Why a relay did not forward a request. */
 export const RelayRefusal = {
   /** The server is full. */
@@ -40,6 +43,8 @@
   unreachable: 'unreachable',
   /** The server is leaving, and the host does not know it yet. */
   leaving: 'leaving',
+  /** The body is longer than {@link MAXIMUM_RELAYED_BODY_BYTES}. */
+  bodyTooLong: 'body-too-long',
   /** The relay does not know the server. */
   unknownServer: 'unknown-server'
 } as const
--- a/src/gateway/send_attempt.ts
+++ b/src/gateway/send_attempt.ts
@@ -1,7 +1,8 @@
 /** Sends a request to one backend server and reports whether it has run, has not run, or may have run. */
 import { request as startRequest, type Agent, type ClientRequest, type IncomingMessage } from 'node:http'
+import { pipeline } from 'node:stream'
 import type { RoutedServer } from '../routing/mod.ts'
-import type { RequestBody, StreamedBody } from './_body_reader.ts'
+import type { RequestBody, StreamedBody } from './body_reader.ts'
 import type { HeaderNames } from './header_names.ts'
 import { pollConnections } from './poll_connections.ts'
 import { RelayHeader, RelayRefusal } from './relay_selector.ts'
@@ -97,7 +98,7 @@
       if (settled || request.destroyed) return
       sent = true
       if (attempt.body === null || Buffer.isBuffer(attempt.body)) request.end(attempt.body ?? undefined)
-      else attempt.body.stream.pipe(request)
+      else pipeline(attempt.body.stream, request, () => {})
     }
     function onConnected (): void {
       connected = true
--- a/src/relay/create_relay.ts
+++ b/src/relay/create_relay.ts
@@ -7,8 +7,8 @@
  */
 import type { Agent, IncomingMessage, ServerResponse } from 'node:http'
 import {
-  outcomeLabel, parseKey, RelayHeader, RelayRefusal, requestHeaders, sendAttempt, toLoadOutcome, forwardResponse, waitUntilSent, watchDisconnect, pollConnections,
-  type AttemptOutcome, type HeaderNames, type RoutingState, type RequestRecord, type ServerAdmission, type ServerAdmissionQuery, type ServerLoads
+  outcomeLabel, parseKey, RelayHeader, RelayRefusal, requestHeaders, sendAttempt, toLoadOutcome, forwardResponse, waitUntilSent, watchDisconnect, pollConnections, createBodyReader, MAXIMUM_RELAYED_BODY_BYTES,
+  type AttemptOutcome, type HeaderNames, type RequestBody, type RoutingState, type RequestRecord, type ServerAdmission, type ServerAdmissionQuery, type ServerLoads
 } from '../gateway/mod.ts'
 import type { RoutedServer } from '../routing/mod.ts'
 
@@ -47,6 +47,7 @@
 export function createRelay (options: RelayOptions): RequestRelay {
   const { routingState, loads, names, now } = options
   let pending = 0
+  const bodyReader = createBodyReader()
 
   function refuse (response: ServerResponse, refusal: string, roomAfterMs = 0): void {
     response.writeHead(503, { 'Content-Length': '0', [RelayHeader.refusal]: refusal, [RelayHeader.roomAfterMs]: String(Math.ceil(roomAfterMs)) }).end()
@@ -71,9 +72,14 @@
     const timer = setTimeout(() => { abort.abort() }, remainingMs)
     const endWatch = watchDisconnect(request, () => { abort.abort() })
     try {
+      const reading = await bodyReader.read(request, { maximumBytes: MAXIMUM_RELAYED_BODY_BYTES, signal: abort.signal })
       await pollConnections()
-      if (abort.signal.aborted) return record(request, { server, outcome: null, durationMs: now() - receivedAt })
-      await sendToServer(request, response, { server, signal: abort.signal, deadlineAt: receivedAt + remainingMs })
+      if (abort.signal.aborted || reading.kind === 'broken-off') {
+        response.destroy()
+        return record(request, { server, outcome: null, durationMs: now() - receivedAt })
+      }
+      if (reading.kind !== 'body') return refuse(response, RelayRefusal.bodyTooLong)
+      await sendToServer(request, response, { server, body: reading.body, signal: abort.signal, deadlineAt: receivedAt + remainingMs })
     } finally {
       clearTimeout(timer)
       endWatch()
@@ -81,7 +87,7 @@
   }
 
   /** Sends a request to its server if that has room, and reports the outcome. */
-  async function sendToServer (request: IncomingMessage, response: ServerResponse, { server, signal, deadlineAt }: { readonly server: RoutedServer, readonly signal: AbortSignal, readonly deadlineAt: number }): Promise<void> {
+  async function sendToServer (request: IncomingMessage, response: ServerResponse, { server, body, signal, deadlineAt }: { readonly server: RoutedServer, readonly body: RequestBody, readonly signal: AbortSignal, readonly deadlineAt: number }): Promise<void> {
     const query = admissionQuery(request, server)
     const admission = options.admission.decide(server, query)
     if (admission.kind === 'refuse') return refuse(response, RelayRefusal.full, admission.returnAfterMs)
@@ -95,7 +101,7 @@
       method: request.method ?? 'GET',
       path: request.url ?? '/',
       headers: withoutRelayHeaders(requestHeaders(request.rawHeaders, names)),
-      body: request.headers['content-length'] === undefined && request.headers['transfer-encoding'] === undefined ? null : { stream: request, contentLength: request.headers['content-length'] },
+      body,
       deadlineMs: deadlineAt - sentAt,
       signal
     }, { agent: options.agent, names })
