Read and log the request limits that servers name

Hosts now read the header from each response (src/gateway/request_limits.ts), log when a server names a limit, changes it by more than a quarter, or names none any more, and list the known limits in /state. No decision depends on it yet. A value that is not a positive decimal number changes nothing; a limit ends with a response without it to a request that was sent after it was named, with a restart of the server, or when nothing has confirmed it for 10 s.

--- a/src/entry_host/create_entry_host.ts
+++ b/src/entry_host/create_entry_host.ts
@@ -5,7 +5,7 @@
  */
 import { Agent, createServer } from 'node:http'
 import {
-  createCallerServer, createGateway, createRoutingState, createServerAdmission, createServerAgent, createServerLoads, type HeaderNames, type RequestRecord
+  createCallerServer, createGateway, createRequestLimits, createRoutingState, createServerAdmission, createServerAgent, createServerLoads, type HeaderNames, type RequestRecord
 } from '../gateway/mod.ts'
 import { createLeadership } from '../leadership/mod.ts'
 import type { Logger } from '../logging/mod.ts'
@@ -19,6 +19,7 @@
 import { createHostReportTracker } from './host_report_tracker.ts'
 import { createLeadershipController } from './create_leadership_controller.ts'
 import { createLeaderMonitor } from './leader_monitor.ts'
+import { createLimitLog } from './limit_log.ts'
 import { createLoopDelayMonitor } from './loop_delay_monitor.ts'
 import { createStatePublisher } from './create_state_publisher.ts'
 import { applyPublishedUpdate } from './published_updates.ts'
@@ -105,6 +106,7 @@
   const routingState = createRoutingState()
   const loads = createServerLoads(now, routingState.assumedWorkMs)
   const admission = createServerAdmission(loads, now)
+  const limits = createRequestLimits({ now, onChange: createLimitLog(logger) })
   const agent = createServerAgent()
   const relayAgent = new Agent({ keepAlive: true, maxFreeSockets: RELAY_IDLE_CONNECTIONS, scheduling: 'lifo' })
   const relayAddress = `${settings.ip}:${settings.peerPort + 1}`
@@ -201,6 +203,7 @@
   const gateway = createGateway({
     routingState,
     loads,
+    limits,
     admission,
     agent,
     relays,
@@ -219,7 +222,7 @@
     isLeaving: () => leaving
   })
   const relay = createRelay({
-    routingState, loads, admission, agent, names: options.names, now, onEnd (record) { requestLog.write(record, describeRoutingState()) }
+    routingState, loads, limits, admission, agent, names: options.names, now, onEnd (record) { requestLog.write(record, describeRoutingState()) }
   })
   const relayServer = createCallerServer({
     limits: RELAY_LIMITS, maximumConnections: settings.sockets, handle: relay.handle, onError: reportConnectionError
@@ -340,6 +343,7 @@
       servers: routingState.servers(),
       pending: gateway.pending(),
       loopDelayMs: loopDelayMonitor.delayMs(),
+      limits: [...limits.observations()],
       views: [...coordinator.views()]
     })
   }
--- a/src/gateway/create_gateway.ts
+++ b/src/gateway/create_gateway.ts
@@ -15,6 +15,7 @@
 import { requestHeaders } from './forwarded_headers.ts'
 import { chooseServer } from './choose_server.ts'
 import type { HeaderNames } from './header_names.ts'
+import type { RequestLimits } from './request_limits.ts'
 import type { RoutingState } from './routing_state.ts'
 import { outcomeLabel, parseKey, toLoadOutcome } from './outcomes.ts'
 import { MAXIMUM_RELAYED_BODY_BYTES, type Relay, type RelaySelector } from './relay_selector.ts'
@@ -30,6 +31,7 @@
 export interface GatewayOptions {
   readonly routingState: RoutingState
   readonly loads: ServerLoads
+  readonly limits: RequestLimits
   /** Admission control for requests that this host sends to servers itself. */
   readonly admission: ServerAdmission
   readonly agent: Agent
@@ -204,7 +206,7 @@
     const inFlight = loads.inFlight(server.id)
     const sentAt = now()
     const complete = loads.trackRequest(server)
-    const outcome = await sendWithTimeout(exchange, { attempt: createAttempt(exchange, server), connections: { agent: options.agent, names }, expectedMs })
+    const outcome = await sendWithTimeout(exchange, { attempt: createAttempt(exchange, server), connections: { agent: options.agent, names, limits: options.limits }, expectedMs })
     const durationMs = now() - sentAt
     complete(toLoadOutcome(outcome, durationMs))
     admission.end()
@@ -219,7 +221,7 @@
     const completions = [relay.trackRequest(exchange.id, expectedMs), loads.trackRelayedRequest(server)]
     const outcome = await sendWithTimeout(exchange, {
       attempt: { ...createAttempt(exchange, server), relay: { address: relay.address, goalMs: exchange.route.latencyGoalMs, callerRemainingMs: callerRemainingMs(exchange), isLate: isLate(exchange, server) } },
-      connections: { agent: options.relayAgent, names, connectTimeoutMs: RELAY_CONNECT_TIMEOUT_MS },
+      connections: { agent: options.relayAgent, names, limits: options.limits, connectTimeoutMs: RELAY_CONNECT_TIMEOUT_MS },
       expectedMs
     })
     for (const complete of completions) complete(!(outcome.kind === 'lost' || (outcome.kind === 'unsent' && outcome.atRelay === true)))
--- a/src/gateway/header_names.ts
+++ b/src/gateway/header_names.ts
@@ -16,4 +16,6 @@
   readonly signature: string
   /** Identifier of the server that responded. */
   readonly respondingServer: string
+  /** Requests per second that a server takes from all hosts together; set on responses for as long as that holds. */
+  readonly requestLimit: string
 }
--- a/src/gateway/send_attempt.ts
+++ b/src/gateway/send_attempt.ts
@@ -6,6 +6,7 @@
 import type { HeaderNames } from './header_names.ts'
 import { pollConnections } from './poll_connections.ts'
 import { RelayHeader, RelayRefusal } from './relay_selector.ts'
+import type { RequestLimits } from './request_limits.ts'
 
 /** A request that is sent to one server. */
 export interface Attempt {
@@ -39,6 +40,8 @@
 export interface SendAttemptOptions {
   readonly agent: Agent
   readonly names: HeaderNames
+  /** Records the limits that servers state in their responses. */
+  readonly limits: Pick<RequestLimits, 'record'>
   /** Timeout for connecting, in milliseconds. Default: 400, many round trips within a region. */
   readonly connectTimeoutMs?: number
 }
@@ -69,6 +72,7 @@
     let connected = false
     /** Whether the request has been handed to the connection. */
     let sent = false
+    let sentAt = performance.now()
     let settled = false
     let interimResponses = 0
     const request = startRequest({ agent: options.agent, host, port, method: attempt.method, path: attempt.path, headers: headers as unknown as Record<string, string>, setHost: false })
@@ -97,6 +101,7 @@
       // The attempt may have been aborted while the connection was established.
       if (settled || request.destroyed) return
       sent = true
+      sentAt = performance.now()
       if (attempt.body === null || Buffer.isBuffer(attempt.body)) request.end(attempt.body ?? undefined)
       else pipeline(attempt.body.stream, request, () => {})
     }
@@ -139,7 +144,11 @@
         request.destroy()
         return
       }
-      if (response.headers[names.notRun] !== undefined || response.statusCode === 421) {
+      const limit = response.headers[names.requestLimit]
+      const isNotRun = response.headers[names.notRun] !== undefined || response.statusCode === 421
+      // The end of a limit shows in responses to requests that have run; others may be created before a server knows its load.
+      if (limit !== undefined || !isNotRun) options.limits.record(attempt.server, { value: limit === undefined ? undefined : String(limit), sentAt })
+      if (isNotRun) {
         settle({ kind: 'not-run', status: response.statusCode ?? 0, misdirected: response.statusCode === 421 })
         response.resume()
         return
--- a/src/gateway/send_attempt_test.ts
+++ b/src/gateway/send_attempt_test.ts
@@ -11,7 +11,7 @@
 
 const test = suite('sendAttempt')
 const names: HeaderNames = {
-  attemptId: 'x-attempt', deadlineMs: 'x-deadline', targetServer: 'x-target', key: 'x-key', notRun: 'x-not-run', signature: 'x-signature', respondingServer: 'x-server'
+  attemptId: 'x-attempt', deadlineMs: 'x-deadline', targetServer: 'x-target', key: 'x-key', notRun: 'x-not-run', signature: 'x-signature', respondingServer: 'x-server', requestLimit: 'x-limit'
 }
 
 /** Runs attempts against a server that handles each request with `respond`. */
@@ -36,7 +36,7 @@
       body: body ?? null,
       deadlineMs: 1000,
       signal: AbortSignal.timeout(2000)
-    }, { agent, names }))
+    }, { agent, names, limits: { record () {} } }))
   } finally {
     agent.destroy()
     for (const socket of sockets) socket.destroy()
@@ -143,7 +143,7 @@
     body: null,
     deadlineMs: 1000,
     signal: AbortSignal.timeout(1000)
-  }, { agent, names })
+  }, { agent, names, limits: { record () {} } })
   assert.is(outcome.kind, 'unsent')
 })
 
@@ -175,7 +175,7 @@
       body: Buffer.from('two ammonites'),
       deadlineMs: 1000,
       signal: controller.signal
-    }, { agent, names })
+    }, { agent, names, limits: { record () {} } })
     await new Promise((resolve) => { setTimeout(resolve, 100) })
     assert.is(outcome.kind, 'unsent')
     assert.is(receivedBytes, 0)
@@ -198,7 +198,7 @@
       body: null,
       deadlineMs: 1000,
       signal: AbortSignal.abort()
-    }, { agent, names })
+    }, { agent, names, limits: { record () {} } })
     assert.is(outcome.kind, 'unsent')
     await new Promise((resolve) => { setTimeout(resolve, 20) })
   })
--- a/src/relay/create_relay.ts
+++ b/src/relay/create_relay.ts
@@ -8,7 +8,7 @@
 import type { Agent, IncomingMessage, ServerResponse } from 'node:http'
 import {
   outcomeLabel, parseKey, RelayHeader, RelayRefusal, requestHeaders, sendAttempt, toLoadOutcome, forwardResponse, waitUntilSent, watchDisconnect, pollConnections, createBodyReader, MAXIMUM_RELAYED_BODY_BYTES,
-  type AttemptOutcome, type HeaderNames, type RequestBody, type RoutingState, type RequestRecord, type ServerAdmission, type ServerAdmissionQuery, type ServerLoads
+  type AttemptOutcome, type HeaderNames, type RequestBody, type RequestLimits, type RoutingState, type RequestRecord, type ServerAdmission, type ServerAdmissionQuery, type ServerLoads
 } from '../gateway/mod.ts'
 import type { RoutedServer } from '../routing/mod.ts'
 
@@ -16,6 +16,7 @@
 export interface RelayOptions {
   readonly routingState: RoutingState
   readonly loads: ServerLoads
+  readonly limits: RequestLimits
   readonly admission: ServerAdmission
   /** Connections to servers. */
   readonly agent: Agent
@@ -104,7 +105,7 @@
       body,
       deadlineMs: deadlineAt - sentAt,
       signal
-    }, { agent: options.agent, names })
+    }, { agent: options.agent, names, limits: options.limits })
     const durationMs = now() - sentAt
     end(toLoadOutcome(outcome, durationMs))
     admission.end()
