Keep servers within the request limits that they name

What servers saw: of 120 requests a second a server that named 10 a second got 457 to 465 in 4 s (65 are tolerated). Cause: no decision depended on the limit, and a limit over all hosts can't be kept by hosts that each know a few of its requests. Change: the relay of a server, which sends nearly all requests to it, holds the whole limit as a token bucket (src/gateway/request_permits.ts); it refuses with over-limit and the time after which there is a permit, and callers of keys get different times at that rate. Bodies of any length go through the relay of a server with a limit. Requests without a key go to another server without spending the retry budget; servers that have reached their limit are chosen last, and a low limit counts as a low speed. Weighed: shares published by the leader, which are out of date by a report and a heartbeat and lost with the leader; the whole limit at each host, see above.

--- a/src/entry_host/create_entry_host.ts
+++ b/src/entry_host/create_entry_host.ts
@@ -5,7 +5,7 @@
  */
 import { Agent, createServer } from 'node:http'
 import {
-  createCallerServer, createGateway, createRequestLimits, createRoutingState, createServerAdmission, createServerAgent, createServerLoads, type HeaderNames, type RequestRecord
+  createCallerServer, createGateway, createRequestLimits, createRequestPermits, createRoutingState, createServerAdmission, createServerAgent, createServerLoads, type HeaderNames, type RequestRecord
 } from '../gateway/mod.ts'
 import { createLeadership } from '../leadership/mod.ts'
 import type { Logger } from '../logging/mod.ts'
@@ -105,8 +105,10 @@
   const now = (): number => performance.now()
   const routingState = createRoutingState()
   const loads = createServerLoads(now, routingState.assumedWorkMs)
-  const admission = createServerAdmission(loads, now)
+  const budgets = createRetryBudgets({ ratio: settings.retryRatio, slack: settings.retrySlack })
   const limits = createRequestLimits({ now, onChange: createLimitLog(logger) })
+  const permits = createRequestPermits({ limits, hostCount: budgets.hostCount, now, random: Math.random })
+  const admission = createServerAdmission({ loads, limits, permits, now })
   const agent = createServerAgent()
   const relayAgent = new Agent({ keepAlive: true, maxFreeSockets: RELAY_IDLE_CONNECTIONS, scheduling: 'lifo' })
   const relayAddress = `${settings.ip}:${settings.peerPort + 1}`
@@ -116,7 +118,6 @@
     table: options.table, logger, holder, address: `${settings.ip}:${settings.peerPort}`, now, wallClock: () => Date.now()
   })
   const requestLog = createRequestLog(logger, now)
-  const budgets = createRetryBudgets({ ratio: settings.retryRatio, slack: settings.retrySlack })
   let leaving = false
   const stop = new AbortController()
   const leaderMonitor = createLeaderMonitor(now)
@@ -204,6 +205,7 @@
     routingState,
     loads,
     limits,
+    permits,
     admission,
     agent,
     relays,
@@ -222,7 +224,7 @@
     isLeaving: () => leaving
   })
   const relay = createRelay({
-    routingState, loads, limits, admission, agent, names: options.names, now, onEnd (record) { requestLog.write(record, describeRoutingState()) }
+    routingState, loads, limits, admission, isRelay: relays.isRelay, agent, names: options.names, now, onEnd (record) { requestLog.write(record, describeRoutingState()) }
   })
   const relayServer = createCallerServer({
     limits: RELAY_LIMITS, maximumConnections: settings.sockets, handle: relay.handle, onError: reportConnectionError
--- a/src/entry_host/retry_budgets.ts
+++ b/src/entry_host/retry_budgets.ts
@@ -19,6 +19,8 @@
   forService (service: string): RetryBudget
   /** Sets the number of hosts that share the fixed number of retries. */
   setHostCount (hosts: number): void
+  /** Number of hosts that share it. */
+  hostCount (): number
 }
 
 /** Share of the ratio that is used; the rest covers requests at the end of a window whose retries fall into the next one. */
@@ -38,7 +40,8 @@
  */
 export function createRetryBudgets (options: RetryBudgetsOptions): RetryBudgets {
   const budgets = new Map<string, RetryBudget>()
-  let maximum = maximumFor(ASSUMED_HOSTS)
+  let hostCount = ASSUMED_HOSTS
+  let maximum = maximumFor(hostCount)
 
   function maximumFor (hosts: number): number {
     // A budget with a maximum below one never allows a retry; with many hosts, only the ratio of requests fills it.
@@ -53,7 +56,9 @@
       budgets.set(service, budget)
       return budget
     },
+    hostCount: () => hostCount,
     setHostCount (hosts) {
+      hostCount = hosts
       const next = maximumFor(hosts)
       if (next === maximum) return
       maximum = next
--- a/src/gateway/choose_server.ts
+++ b/src/gateway/choose_server.ts
@@ -11,6 +11,10 @@
 /** Options of {@link chooseServer}. */
 export interface ChooseServerOptions {
   readonly loads: ServerLoads
+  /** Returns the requests per second that a server takes from all hosts together, or `null` if it has named no limit. */
+  readonly limitOf: (server: RoutedServer) => number | null
+  /** Whether the server has recently reached its limit. */
+  readonly isExhausted: (server: string) => boolean
   /** Servers that the request has already been sent to. */
   readonly tried: ReadonlySet<string>
   /** Availability zone of this host. */
@@ -49,7 +53,9 @@
 export function chooseServer (servers: readonly RoutedServer[], options: ChooseServerOptions): RoutedServer | null {
   const untried = rankServers(servers, options.host).filter((server) => !options.tried.has(server.id))
   const responsive = untried.filter((server) => !options.loads.isUnresponsive(server))
-  const candidates = preferSameZone(selectSubset(responsive.length > 0 ? responsive : untried, options), options)
+  const permitted = responsive.filter((server) => !options.isExhausted(server.id))
+  const preferred = [permitted, responsive].find((group) => group.length > 0) ?? untried
+  const candidates = preferSameZone(selectSubset(preferred, options), options)
   let best: RoutedServer | null = null
   let lowestCost = Infinity
   for (let sampled = 0; sampled < SAMPLED_SERVERS && candidates.length > 0; sampled++) {
@@ -108,7 +114,7 @@
 
 /** Draws the index of a server with a probability proportional to its capacity. */
 function drawWeightedIndex (servers: readonly RoutedServer[], options: ChooseServerOptions): number {
-  const weights = servers.map((server) => server.slots / options.loads.workMs(server))
+  const weights = servers.map((server) => Math.min(server.slots / options.loads.workMs(server), (options.limitOf(server) ?? Infinity) / 1000))
   let remaining = options.random() * weights.reduce((sum, weight) => sum + weight, 0)
   for (const [index, weight] of weights.entries()) {
     remaining -= weight
--- a/src/gateway/choose_server_test.ts
+++ b/src/gateway/choose_server_test.ts
@@ -26,11 +26,11 @@
   loads.applyViews(new Map(Object.entries(views).map(([id, view]) => [id, { inFlight: 0, workMs: 100, failureShare: 0, silent: false, admitShare: 1, ...view }])))
 }
 
-function count (servers: readonly RoutedServer[], loads: ServerLoads, options: { readonly bodyBytes?: number, readonly times?: number, readonly host?: string } = {}): Map<string, number> {
+function count (servers: readonly RoutedServer[], loads: ServerLoads, options: { readonly bodyBytes?: number, readonly times?: number, readonly host?: string, readonly limits?: Readonly<Record<string, number>>, readonly exhausted?: readonly string[] } = {}): Map<string, number> {
   const random = createRandom()
   const counts = new Map<string, number>()
   for (let time = 0; time < (options.times ?? 1000); time++) {
-    const chosen = chooseServer(servers, { loads, tried: new Set(), zone: 'a', host: options.host ?? 'h1', bodyBytes: options.bodyBytes ?? 0, random })
+    const chosen = chooseServer(servers, { loads, limitOf: (server) => options.limits?.[server.id] ?? null, isExhausted: (id) => options.exhausted?.includes(id) ?? false, tried: new Set(), zone: 'a', host: options.host ?? 'h1', bodyBytes: options.bodyBytes ?? 0, random })
     counts.set(chosen?.id ?? '', (counts.get(chosen?.id ?? '') ?? 0) + 1)
   }
   return counts
@@ -71,8 +71,23 @@
   assert.ok(count(servers, loads, { bodyBytes: 60_000 }).size > 2)
 })
 
+test('chooseServer() samples a server less often, when the server has named a limit below its speed', () => {
+  const servers = serversOf(12)
+  const loads = createServerLoads(() => 0)
+  const shareOf = (limits: Readonly<Record<string, number>>): number => (count(servers, loads, { limits, times: 6000 }).get('s0') ?? 0) / 6000
+  // Each server runs several dozen requests a second.
+  assert.ok(shareOf({ s0: 1 }) < shareOf({}) / 5, `${shareOf({ s0: 1 })} of the requests`)
+})
+
+test('chooseServer() skips servers that have reached their limit, unless all have', () => {
+  const servers = serversOf(3)
+  const loads = createServerLoads(() => 0)
+  assert.equal([...count(servers, loads, { exhausted: ['s0', 's1'] }).keys()], ['s2'])
+  assert.is(count(servers, loads, { exhausted: ['s0', 's1', 's2'] }).size, 3)
+})
+
 test('chooseServer() returns null, when every server has been tried', () => {
-  assert.is(chooseServer(serversOf(1), { loads: createServerLoads(() => 0), tried: new Set(['s0']), zone: 'a', host: 'h1', bodyBytes: 0, random: createRandom() }), null)
+  assert.is(chooseServer(serversOf(1), { loads: createServerLoads(() => 0), limitOf: () => null, isExhausted: () => false, tried: new Set(['s0']), zone: 'a', host: 'h1', bodyBytes: 0, random: createRandom() }), null)
 })
 
 test('chooseServer() uses a subset of 12 servers that differs between hosts, when a service is large and the subset has free slots', () => {
--- a/src/gateway/create_gateway.ts
+++ b/src/gateway/create_gateway.ts
@@ -16,6 +16,7 @@
 import { chooseServer } from './choose_server.ts'
 import type { HeaderNames } from './header_names.ts'
 import type { RequestLimits } from './request_limits.ts'
+import type { RequestPermits } from './request_permits.ts'
 import type { RoutingState } from './routing_state.ts'
 import { outcomeLabel, parseKey, toLoadOutcome } from './outcomes.ts'
 import { MAXIMUM_RELAYED_BODY_BYTES, type Relay, type RelaySelector } from './relay_selector.ts'
@@ -32,6 +33,7 @@
   readonly routingState: RoutingState
   readonly loads: ServerLoads
   readonly limits: RequestLimits
+  readonly permits: RequestPermits
   /** Admission control for requests that this host sends to servers itself. */
   readonly admission: ServerAdmission
   readonly agent: Agent
@@ -167,7 +169,7 @@
       if (loads.isUnresponsive(owner)) return { kind: 'refuse', reason: 'owner-silent', retryAfterMs: jitteredRetryAfterMs(exchange, DEFAULT_RETRY_AFTER_MS) }
       return owner
     }
-    const server = chooseServer(routingState.availableServers(exchange.service), { loads, tried: exchange.triedServers, zone: options.zone, host: options.host, bodyBytes: bodyBytes(exchange.body), random: options.random })
+    const server = chooseServer(routingState.availableServers(exchange.service), { loads, limitOf: options.limits.limitOf, isExhausted: options.permits.isExhausted, tried: exchange.triedServers, zone: options.zone, host: options.host, bodyBytes: bodyBytes(exchange.body), random: options.random })
     if (server !== null) return server
     const reason = exchange.triedServers.size > 0 ? 'every-server-tried' : 'no-server'
     return { kind: 'refuse', reason, retryAfterMs: jitteredRetryAfterMs(exchange, DEFAULT_RETRY_AFTER_MS) }
@@ -176,7 +178,9 @@
   async function makeAttempt (exchange: Exchange): Promise<AttemptDecision> {
     const server = await findServer(exchange)
     if ('kind' in server) return server
-    const relay = exchange.bypassesRelays || bodyBytes(exchange.body) > MAXIMUM_RELAYED_BODY_BYTES ? null : options.relays.select(server)
+    // Only its relay knows what a server with a limit gets from all hosts.
+    const isRelayed = !exchange.bypassesRelays && (bodyBytes(exchange.body) <= MAXIMUM_RELAYED_BODY_BYTES || options.limits.limitOf(server) !== null)
+    const relay = isRelayed ? options.relays.select(server) : null
     return relay === null ? await attemptDirectly(exchange, server) : await attemptThroughRelay(exchange, server, relay)
   }
 
@@ -188,6 +192,7 @@
       remainingMs: remainingMs(exchange),
       callerRemainingMs: callerRemainingMs(exchange),
       isLate: isLate(exchange, server),
+      isRelay: options.relays.isRelay(server),
       // Without a relay, this host does not know all requests without a key at the server.
       ...(key === null ? { maximumOccupancy: Infinity } : {})
     }
@@ -198,11 +203,19 @@
     return isKeyed(exchange) ? clampRetryAfterMs(returnAfterMs, callerRemainingMs(exchange)) : jitteredRetryAfterMs(exchange, returnAfterMs)
   }
 
+  /** Continues with another server of the service after one has reached its limit. */
+  function tryAnotherServer (exchange: Exchange, server: RoutedServer, availableAfterMs: number): AttemptDecision {
+    options.permits.recordRefusal(server.id, availableAfterMs)
+    exchange.triedServers.add(server.id)
+    return { kind: 'retry' }
+  }
+
   async function attemptDirectly (exchange: Exchange, server: RoutedServer): Promise<AttemptDecision> {
     const expectedMs = loads.expectedMs(server)
     if (isKeyed(exchange) && options.random() > loads.admitShare(server.id)) return { kind: 'refuse', reason: 'key-overloaded', retryAfterMs: clampRetryAfterMs(callerRemainingMs(exchange), callerRemainingMs(exchange)) }
     const admission = options.admission.decide(server, admissionQuery(exchange, server))
-    if (admission.kind === 'refuse') return { kind: 'refuse', reason: 'no-room', retryAfterMs: retryAfterFullMs(exchange, admission.returnAfterMs) }
+    if (admission.kind === 'refuse' && admission.isOverLimit && !isKeyed(exchange)) return tryAnotherServer(exchange, server, admission.returnAfterMs)
+    if (admission.kind === 'refuse') return { kind: 'refuse', reason: admission.isOverLimit ? 'over-limit' : 'no-room', retryAfterMs: retryAfterFullMs(exchange, admission.returnAfterMs) }
     const inFlight = loads.inFlight(server.id)
     const sentAt = now()
     const complete = loads.trackRequest(server)
@@ -272,6 +285,8 @@
       return isIdempotent && canSendAgain && reserveRetry(exchange) ? { kind: 'retry' } : { kind: 'answer', outcome }
     }
     if (outcome.kind === 'lost') exchange.mayHaveRun = true
+    const isOverLimit = outcome.kind === 'not-run' && outcome.isOverLimit === true
+    if (isOverLimit) options.permits.recordRefusal(server.id, outcome.roomAfterMs ?? 0)
     // A key has one owner: another server is tried only if the cached owner is out of date or cannot be reached.
     const isKeyedRequest = isKeyed(exchange)
     if (!isKeyedRequest || outcome.kind === 'unsent' || (outcome.kind === 'not-run' && outcome.misdirected)) exchange.triedServers.add(server.id)
@@ -285,7 +300,7 @@
     if (exchange.mayHaveRun && (outcome.kind === 'lost' || !isIdempotent)) return { kind: 'fail', reason: 'outcome-unknown', status: 502 }
     if (outcome.kind !== 'not-run') return { kind: 'refuse', reason: 'server-unreachable', retryAfterMs: jitteredRetryAfterMs(exchange, DEFAULT_RETRY_AFTER_MS) }
     if (outcome.misdirected) return { kind: 'refuse', reason: 'owner-changed', retryAfterMs: jitteredRetryAfterMs(exchange, loads.workMs(server) / 2) }
-    return { kind: 'refuse', reason: 'server-full', retryAfterMs: retryAfterFullMs(exchange, outcome.roomAfterMs ?? options.admission.returnAfterMs(server, admissionQuery(exchange, server))) }
+    return { kind: 'refuse', reason: isOverLimit ? 'over-limit' : 'server-full', retryAfterMs: retryAfterFullMs(exchange, outcome.roomAfterMs ?? options.admission.returnAfterMs(server, admissionQuery(exchange, server))) }
   }
 
   function reserveRetry (exchange: Exchange): boolean {
--- a/src/gateway/relay_selector.ts
+++ b/src/gateway/relay_selector.ts
@@ -16,6 +16,8 @@
 export interface RelaySelector {
   /** Returns the relay for a server, or `null` if requests go to the server directly. */
   select (server: RoutedServer): Relay | null
+  /** Whether this host itself is the server's relay. */
+  isRelay (server: RoutedServer): boolean
 }
 
 /** Headers between a host and its relay. */
@@ -32,19 +34,19 @@
   roomAfterMs: 'x-gooseberryfold-room-after-ms'
 } as const
 
-/** Maximum length of a body that is sent through a relay, in bytes: a second transfer over a slow network would take long. */
+/** Maximum length of a body that is sent through a relay, in bytes: a second transfer over a slow network would take long. Longer ones are relayed only to servers that have named a limit. */
 export const MAXIMUM_RELAYED_BODY_BYTES = 16 * 1024
 
 /** Why a relay did not forward a request. */
 export const RelayRefusal = {
   /** The server is full. */
   full: 'full',
+  /** The server has named a limit, and there is no permit for another request. */
+  overLimit: 'over-limit',
   /** No connection to the server could be made. */
   unreachable: 'unreachable',
   /** The server is leaving, and the host does not know it yet. */
   leaving: 'leaving',
-  /** The body is longer than {@link MAXIMUM_RELAYED_BODY_BYTES}. */
-  bodyTooLong: 'body-too-long',
   /** The relay does not know the server. */
   unknownServer: 'unknown-server'
 } as const
--- a/src/gateway/send_attempt.ts
+++ b/src/gateway/send_attempt.ts
@@ -29,8 +29,8 @@
   | { readonly kind: 'answer', readonly isFramed: boolean, readonly status: number, readonly headers: readonly string[], readonly body: Buffer }
   /** Response of the server of which only the beginning, `start`, has been received. */
   | { readonly kind: 'stream', readonly status: number, readonly headers: readonly string[], readonly start: Buffer, readonly rest: IncomingMessage }
-  /** The server or its relay reports that the request was not run; `roomAfterMs` is set if a relay reports that the server is full, and is the time after which the caller may return. */
-  | { readonly kind: 'not-run', readonly status: number, readonly misdirected: boolean, readonly roomAfterMs?: number }
+  /** The server or its relay reports that the request was not run; `roomAfterMs` is set if a relay reports that the server is full or has reached its limit (`isOverLimit`), and is the time after which the caller may return. */
+  | { readonly kind: 'not-run', readonly status: number, readonly misdirected: boolean, readonly roomAfterMs?: number, readonly isOverLimit?: boolean }
   /** The request has not been sent to the server. `atRelay` is set if the relay failed before the server was tried, `wasConnected` if the connection was closed after it had been established. */
   | { readonly kind: 'unsent', readonly detail: string, readonly refused: boolean, readonly atRelay?: boolean, readonly wasConnected?: boolean }
   /** The request was sent and may have run. */
@@ -166,7 +166,9 @@
 function parseRelayRefusal (response: IncomingMessage): AttemptOutcome | null {
   const refusal = response.headers[RelayHeader.refusal]
   if (refusal === undefined) return null
-  if (refusal === RelayRefusal.full) return { kind: 'not-run', status: 503, misdirected: false, roomAfterMs: Number(response.headers[RelayHeader.roomAfterMs] ?? 0) }
+  if (refusal === RelayRefusal.full || refusal === RelayRefusal.overLimit) {
+    return { kind: 'not-run', status: 503, misdirected: false, roomAfterMs: Number(response.headers[RelayHeader.roomAfterMs] ?? 0), isOverLimit: refusal === RelayRefusal.overLimit }
+  }
   if (refusal === RelayRefusal.leaving) return { kind: 'unsent', detail: 'The server is about to leave', refused: false }
   return { kind: 'unsent', detail: `The relay refused: ${String(refusal)}`, refused: false, atRelay: true }
 }
--- a/src/gateway/server_admission.ts
+++ b/src/gateway/server_admission.ts
@@ -11,6 +11,8 @@
  */
 import type { RoutedServer } from '../routing/mod.ts'
 import { admit, maximumRetryAfterMs } from './admission.ts'
+import type { RequestLimits } from './request_limits.ts'
+import type { RequestPermits } from './request_permits.ts'
 import type { ServerLoads } from './server_loads.ts'
 
 /** A request that is about to be sent to a server. */
@@ -24,6 +26,8 @@
   readonly callerRemainingMs: number
   /** Whether a response can no longer arrive within the latency goal. */
   readonly isLate: boolean
+  /** Whether this host is the server's relay. */
+  readonly isRelay: boolean
   /** Maximum requests in flight, as a multiple of the server's slots. Default: {@link MAXIMUM_OCCUPANCY}. */
   readonly maximumOccupancy?: number
 }
@@ -31,8 +35,8 @@
 /** The decision; `end` is called when an admitted request has ended. */
 export type ServerAdmissionDecision =
   | { readonly kind: 'admit', readonly end: () => void }
-  /** `returnAfterMs` is the time after which the caller may return, in milliseconds. */
-  | { readonly kind: 'refuse', readonly returnAfterMs: number }
+  /** `returnAfterMs` is the time after which the caller may return, in milliseconds; `isOverLimit` is whether the limit that the server has named is the reason. */
+  | { readonly kind: 'refuse', readonly returnAfterMs: number, readonly isOverLimit: boolean }
 
 /** Admission control of the servers that one host sends to. */
 export interface ServerAdmission {
@@ -50,14 +54,23 @@
 /** Share of the slots that one key leaves to the other keys of its server while that is full. */
 const RESERVED_SHARE = 0.5
 
+/** Options of {@link createServerAdmission}. */
+export interface ServerAdmissionOptions {
+  readonly loads: ServerLoads
+  readonly limits: Pick<RequestLimits, 'limitOf'>
+  readonly permits: Pick<RequestPermits, 'take'>
+  /** Monotonic time in milliseconds. */
+  readonly now: () => number
+}
+
 /**
  * Creates the admission control of a host.
  *
- * @param loads Loads of the servers.
- * @param now Monotonic time in milliseconds.
+ * @param options Loads and limits of the servers, and the clock.
  * @returns The admission control.
  */
-export function createServerAdmission (loads: ServerLoads, now: () => number): ServerAdmission {
+export function createServerAdmission (options: ServerAdmissionOptions): ServerAdmission {
+  const { loads, limits, permits, now } = options
   /** Requests in flight by server and key. */
   const keysInFlight = new Map<string, Map<number, number>>()
   /** When the next caller that a server has refused may return. */
@@ -93,7 +106,7 @@
     const longestMs = maximumRetryAfterMs(query.callerRemainingMs)
     const at = Math.max(now() + roomAfterMs, nextReturnAt.get(server.id) ?? 0)
     if (at - now() >= longestMs) return longestMs
-    nextReturnAt.set(server.id, at + loads.workMs(server) / server.slots)
+    nextReturnAt.set(server.id, at + Math.max(loads.workMs(server) / server.slots, 1000 / (limits.limitOf(server) ?? Infinity)))
     return at - now()
   }
 
@@ -101,9 +114,12 @@
     decide (server, query) {
       const workMs = loads.workMs(server)
       const over = excess(server, query)
-      if (over > 0) return { kind: 'refuse', returnAfterMs: scheduleReturn(server, workMs * over / server.slots, query) }
+      if (over > 0) return { kind: 'refuse', returnAfterMs: scheduleReturn(server, workMs * over / server.slots, query), isOverLimit: false }
       const admission = admit({ isFull: loads.isFull(server.id), expectedMs: loads.expectedMs(server), workMs, latencyGoalMs: query.latencyGoalMs, remainingMs: query.remainingMs })
-      if (admission.kind === 'refuse') return { kind: 'refuse', returnAfterMs: scheduleReturn(server, admission.roomAfterMs, query) }
+      if (admission.kind === 'refuse') return { kind: 'refuse', returnAfterMs: scheduleReturn(server, admission.roomAfterMs, query), isOverLimit: false }
+      // Asked last, so that no permit is spent on a request that is not sent.
+      const permitAfterMs = permits.take(server, query.isRelay)
+      if (permitAfterMs !== null) return { kind: 'refuse', returnAfterMs: scheduleReturn(server, permitAfterMs, query), isOverLimit: true }
       return { kind: 'admit', end: trackKey(server, query.key) }
     },
     returnAfterMs: (server, query) => scheduleReturn(server, loads.workMs(server), query)
--- a/src/gateway/server_admission_test.ts
+++ b/src/gateway/server_admission_test.ts
@@ -11,7 +11,10 @@
 const SLOTS = 6
 const server: RoutedServer = { id: 's1', bornAt: 1, service: 'lookups', address: '10.0.0.1:80', zone: 'a', slots: SLOTS, leaving: false, warmUpLeftMs: 0 }
 const HOT_KEY = 20_034
-const query: ServerAdmissionQuery = { key: HOT_KEY, latencyGoalMs: 2000, remainingMs: 6000, callerRemainingMs: 12_000, isLate: false }
+const query: ServerAdmissionQuery = { key: HOT_KEY, latencyGoalMs: 2000, remainingMs: 6000, callerRemainingMs: 12_000, isLate: false, isRelay: true }
+
+/** Servers that name no limit. */
+const withoutLimits = { limits: { limitOf: () => null }, permits: { take: () => null } }
 
 /** Hot keys at some of the users' services: work of 100 to 600 ms, three to five times what the server can run. */
 const LOADS: Readonly<Record<string, Omit<HotKeyLoad, 'seed'>>> = {
@@ -23,13 +26,13 @@
 function scheduledPolicy (load: Omit<HotKeyLoad, 'seed'>): (now: () => number) => HotKeyPolicy {
   return (now) => {
     const loads = createServerLoads(now, () => load.workMs)
-    const admission = createServerAdmission(loads, now)
+    const admission = createServerAdmission({ ...withoutLimits, loads, now })
     let otherKey = 0
     return {
       decide ({ isHot, elapsedMs, remainingMs }) {
         otherKey = (otherKey + 1) % 1000
         const isLate = elapsedMs > 0 && elapsedMs + load.workMs > load.latencyGoalMs
-        const decision = admission.decide(server, { key: isHot ? HOT_KEY : otherKey, latencyGoalMs: load.latencyGoalMs, remainingMs, callerRemainingMs: remainingMs, isLate })
+        const decision = admission.decide(server, { key: isHot ? HOT_KEY : otherKey, latencyGoalMs: load.latencyGoalMs, remainingMs, callerRemainingMs: remainingMs, isLate, isRelay: true })
         if (decision.kind === 'refuse') return { kind: 'refuse', returnAfterMs: clampRetryAfterMs(decision.returnAfterMs, remainingMs) }
         const complete = loads.trackRequest(server)
         return {
@@ -87,7 +90,7 @@
 
 test('decide() refuses a late request while there is a queue, and admits one that can still be in time', () => {
   const loads = createServerLoads(() => 0, () => 600)
-  const admission = createServerAdmission(loads, () => 0)
+  const admission = createServerAdmission({ ...withoutLimits, loads, now: () => 0 })
   for (let request = 0; request < SLOTS * 1.5; request++) loads.trackRequest(server)
   assert.is(admission.decide(server, { ...query, isLate: true }).kind, 'refuse')
   assert.is(admission.decide(server, query).kind, 'admit')
@@ -95,7 +98,7 @@
 
 test('decide() leaves part of the queue to other keys, when one key fills the rest, and returns it when requests end', () => {
   const loads = createServerLoads(() => 0, () => 600)
-  const admission = createServerAdmission(loads, () => 0)
+  const admission = createServerAdmission({ ...withoutLimits, loads, now: () => 0 })
   const ends: Array<() => void> = []
   for (let request = 0; request < SLOTS * 2; request++) {
     const decision = admission.decide(server, query)
@@ -111,7 +114,7 @@
 
 test('decide() gives refused callers different times, up to a third of the time that they have left', () => {
   const loads = createServerLoads(() => 0, () => 600)
-  const admission = createServerAdmission(loads, () => 0)
+  const admission = createServerAdmission({ ...withoutLimits, loads, now: () => 0 })
   for (let request = 0; request < SLOTS * 2; request++) loads.trackRequest(server)
   const returns = Array.from({ length: 40 }, () => {
     const decision = admission.decide(server, query)
--- a/src/relay/create_relay.ts
+++ b/src/relay/create_relay.ts
@@ -7,7 +7,7 @@
  */
 import type { Agent, IncomingMessage, ServerResponse } from 'node:http'
 import {
-  outcomeLabel, parseKey, RelayHeader, RelayRefusal, requestHeaders, sendAttempt, toLoadOutcome, forwardResponse, waitUntilSent, watchDisconnect, pollConnections, createBodyReader, MAXIMUM_RELAYED_BODY_BYTES,
+  outcomeLabel, parseKey, RelayHeader, RelayRefusal, requestHeaders, sendAttempt, toLoadOutcome, forwardResponse, waitUntilSent, watchDisconnect, pollConnections, createBodyReader,
   type AttemptOutcome, type HeaderNames, type RequestBody, type RequestLimits, type RoutingState, type RequestRecord, type ServerAdmission, type ServerAdmissionQuery, type ServerLoads
 } from '../gateway/mod.ts'
 import type { RoutedServer } from '../routing/mod.ts'
@@ -18,6 +18,8 @@
   readonly loads: ServerLoads
   readonly limits: RequestLimits
   readonly admission: ServerAdmission
+  /** Whether this host is the server's relay; a host whose list of relays is out of date may ask another one. */
+  readonly isRelay: (server: RoutedServer) => boolean
   /** Connections to servers. */
   readonly agent: Agent
   readonly names: HeaderNames
@@ -61,7 +63,8 @@
       latencyGoalMs: Number(request.headers[RelayHeader.goalMs]),
       remainingMs,
       callerRemainingMs: Number(request.headers[RelayHeader.callerRemainingMs] ?? remainingMs),
-      isLate: request.headers[RelayHeader.late] !== undefined
+      isLate: request.headers[RelayHeader.late] !== undefined,
+      isRelay: options.isRelay(server)
     }
   }
 
@@ -73,13 +76,13 @@
     const timer = setTimeout(() => { abort.abort() }, remainingMs)
     const endWatch = watchDisconnect(request, () => { abort.abort() })
     try {
-      const reading = await bodyReader.read(request, { maximumBytes: MAXIMUM_RELAYED_BODY_BYTES, signal: abort.signal })
+      // The host that accepted the request has checked the length of its body.
+      const reading = await bodyReader.read(request, { maximumBytes: Infinity, signal: abort.signal })
       await pollConnections()
-      if (abort.signal.aborted || reading.kind === 'broken-off') {
+      if (abort.signal.aborted || reading.kind !== 'body') {
         response.destroy()
         return record(request, { server, outcome: null, durationMs: now() - receivedAt })
       }
-      if (reading.kind !== 'body') return refuse(response, RelayRefusal.bodyTooLong)
       await sendToServer(request, response, { server, body: reading.body, signal: abort.signal, deadlineAt: receivedAt + remainingMs })
     } finally {
       clearTimeout(timer)
@@ -91,7 +94,7 @@
   async function sendToServer (request: IncomingMessage, response: ServerResponse, { server, body, signal, deadlineAt }: { readonly server: RoutedServer, readonly body: RequestBody, readonly signal: AbortSignal, readonly deadlineAt: number }): Promise<void> {
     const query = admissionQuery(request, server)
     const admission = options.admission.decide(server, query)
-    if (admission.kind === 'refuse') return refuse(response, RelayRefusal.full, admission.returnAfterMs)
+    if (admission.kind === 'refuse') return refuse(response, admission.isOverLimit ? RelayRefusal.overLimit : RelayRefusal.full, admission.returnAfterMs)
     const inFlight = loads.inFlight(server.id)
     const expectedMs = loads.expectedMs(server)
     const end = loads.trackRequest(server)
--- a/src/relay/relay_directory.ts
+++ b/src/relay/relay_directory.ts
@@ -76,6 +76,7 @@
       for (const host of hosts) byZone.set(host.zone, [...byZone.get(host.zone) ?? [], host])
     },
     hostsIn: (zone) => byZone.get(zone) ?? [],
+    isRelay: (server) => relayOf(server)?.host === options.host,
     select (server): Relay | null {
       const host = relayOf(server)
       if (host === null || host.host === options.host || failureDetector.isUnresponsive(host.host)) return null
--- a/src/relay/request_limit_test.ts
+++ b/src/relay/request_limit_test.ts
@@ -13,7 +13,7 @@
 import { TEST_CONFIGURATION } from '../../testing/with_gateway.ts'
 import { createRetryBudget } from '../dispatch/retry_budget.ts'
 import {
-  createCallerServer, createGateway, createRequestLimits, createRoutingState, createServerAdmission, createServerAgent, createServerLoads, type RelaySelector
+  createCallerServer, createGateway, createRequestLimits, createRequestPermits, createRoutingState, createServerAdmission, createServerAgent, createServerLoads, type RelaySelector
 } from '../gateway/mod.ts'
 import type { RoutedServer } from '../routing/mod.ts'
 import { createRelay } from './create_relay.ts'
@@ -32,6 +32,9 @@
 /** Time after a server first names a limit from which it holds, in milliseconds. */
 const LIMIT_DELAY_MS = 500
 
+/** Number of hosts, as every host knows it. */
+const HOSTS = 7
+
 const now = (): number => performance.now()
 
 async function listen (server: Server): Promise<number> {
@@ -49,10 +52,11 @@
   routingState.setOwners('orders', [{ from: 0, to: 65535, owner: { kind: 'owned', server: server.id } }])
   const loads = createServerLoads(now)
   const limits = createRequestLimits({ now, onChange: () => {} })
-  const admission = createServerAdmission(loads, now)
+  const permits = createRequestPermits({ limits, hostCount: () => HOSTS, now, random: Math.random })
+  const admission = createServerAdmission({ loads, limits, permits, now })
   const [agent, relayAgent] = [createServerAgent(), new Agent({ keepAlive: true })]
   const budget = createRetryBudget({ share: 0, maximum: 5 })
-  const shared = { routingState, loads, limits, admission, agent, names: TEST_HEADER_NAMES, now }
+  const shared = { routingState, loads, limits, permits, admission, isRelay: relays.isRelay, agent, names: TEST_HEADER_NAMES, now }
   const gateway = createGateway({ ...shared, relays, relayAgent, host: name, zone: 'a', retryBudgetOf: () => budget, random: Math.random, onKeyRequested: () => {}, onRequestEnd: () => {}, isLeaving: () => false })
   const relay = createRelay({ ...shared, onEnd: () => {} })
   const [callerServer, relayServer] = [gateway, relay].map(({ handle }) => createCallerServer({ limits: TEST_CONFIGURATION.limits, maximumConnections: 1000, handle, onError: () => {} }))
@@ -91,10 +95,10 @@
   }
   const backend = await createFakeBackend('s0', respond)
   const server = { ...backend.server, slots: 100 }
-  const relay = await startHost('relay', { server, relays: { select: () => null } })
-  const viaRelay: RelaySelector = { select: () => ({ host: 'relay', address: relay.relayAddress, trackRequest: () => () => {} }) }
+  const relay = await startHost('relay', { server, relays: { select: () => null, isRelay: () => true } })
+  const viaRelay: RelaySelector = { select: () => ({ host: 'relay', address: relay.relayAddress, trackRequest: () => () => {} }), isRelay: () => false }
   const hosts = [relay, ...await Promise.all(['h1', 'h2'].map(async (name) => await startHost(name, { server, relays: viaRelay })))]
-  for (let direct = 0; direct < directHosts; direct++) hosts.push(await startHost(`direct${direct}`, { server, relays: { select: () => null } }))
+  for (let direct = 0; direct < directHosts; direct++) hosts.push(await startHost(`direct${direct}`, { server, relays: { select: () => null, isRelay: () => false } }))
   try {
     const served = await sendLoad(hosts.map((host) => host.callerPort), { perSecond: 120, forMs: WINDOW_MS + LIMIT_DELAY_MS + 500, ...(body === undefined ? {} : { body }) })
     const limitedFrom = (arrivals[0] ?? 0) + LIMIT_DELAY_MS
--- a/testing/with_gateway.ts
+++ b/testing/with_gateway.ts
@@ -7,6 +7,7 @@
 import type { RelaySelector } from '../src/gateway/relay_selector.ts'
 import type { RequestRecord } from '../src/gateway/request_record.ts'
 import { createRequestLimits } from '../src/gateway/request_limits.ts'
+import { createRequestPermits } from '../src/gateway/request_permits.ts'
 import { createRoutingState, type RoutingState } from '../src/gateway/routing_state.ts'
 import { createServerAdmission } from '../src/gateway/server_admission.ts'
 import { createServerAgent } from '../src/gateway/server_agent.ts'
@@ -65,9 +66,10 @@
   const now = (): number => performance.now()
   const loads = createServerLoads(now)
   const limits = createRequestLimits({ now, onChange: () => {} })
+  const permits = createRequestPermits({ limits, hostCount: () => 1, now, random: () => 0 })
   const budget = createRetryBudget({ share: 0, maximum: options.retries ?? 5 })
   const gateway = createGateway({
-    routingState, loads, limits, admission: createServerAdmission(loads, now), agent, relays: options.relays ?? { select: () => null }, relayAgent: agent, names: TEST_HEADER_NAMES, host: 'h1', zone: 'a', retryBudgetOf: () => budget, now, random: () => 0, onKeyRequested: () => {}, onRequestEnd: (record) => { records.push(record) }, isLeaving: () => false
+    routingState, loads, limits, permits, admission: createServerAdmission({ loads, limits, permits, now }), agent, relays: options.relays ?? { select: () => null, isRelay: () => true }, relayAgent: agent, names: TEST_HEADER_NAMES, host: 'h1', zone: 'a', retryBudgetOf: () => budget, now, random: () => 0, onKeyRequested: () => {}, onRequestEnd: (record) => { records.push(record) }, isLeaving: () => false
   })
   const server: Server = createCallerServer({ limits: TEST_CONFIGURATION.limits, maximumConnections: 100, handle: gateway.handle, onError: () => {} })
   await new Promise<void>((resolve) => { server.listen(0, '127.0.0.1', resolve) })
