Plan the keys of a server by the limit that it names

Cause: the plan knew slots and speed, not limits. Change: hosts report the limits of the servers that they send to, with their age; the leader takes the newest observation, since reports arrive in any order, and plans for 0.85 of it: a limit leaves no queue for requests that come close together.

--- a/src/entry_host/create_coordinator.ts
+++ b/src/entry_host/create_coordinator.ts
@@ -66,6 +66,9 @@
 /** Capacity of a server that fails all its requests, as a share of a healthy server's capacity. */
 const MINIMUM_CAPACITY_SHARE = 0.1
 
+/** Share of a server's limit that is planned for: requests come at random times, and a limit leaves no queue. */
+const LIMIT_PLAN_SHARE = 0.85
+
 /** Minimum changes for a view to be published again, in requests in flight and, for other figures, as a share: smaller ones affect no routing decision. */
 const SIGNIFICANT_IN_FLIGHT_CHANGE = 2
 const SIGNIFICANT_SHARE_CHANGE = 0.1
@@ -152,7 +155,9 @@
       const view = views.get(server.id)
       const workMs = view !== undefined && view.workMs > 0 ? view.workMs : mean
       const successShare = Math.max(MINIMUM_CAPACITY_SHARE, 1 - (view?.failureShare ?? 0))
-      return { id: server.id, capacity: server.slots / workMs * successShare }
+      const limit = loads.requestLimit(server.id, now())
+      const limitPerMs = limit === null ? Infinity : limit * LIMIT_PLAN_SHARE / 1000
+      return { id: server.id, capacity: Math.min(server.slots / workMs * successShare, limitPerMs) }
     })
   }
 
--- a/src/entry_host/create_entry_host.ts
+++ b/src/entry_host/create_entry_host.ts
@@ -178,7 +178,7 @@
   })
 
   const statePublisher = createStatePublisher({
-    host: settings.host, zone: settings.zone, routingState, loads, coordinator, leadership, peerServer, leaderConnection, reader, relays, budgets, leaderMonitor, isLeading: () => leadershipController.isLeading(), now
+    host: settings.host, zone: settings.zone, routingState, loads, limits, coordinator, leadership, peerServer, leaderConnection, reader, relays, budgets, leaderMonitor, isLeading: () => leadershipController.isLeading(), now
   })
   const leadershipController = createLeadershipController({
     holder,
--- a/src/entry_host/create_state_publisher.ts
+++ b/src/entry_host/create_state_publisher.ts
@@ -3,7 +3,7 @@
  * which publishes the totals to all hosts together with changes of the
  * configuration, the list of servers and the relays.
  */
-import type { RoutingState, ServerLoads } from '../gateway/mod.ts'
+import type { RequestLimits, RoutingState, ServerLoads, ServerSample } from '../gateway/mod.ts'
 import type { Leadership } from '../leadership/mod.ts'
 import type { RelayDirectory } from '../relay/mod.ts'
 import type { PeerServer, LeaderConnection, Report, Update } from '../replication/mod.ts'
@@ -21,6 +21,7 @@
   readonly zone: string
   readonly routingState: RoutingState
   readonly loads: ServerLoads
+  readonly limits: Pick<RequestLimits, 'observations'>
   readonly coordinator: Coordinator
   readonly leadership: Leadership
   readonly peerServer: Pick<PeerServer, 'hosts' | 'publish' | 'relays'>
@@ -61,7 +62,7 @@
  * @returns The state publisher.
  */
 export function createStatePublisher (options: StatePublisherOptions): StatePublisher {
-  const { routingState, loads, coordinator, leadership, peerServer, leaderMonitor, now } = options
+  const { routingState, loads, limits, coordinator, leadership, peerServer, leaderMonitor, now } = options
   const keyCounts = new Map<string, Map<number, number>>()
   let updates = createPublishedUpdates(routingState)
   let sentAt = -Infinity
@@ -74,7 +75,12 @@
   function collectReport (): Extract<Report, { readonly kind: 'report' }> {
     const keys = [...keyCounts].map(([service, counts]) => [service, [...counts]] as const)
     keyCounts.clear()
-    return { kind: 'report', samples: [...loads.takeSamples()], keys }
+    const observations = limits.observations()
+    const samples = [...loads.takeSamples()].map(([server, sample]): readonly [string, ServerSample] => {
+      const observation = observations.get(server)
+      return [server, observation === undefined ? sample : { ...sample, limit: [observation.perSecond ?? 0, observation.ageMs] }]
+    })
+    return { kind: 'report', samples, keys }
   }
 
   function publishRelays (): void {
--- a/src/entry_host/load_aggregator.ts
+++ b/src/entry_host/load_aggregator.ts
@@ -1,4 +1,5 @@
 /** Aggregates the loads of backend servers that all hosts report to the leading host. */
+import { limitRetentionMs } from '../gateway/request_limits.ts'
 import type { ServerSample, ServerView } from '../gateway/server_loads.ts'
 
 /** A host that reports. */
@@ -31,6 +32,8 @@
    * does not separate a server from its own zone.
    */
   isRefusingConnections (server: string, zone: string): boolean
+  /** Requests per second that the server takes from all hosts together; `null` if it names no limit. */
+  requestLimit (server: string, now: number): number | null
   /** Whether any host has recently received a response from the server. */
   isResponding (server: string, now: number): boolean
 }
@@ -52,6 +55,10 @@
   capacity: number
   /** Zone of each host that was refused a connection since the last response. */
   readonly refusedBy: Map<string, string>
+  /** Limit that the server has named, in requests per second; 0 if none. */
+  limitPerSecond: number
+  /** When a response last showed the limit, or its end. */
+  limitObservedAt: number
 }
 
 /** Weight that the mean duration retains for each additional sample. */
@@ -103,13 +110,21 @@
   function loadOf (server: string): ServerLoad {
     const load = serverLoads.get(server)
     if (load !== undefined) return load
-    const created: ServerLoad = { inFlight: new Map(), oldestMs: new Map(), workMs: 0, failureShare: 0, lastResponseAt: -Infinity, lost: 0, lostAt: -Infinity, admitShare: 1, wanted: 0, completed: 0, capacity: 0, refusedBy: new Map() }
+    const created: ServerLoad = { inFlight: new Map(), oldestMs: new Map(), workMs: 0, failureShare: 0, lastResponseAt: -Infinity, lost: 0, lostAt: -Infinity, admitShare: 1, wanted: 0, completed: 0, capacity: 0, refusedBy: new Map(), limitPerSecond: 0, limitObservedAt: -Infinity }
     serverLoads.set(server, created)
     return created
   }
 
+  /** The newest observation of any host counts: reports arrive in any order. */
+  function recordLimit (load: ServerLoad, [perSecond, ageMs]: readonly [perSecond: number, ageMs: number], now: number): void {
+    if (now - ageMs < load.limitObservedAt) return
+    load.limitPerSecond = perSecond
+    load.limitObservedAt = now - ageMs
+  }
+
   function addSample (server: string, { sample, host, now }: { readonly sample: ServerSample, readonly host: ReportingHost, readonly now: number }): void {
     const load = loadOf(server)
+    if (sample.limit !== undefined) recordLimit(load, sample.limit, now)
     load.wanted += sample.wanted
     load.completed += sample.served
     const responses = sample.served + sample.failed + sample.shed
@@ -202,6 +217,11 @@
       const zones = [...serverLoads.get(server)?.refusedBy.values() ?? []]
       return zones.length >= MINIMUM_REFUSED_HOSTS && zones.includes(zone)
     },
+    requestLimit (server, now) {
+      const load = serverLoads.get(server)
+      if (load === undefined || load.limitPerSecond === 0 || now - load.limitObservedAt > limitRetentionMs(load.limitPerSecond)) return null
+      return load.limitPerSecond
+    },
     isResponding: (server, now) => now - (serverLoads.get(server)?.lastResponseAt ?? -Infinity) < UNRESPONSIVE_WINDOW_MS
   }
 }
--- a/src/entry_host/load_aggregator_test.ts
+++ b/src/entry_host/load_aggregator_test.ts
@@ -126,4 +126,17 @@
   assert.is(loads.views(0).get('s0')?.admitShare, 1)
 })
 
+test('requestLimit() returns the limit that was observed last, when reports arrive in another order', () => {
+  const loads = createLoadAggregator()
+  assert.is(loads.requestLimit('s0', 0), null)
+  loads.add(h1, [['s0', sample({ limit: [9.3, 20] })]], 1000)
+  assert.is(loads.requestLimit('s0', 1000), 9.3)
+  loads.add(h2, [['s0', sample({ limit: [0, 10] })]], 1100)
+  loads.add(h3, [['s0', sample({ limit: [9.3, 600] })]], 1200)
+  assert.is(loads.requestLimit('s0', 1200), null)
+  loads.add(h1, [['s0', sample({ limit: [4, 0] })]], 1300)
+  assert.is(loads.requestLimit('s0', 1300), 4)
+  assert.is(loads.requestLimit('s0', 20_000), null)
+})
+
 test.run()
--- a/src/gateway/server_loads.ts
+++ b/src/gateway/server_loads.ts
@@ -34,6 +34,8 @@
   readonly refused: number
   /** Age of the oldest request in flight, normalised to an idle server, in milliseconds; 0 if there is none. */
   readonly oldestMs: number
+  /** Requests per second that the server takes from all hosts together, 0 if it names no limit any more, and how long ago it said so, in milliseconds; absent if it has named none. */
+  readonly limit?: readonly [perSecond: number, ageMs: number]
 }
 
 /** Load of a server, summed over all hosts. */
