Soak: callers that leave, and a server that names a limit

Callers of the soak leave early in 15 of 100 requests; after the last fault no server may get a request whose caller left more than half a second before (callers-left), and the busiest server names a limit of 0.4 of its rate and may get one and a half times that and five in 4 s (request-limit). The checks without other faults move to recovery_checks.ts.

--- a/soak/backend.ts
+++ b/soak/backend.ts
@@ -23,6 +23,12 @@
   drainDeadline: number
   /** How it spoils some of its responses; `null` if it does not. */
   responseFault: ResponseFault | null
+  /** Requests per second that it names as its limit; `null` if it names none. */
+  limitPerSecond: number | null
+  /** Times at which requests arrived since the limit was set; monotonic time in milliseconds. */
+  arrivals: number[]
+  /** Whether a request of a caller that has left for long is a violation: without other faults only. */
+  checksCallersLeft: boolean
   /** Discards all grants and tokens, as a restart of the server does. */
   reset (): void
 }
@@ -48,6 +54,9 @@
 /** Factor by which a server extends its grants: its clock may run 2 % slow. */
 const CLOCK_DRIFT_FACTOR = 1.02
 
+/** Time after its caller has left from which a server must get no request, in milliseconds. */
+const CALLER_LEFT_BOUND_MS = 500
+
 /** Time for which two servers may hold the same key, in milliseconds, in the cases that the documentation exempts. */
 const EXEMPT_OVERLAP_MS = 500
 
@@ -123,7 +132,10 @@
   async function run (request: IncomingMessage, response: ServerResponse, body: string): Promise<void> {
     const attempt = String(request.headers['gooseberryfold-attempt-id'])
     const key = Number(request.headers['gooseberryfold-shard-key'])
-    const notRun = { 'Gooseberryfold-Attempt-Id': attempt, 'Gooseberryfold-Not-Executed': '1' }
+    backend.arrivals.push(now())
+    const limit: Readonly<Record<string, string>> = backend.limitPerSecond === null ? {} : { 'Server-Limit': String(backend.limitPerSecond) }
+    const notRun = { 'Gooseberryfold-Attempt-Id': attempt, 'Gooseberryfold-Not-Executed': '1', ...limit }
+    if (backend.checksCallersLeft && checker.leftSinceMs(attempt) > CALLER_LEFT_BOUND_MS) checker.reportViolation(Guarantees.callersLeft, `${id} gets ${attempt} ${Math.round(checker.leftSinceMs(attempt))} ms after its caller left`)
     if (request.headers['gooseberryfold-target-instance'] !== id || (options.keyed && !isKeyGranted(key))) {
       response.writeHead(421, notRun).end()
       return
@@ -139,7 +151,7 @@
       runningRequests.set(key, (runningRequests.get(key) ?? 0) + 1)
       await new Promise((resolve) => { setTimeout(resolve, WORK_MS.minimum + options.random() * (WORK_MS.maximum - WORK_MS.minimum)) })
       runningRequests.set(key, (runningRequests.get(key) ?? 1) - 1)
-      const headers = { 'Gooseberryfold-Attempt-Id': attempt, 'Gooseberryfold-Backend-Signature': `signed-${id}` }
+      const headers = { 'Gooseberryfold-Attempt-Id': attempt, 'Gooseberryfold-Backend-Signature': `signed-${id}`, ...limit }
       if (backend.responseFault !== null && options.spoilRandom() < SPOILED_SHARE) sendSpoiledResponse(response, backend.responseFault, { headers, body: `done ${attempt}` })
       else response.writeHead(200, headers).end(`done ${attempt}`)
     } finally {
@@ -163,6 +175,9 @@
     keyed: options.keyed,
     drainDeadline: Infinity,
     responseFault: null,
+    limitPerSecond: null,
+    arrivals: [],
+    checksCallersLeft: false,
     server: createServer((request, response) => {
       const parts: Buffer[] = []
       request.on('data', (part: Buffer) => { parts.push(part) })
--- a/soak/callers.ts
+++ b/soak/callers.ts
@@ -19,11 +19,17 @@
   readonly requestsPerSecond: number
   /** Hosts that are shutting down without any other fault; a request that they cut off violates a guarantee. */
   readonly stoppingHosts: ReadonlySet<string>
+  /** Random numbers of their own for callers that leave, so that the faults of a seed stay the same. */
+  readonly leaveRandom: () => number
 }
 
 /** Deadline that callers send with a request, in milliseconds. */
 const DEADLINE_MS = 1500
 
+/** Share of the callers that leave early, and the longest time that they wait, in milliseconds: longer than most requests take. */
+const LEAVING_SHARE = 0.15
+const LEAVING_AFTER_MS = 60
+
 /**
  * Creates callers that send two kinds of requests: keyed lookups, which may be repeated, and orders, which may not.
  *
@@ -54,6 +60,9 @@
       })
       const deadline = setTimeout(() => { request.destroy() }, DEADLINE_MS + 1000)
       let wasCut = true
+      let hasLeft = false
+      const leaves = options.leaveRandom() < LEAVING_SHARE
+      const leaving = leaves ? setTimeout(() => { hasLeft = true; checker.recordLeft(id); request.destroy() }, options.leaveRandom() * LEAVING_AFTER_MS) : undefined
       request.on('response', (response) => {
         const parts: Buffer[] = []
         response.on('data', (part: Buffer) => { parts.push(part) })
@@ -67,8 +76,9 @@
       request.on('error', (error: NodeJS.ErrnoException) => { wasCut = wasCut && error.code !== 'ECONNREFUSED' })
       request.on('close', () => {
         clearTimeout(deadline)
+        clearTimeout(leaving)
         if (wasCut) checker.recordResponse(id, { status: 0, body: '', signed: false })
-        if (wasCut && options.stoppingHosts.has(host.name) && checker.hasStarted(id)) checker.reportViolation(Guarantees.graceful, `${host.name} cut ${id} while it shut down`)
+        if (wasCut && !hasLeft && options.stoppingHosts.has(host.name) && checker.hasStarted(id)) checker.reportViolation(Guarantees.graceful, `${host.name} cut ${id} while it shut down`)
         resolve()
       })
       request.end(body)
--- a/soak/guarantee_checker.ts
+++ b/soak/guarantee_checker.ts
@@ -2,7 +2,7 @@
 
 /** Names of the guarantees; the values appear in the lines of failed runs. */
 export const Guarantees = {
-  oneOwner: 'one-owner', tokensRise: 'tokens-rise', once: 'at-most-once', notRun: 'not-run-is-true', completeResponse: 'whole-answer', onlySentRequests: 'only-what-was-asked', leaving: 'leaving-server', graceful: 'graceful-shutdown', served: 'served-again', memory: 'bounded-memory'
+  oneOwner: 'one-owner', tokensRise: 'tokens-rise', once: 'at-most-once', notRun: 'not-run-is-true', completeResponse: 'whole-answer', onlySentRequests: 'only-what-was-asked', leaving: 'leaving-server', graceful: 'graceful-shutdown', served: 'served-again', memory: 'bounded-memory', callersLeft: 'callers-left', limit: 'request-limit'
 } as const
 /** One of the values of {@link Guarantees}. */
 export type GuaranteeName = typeof Guarantees[keyof typeof Guarantees]
@@ -16,15 +16,19 @@
   recordStarted (id: string, server: string, body: string): void
   /** Records the response to an attempt; status 0 if the caller got none. */
   recordResponse (id: string, response: { readonly status: number, readonly body: string, readonly signed: boolean }): void
+  /** Records that the caller of an attempt closes its connection. */
+  recordLeft (id: string): void
+  /** Returns the time since the caller of an attempt closed its connection, in milliseconds; 0 if it has not. */
+  leftSinceMs (id: string): number
   /** Returns whether a server has started to run an attempt. */
   hasStarted (id: string): boolean
   readonly failures: string[]
-  readonly counts: { sent: number, served: number, refused: number, other: number }
+  readonly counts: { sent: number, served: number, refused: number, left: number, other: number }
   /** Returns the number of requests served since its last call. */
   takeServedCount (): number
 }
 
-interface Attempt { readonly once: boolean, readonly body: string, runs: number, refused: boolean }
+interface Attempt { readonly once: boolean, readonly body: string, runs: number, refused: boolean, leftAt: number }
 
 /** Maximum number of failures that are kept; the first ones are the most useful. */
 const MAXIMUM_FAILURES = 50
@@ -38,7 +42,7 @@
 export function createGuaranteeChecker (now: () => number): GuaranteeChecker {
   const attempts = new Map<string, Attempt>()
   const failures: string[] = []
-  const counts = { sent: 0, served: 0, refused: 0, other: 0 }
+  const counts = { sent: 0, served: 0, refused: 0, left: 0, other: 0 }
   let servedSinceLastCall = 0
 
   function reportViolation (guarantee: GuaranteeName, text: string): void {
@@ -49,7 +53,7 @@
     reportViolation,
     recordSent (id, options) {
       counts.sent++
-      attempts.set(id, { ...options, runs: 0, refused: false })
+      attempts.set(id, { ...options, runs: 0, refused: false, leftAt: Infinity })
     },
     recordStarted (id, server, body) {
       const attempt = attempts.get(id)
@@ -70,8 +74,15 @@
         counts.refused++
         attempt.refused = true
         if (attempt.once && attempt.runs > 0) reportViolation(Guarantees.notRun, `${id} was refused although it ran`)
-      } else counts.other++
+      } else if (attempt.leftAt === Infinity) counts.other++
     },
+    recordLeft (id) {
+      const attempt = attempts.get(id)
+      if (attempt === undefined) return
+      counts.left++
+      attempt.leftAt = now()
+    },
+    leftSinceMs: (id) => Math.max(0, now() - (attempts.get(id)?.leftAt ?? Infinity)),
     hasStarted: (id) => (attempts.get(id)?.runs ?? 0) > 0,
     failures,
     counts,
--- a/soak/main.ts
+++ b/soak/main.ts
@@ -31,7 +31,7 @@
     const seed = nextSeed++
     const result = await runSoak({ seed, hosts: cli.flags.hosts, faultMs: cli.flags.seconds * 1000, program: PROGRAM_PATH })
     const { counts } = result
-    console.log(`seed ${seed}: ${result.failures.length === 0 ? 'held' : 'BROKEN'}; ${counts.sent} sent, ${counts.served} served, ${counts.refused} refused, ${counts.other} other; ${result.faults.length} faults; ${result.folder}`)
+    console.log(`seed ${seed}: ${result.failures.length === 0 ? 'held' : 'BROKEN'}; ${counts.sent} sent, ${counts.served} served, ${counts.refused} refused, ${counts.left} left, ${counts.other} other; ${result.faults.length} faults; ${result.folder}`)
     if (result.failures.length === 0) continue
     failedSeeds++
     for (const line of [...result.faults, ...result.failures]) console.log(`  ${line}`)
--- a/soak/run_soak.ts
+++ b/soak/run_soak.ts
@@ -4,11 +4,13 @@
 import { join } from 'node:path'
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus'
 import { uniformInt } from 'pure-rand/distribution/uniformInt'
-import { createBackend, createKeyGrantTracker, type SoakBackend } from './backend.ts'
+import { createBackend, createKeyGrantTracker } from './backend.ts'
 import { createCallers } from './callers.ts'
-import { createHosts, HOST_MEMORY_MB, type SoakHost } from './hosts.ts'
+import { pause, pickRandom, writeServerEntry, ZONES, type Environment } from './environment.ts'
+import { createHosts, type SoakHost } from './hosts.ts'
 import { LinkState, openLinkProxy, type LinkProxy } from './link_proxy.ts'
-import { createGuaranteeChecker, Guarantees, type GuaranteeChecker } from './guarantee_checker.ts'
+import { createGuaranteeChecker, type GuaranteeChecker } from './guarantee_checker.ts'
+import { checkMemory, checkRecovery } from './recovery_checks.ts'
 import { ResponseFault } from './spoiled_responses.ts'
 import { createSoakStore, type SoakStore } from './store.ts'
 
@@ -34,19 +36,6 @@
   readonly folder: string
 }
 
-interface Environment {
-  readonly hosts: SoakHost[]
-  readonly backends: SoakBackend[]
-  readonly linkProxies: Map<string, LinkProxy>
-  readonly store: SoakStore
-  readonly checker: GuaranteeChecker
-  readonly random: () => number
-  /** Random numbers of their own for spoiled responses, so that the other faults of a seed stay the same. */
-  readonly spoilRandom: () => number
-  readonly stoppingHosts: Set<string>
-  version: number
-}
-
 /** First port of every run; simultaneous runs use different loopback networks. */
 const BASE_PORT = 20_000
 
@@ -54,7 +43,6 @@
 const NETWORK_COUNT = 200
 const STORE_HOST_NUMBER = 250
 
-const ZONES = ['a', 'b', 'c'] as const
 const KEYED_SERVER_COUNT = 5
 const ORDER_SERVER_COUNT = 3
 
@@ -65,27 +53,18 @@
 /** Time for hosts to start and grant all keys, in milliseconds. */
 const STARTUP_MS = 3500
 
-/** Time after the last fault within which requests must be served again, in milliseconds; the platform requires 15 s. */
-const RECOVERY_MS = 15_000
-
-/** Time after which a draining server must get no new requests, in milliseconds: the platform's bound plus the store's response time. */
-const DRAIN_MS = 2200
-
 /** Number of resets in a series, since each one affects only the few requests in flight. */
 const RESET_COUNT = 8
 
-/** Time between the stop signals to two hosts, in milliseconds: short enough that their shutdowns overlap. */
-const STOP_INTERVAL_MS = 400
-
 /** Added to the seed for the random numbers of spoiled responses. */
 const SPOIL_SEED_OFFSET = 1_000_000_007
 
+/** Added to the seed for the random numbers of callers that leave. */
+const LEAVE_SEED_OFFSET = 2_000_000_011
+
 /** Interval at which another server begins to spoil responses, in milliseconds. */
 const SPOIL_INTERVAL_MS = 1500
 
-/** Minimum share of requests that must be served after all faults have been cleared. */
-const MINIMUM_SERVED_SHARE = 0.9
-
 /**
  * Runs the soak test once.
  *
@@ -105,7 +84,7 @@
   await startBackends(environment, { network, basePort, seed: options.seed })
   writeConfiguration(environment)
   environment.hosts.push(...await createHosts({ count: options.hosts ?? 6, zones: ZONES, storeHost: `127.0.${network}.${STORE_HOST_NUMBER}`, storePort: basePort + 39, basePort, network, folder, program: options.program }))
-  const callers = createCallers({ hosts: environment.hosts, checker, random, requestsPerSecond: REQUESTS_PER_SECOND, stoppingHosts: environment.stoppingHosts })
+  const callers = createCallers({ hosts: environment.hosts, checker, random, leaveRandom: createRandom(options.seed + LEAVE_SEED_OFFSET), requestsPerSecond: REQUESTS_PER_SECOND, stoppingHosts: environment.stoppingHosts })
   const faults: string[] = []
   const spoilTimer = setInterval(() => { spoilResponses(environment) }, SPOIL_INTERVAL_MS)
   try {
@@ -166,16 +145,6 @@
   }
 }
 
-const addresses = new WeakMap<SoakBackend, string>()
-
-function writeServerEntry (environment: Environment, backend: SoakBackend, entry: { readonly state: 'ready' | 'draining', readonly address?: string }): void {
-  if (entry.address !== undefined) addresses.set(backend, entry.address)
-  const index = environment.backends.indexOf(backend)
-  environment.store.put('servers', backend.id, {
-    Service: backend.keyed ? 'lookups' : 'orders', Address: addresses.get(backend), Zone: ZONES[index % ZONES.length], Version: 'v1', Slots: 6, State: entry.state, WarmupLeft: '0ms', Seq: 1, born: 1_750_000_000_000
-  })
-}
-
 function writeConfiguration (environment: Environment): void {
   const rule = (name: string, kind: string): unknown => ({
     Name: name, Kind: kind, LatencyGoal: '300ms', Priority: 1, Match: { Prefix: `/${name}/` }, Action: { Service: name, Timeout: '1200ms', MaxAttempts: 2 }
@@ -304,63 +273,7 @@
   if (backend !== undefined) backend.responseFault = faults[Math.floor(environment.spoilRandom() * faults.length)] ?? null
 }
 
-/** Checks that no host has used more than its memory, whatever servers have sent. */
-function checkMemory (environment: Environment): void {
-  for (const host of environment.hosts) {
-    const megabytes = Math.round(host.peakMemoryBytes() / 1024 / 1024)
-    if (megabytes > HOST_MEMORY_MB) environment.checker.reportViolation(Guarantees.memory, `${host.name} has used ${megabytes} MB`)
-  }
-}
-
-async function checkRecovery (environment: Environment): Promise<void> {
-  await pause(RECOVERY_MS)
-  const sentBefore = environment.checker.counts.sent
-  environment.checker.takeServedCount()
-  await pause(2000)
-  const sent = environment.checker.counts.sent - sentBefore
-  const share = environment.checker.takeServedCount() / Math.max(1, sent)
-  if (share < MINIMUM_SERVED_SHARE) environment.checker.reportViolation(Guarantees.served, `${Math.round(share * 100)} % of ${sent} requests are served ${RECOVERY_MS} ms after the last fault`)
-  await checkDraining(environment)
-  await checkGracefulShutdown(environment)
-}
-
-/** Checks without other faults that hosts with overlapping shutdowns respond to every request that they have forwarded. */
-async function checkGracefulShutdown (environment: Environment): Promise<void> {
-  const first = Math.floor(environment.random() * environment.hosts.length)
-  await Promise.all(Array.from({ length: Math.floor(environment.hosts.length / 2) }, async (_, index) => {
-    const host = environment.hosts[(first + index) % environment.hosts.length]
-    await pause(index * STOP_INTERVAL_MS)
-    if (host?.isServing() !== true) return
-    environment.stoppingHosts.add(host.name)
-    host.sendSignal('SIGTERM')
-    const code = await host.waitForExit()
-    await pause(100)
-    environment.stoppingHosts.delete(host.name)
-    if (code !== 0) environment.checker.reportViolation(Guarantees.graceful, `${host.name} ended with code ${String(code)}`)
-  }))
-}
-
-/** Checks without other faults that a draining server gets no new requests after its drain deadline. */
-async function checkDraining (environment: Environment): Promise<void> {
-  const backend = pickRandom(environment, environment.backends)
-  writeServerEntry(environment, backend, { state: 'draining' })
-  backend.drainDeadline = performance.now() + DRAIN_MS
-  await pause(DRAIN_MS + 1500)
-  backend.drainDeadline = Infinity
-  writeServerEntry(environment, backend, { state: 'ready' })
-}
-
-function pickRandom<Item> (environment: Environment, items: readonly Item[]): Item {
-  const item = items[Math.floor(environment.random() * items.length)]
-  if (item === undefined) throw new Error('Cannot pick a random item: the list is empty')
-  return item
-}
-
 function closeServer (server: import('node:http').Server): void {
   server.closeAllConnections()
   server.close()
 }
-
-async function pause (milliseconds: number): Promise<void> {
-  await new Promise((resolve) => { setTimeout(resolve, milliseconds) })
-}
