Revert "Start one request in each turn of the event loop"

The backlog of new connections that the change was meant for is shorter with it, but callers are served worse.

--- a/src/entry_host/create_entry_host.ts
+++ b/src/entry_host/create_entry_host.ts
@@ -5,7 +5,7 @@
  */
 import { Agent, createServer } from 'node:http'
 import {
-  createCallerServer, createGateway, createRequestLimits, createRequestPermits, createRoutingState, createServerAdmission, createServerAgent, createServerLoads, createTurnQueue, type HeaderNames, type RequestRecord
+  createCallerServer, createGateway, createRequestLimits, createRequestPermits, createRoutingState, createServerAdmission, createServerAgent, createServerLoads, type HeaderNames, type RequestRecord
 } from '../gateway/mod.ts'
 import { createLeadership } from '../leadership/mod.ts'
 import type { Logger } from '../logging/mod.ts'
@@ -110,7 +110,6 @@
   const permits = createRequestPermits({ limits, hostCount: budgets.hostCount, now, random: Math.random })
   const admission = createServerAdmission({ loads, limits, permits, now })
   const agent = createServerAgent()
-  const turns = createTurnQueue()
   const relayAgent = new Agent({ keepAlive: true, maxFreeSockets: RELAY_IDLE_CONNECTIONS, scheduling: 'lifo' })
   const relayAddress = `${settings.ip}:${settings.peerPort + 1}`
   const relays = createRelayDirectory({ host: settings.host, now })
@@ -211,7 +210,6 @@
     agent,
     relays,
     relayAgent,
-    turns,
     names: options.names,
     host: settings.host,
     zone: settings.zone,
@@ -226,7 +224,7 @@
     isLeaving: () => leaving
   })
   const relay = createRelay({
-    routingState, loads, limits, admission, isRelay: relays.isRelay, agent, turns, names: options.names, now, onEnd (record) { requestLog.write(record, describeRoutingState()) }
+    routingState, loads, limits, admission, isRelay: relays.isRelay, agent, names: options.names, now, onEnd (record) { requestLog.write(record, describeRoutingState()) }
   })
   const relayServer = createCallerServer({
     limits: RELAY_LIMITS, maximumConnections: settings.sockets, handle: relay.handle, onError: reportConnectionError
--- a/src/gateway/create_gateway.ts
+++ b/src/gateway/create_gateway.ts
@@ -25,7 +25,7 @@
 import type { ServerAdmission, ServerAdmissionQuery } from './server_admission.ts'
 import type { ServerLoads } from './server_loads.ts'
 import { forwardResponse, waitUntilSent } from './forward_response.ts'
-import type { TurnQueue } from './turn_queue.ts'
+import { pollConnections } from './poll_connections.ts'
 import { watchDisconnect } from './watch_disconnect.ts'
 
 /** Options of {@link createGateway}. */
@@ -41,15 +41,13 @@
   readonly relays: RelaySelector
   /** Agent for the connections to relays. */
   readonly relayAgent: Agent
-  /** Starts the requests of this process one after the other. */
-  readonly turns: TurnQueue
   readonly names: HeaderNames
   readonly host: string
   readonly zone: string
   readonly retryBudgetOf: (service: string) => RetryBudget
   readonly now: () => number
   readonly random: () => number
-  /** Called for each request with a key to a keyed service when it starts. */
+  /** Called for each request with a key to a keyed service. */
   readonly onKeyRequested: (service: string, key: number) => void
   readonly onRequestEnd: (record: RequestRecord) => void
   /** Whether this host is shutting down, so that connections are closed after their request. */
@@ -156,7 +154,7 @@
         return { kind: 'refuse', reason: `key-${owner.kind}`, retryAfterMs: jitteredRetryAfterMs(exchange, DEFAULT_RETRY_AFTER_MS) }
       }
       await routingState.waitForOwnerChange(Math.max(1, waitEndsAt - now()))
-      await options.turns.next()
+      await pollConnections()
     }
   }
 
@@ -317,9 +315,8 @@
 
   async function runAttempts (exchange: Exchange): Promise<void> {
     let decision: AttemptDecision = { kind: 'retry' }
-    await options.turns.next()
-    if (exchange.key !== null && isKeyed(exchange) && !exchange.hasCallerLeft) options.onKeyRequested(exchange.service, exchange.key)
     while (decision.kind === 'retry') {
+      await pollConnections()
       decision = remainingMs(exchange) <= 0 || exchange.abort.signal.aborted ? decideOnTimeout(exchange) : await makeAttempt(exchange)
     }
     const { response } = exchange
@@ -366,6 +363,7 @@
       abort.abort()
     })
     options.retryBudgetOf(service).deposit()
+    if (key !== null && isKeyed(exchange)) options.onKeyRequested(service, key)
     try {
       const reading = await bodyReader.read(request, { maximumBytes: routingState.configuration()?.limits.bodyBytes ?? 0, signal: abort.signal })
       if (reading.kind !== 'body') return refuseBody(exchange, reading.kind)
--- a/src/relay/create_relay.ts
+++ b/src/relay/create_relay.ts
@@ -7,8 +7,8 @@
  */
 import type { Agent, IncomingMessage, ServerResponse } from 'node:http'
 import {
-  outcomeLabel, parseKey, RelayHeader, RelayRefusal, requestHeaders, sendAttempt, toLoadOutcome, forwardResponse, waitUntilSent, watchDisconnect, createBodyReader,
-  type AttemptOutcome, type HeaderNames, type RequestBody, type RequestLimits, type RoutingState, type RequestRecord, type ServerAdmission, type ServerAdmissionQuery, type ServerLoads, type TurnQueue
+  outcomeLabel, parseKey, RelayHeader, RelayRefusal, requestHeaders, sendAttempt, toLoadOutcome, forwardResponse, waitUntilSent, watchDisconnect, pollConnections, createBodyReader,
+  type AttemptOutcome, type HeaderNames, type RequestBody, type RequestLimits, type RoutingState, type RequestRecord, type ServerAdmission, type ServerAdmissionQuery, type ServerLoads
 } from '../gateway/mod.ts'
 import type { RoutedServer } from '../routing/mod.ts'
 
@@ -20,8 +20,6 @@
   readonly admission: ServerAdmission
   /** Whether this host is the server's relay; a host whose list of relays is out of date may ask another one. */
   readonly isRelay: (server: RoutedServer) => boolean
-  /** Starts the requests of this process one after the other. */
-  readonly turns: TurnQueue
   /** Connections to servers. */
   readonly agent: Agent
   readonly names: HeaderNames
@@ -80,7 +78,7 @@
     try {
       // The host that accepted the request has checked the length of its body.
       const reading = await bodyReader.read(request, { maximumBytes: Infinity, signal: abort.signal })
-      await options.turns.next()
+      await pollConnections()
       if (abort.signal.aborted || reading.kind !== 'body') {
         response.destroy()
         return record(request, { server, outcome: null, durationMs: now() - receivedAt })
--- a/testing/with_gateway.ts
+++ b/testing/with_gateway.ts
@@ -12,7 +12,6 @@
 import { createServerAdmission } from '../src/gateway/server_admission.ts'
 import { createServerAgent } from '../src/gateway/server_agent.ts'
 import { createServerLoads } from '../src/gateway/server_loads.ts'
-import { createTurnQueue } from '../src/gateway/turn_queue.ts'
 import { RequestKind, type Route, type RoutingConfiguration } from '../src/routing/mod.ts'
 import { callPort, type CallerResponse, type CallPortOptions } from './call_port.ts'
 import { createFakeBackend, TEST_HEADER_NAMES, type BackendHandler, type FakeBackend } from './fake_backend.ts'
@@ -46,8 +45,6 @@
   readonly keyed?: boolean
   /** Retries that the budget holds. Default: 5. */
   readonly retries?: number
-  /** Called when a keyed request starts. Default: does nothing. */
-  readonly onKeyRequested?: () => void
   /** Default: no relays. */
   readonly relays?: RelaySelector
 }
@@ -72,7 +69,7 @@
   const permits = createRequestPermits({ limits, hostCount: () => 1, now, random: () => 0 })
   const budget = createRetryBudget({ share: 0, maximum: options.retries ?? 5 })
   const gateway = createGateway({
-    routingState, loads, limits, permits, admission: createServerAdmission({ loads, limits, permits, now }), agent, relays: options.relays ?? { select: () => null, isRelay: () => true }, relayAgent: agent, turns: createTurnQueue(), names: TEST_HEADER_NAMES, host: 'h1', zone: 'a', retryBudgetOf: () => budget, now, random: () => 0, onKeyRequested: options.onKeyRequested ?? (() => {}), onRequestEnd: (record) => { records.push(record) }, isLeaving: () => false
+    routingState, loads, limits, permits, admission: createServerAdmission({ loads, limits, permits, now }), agent, relays: options.relays ?? { select: () => null, isRelay: () => true }, relayAgent: agent, names: TEST_HEADER_NAMES, host: 'h1', zone: 'a', retryBudgetOf: () => budget, now, random: () => 0, onKeyRequested: () => {}, onRequestEnd: (record) => { records.push(record) }, isLeaving: () => false
   })
   const server: Server = createCallerServer({ limits: TEST_CONFIGURATION.limits, maximumConnections: 100, handle: gateway.handle, onError: () => {} })
   await new Promise<void>((resolve) => { server.listen(0, '127.0.0.1', resolve) })
