Discard what is left of a long body at the relay

Since bodies of any length go through the relay of a server with a limit, a relay reads long bodies as streams, too, but kept what was left of one whose request had ended: the other host's connection was blocked by it, and it counted as buffered for good. Evidence: handle() reads the next request of a connection, when a long body was refused failed before and passes now.

--- a/src/gateway/create_gateway.ts
+++ b/src/gateway/create_gateway.ts
@@ -32,7 +32,9 @@
 export interface GatewayOptions {
   readonly routingState: RoutingState
   readonly loads: ServerLoads
+  /** Limits that servers name; updated from their responses. */
   readonly limits: RequestLimits
+  /** Permits for servers that have named a limit. */
   readonly permits: RequestPermits
   /** Admission control for requests that this host sends to servers itself. */
   readonly admission: ServerAdmission
--- a/src/gateway/send_attempt.ts
+++ b/src/gateway/send_attempt.ts
@@ -72,7 +72,8 @@
     let connected = false
     /** Whether the request has been handed to the connection. */
     let sent = false
-    let sentAt = performance.now()
+    /** When that was; monotonic time in milliseconds. */
+    let sentAt = 0
     let settled = false
     let interimResponses = 0
     const request = startRequest({ agent: options.agent, host, port, method: attempt.method, path: attempt.path, headers: headers as unknown as Record<string, string>, setHost: false })
--- a/src/relay/create_relay.ts
+++ b/src/relay/create_relay.ts
@@ -7,7 +7,7 @@
  */
 import type { Agent, IncomingMessage, ServerResponse } from 'node:http'
 import {
-  outcomeLabel, parseKey, RelayHeader, RelayRefusal, requestHeaders, sendAttempt, toLoadOutcome, forwardResponse, waitUntilSent, watchDisconnect, pollConnections, createBodyReader,
+  createBodyReader, discardBody, forwardResponse, outcomeLabel, parseKey, pollConnections, RelayHeader, RelayRefusal, requestHeaders, sendAttempt, toLoadOutcome, waitUntilSent, watchDisconnect,
   type AttemptOutcome, type HeaderNames, type RequestBody, type RequestLimits, type RoutingState, type RequestRecord, type ServerAdmission, type ServerAdmissionQuery, type ServerLoads
 } from '../gateway/mod.ts'
 import type { RoutedServer } from '../routing/mod.ts'
@@ -16,6 +16,7 @@
 export interface RelayOptions {
   readonly routingState: RoutingState
   readonly loads: ServerLoads
+  /** Limits that servers name; updated from their responses. */
   readonly limits: RequestLimits
   readonly admission: ServerAdmission
   /** Whether this host is the server's relay; a host whose list of relays is out of date may ask another one. */
@@ -75,6 +76,7 @@
     const abort = new AbortController()
     const timer = setTimeout(() => { abort.abort() }, remainingMs)
     const endWatch = watchDisconnect(request, () => { abort.abort() })
+    let body: RequestBody = null
     try {
       // The host that accepted the request has checked the length of its body.
       const reading = await bodyReader.read(request, { maximumBytes: Infinity, signal: abort.signal })
@@ -83,10 +85,12 @@
         response.destroy()
         return record(request, { server, outcome: null, durationMs: now() - receivedAt })
       }
-      await sendToServer(request, response, { server, body: reading.body, signal: abort.signal, deadlineAt: receivedAt + remainingMs })
+      body = reading.body
+      await sendToServer(request, response, { server, body, signal: abort.signal, deadlineAt: receivedAt + remainingMs })
     } finally {
       clearTimeout(timer)
       endWatch()
+      discardBody(body)
     }
   }
 
--- a/src/relay/create_relay_test.ts
+++ b/src/relay/create_relay_test.ts
@@ -158,6 +158,28 @@
   })
 })
 
+// Guards against memory that streamed bodies keep after their request has ended.
+test('handle() reads the next request of a connection, when a long body was refused', async () => {
+  await withRelay(respondWithPath, async ({ loads, backend, relayPort }) => {
+    const ends = Array.from({ length: backend.server.slots * 2 }, () => loads.trackRequest(backend.server))
+    const head = (id: string, bytes: number): string => `POST /once/${id} HTTP/1.1\r\nHost: one.example\r\nX-Attempt: ${id}\r\nX-Deadline: 2000\r\nX-Target: s0\r\nX-Gooseberryfold-Goal-Ms: 300\r\nContent-Length: ${bytes}\r\n\r\n`
+    const bytes = 40 * 1024 * 1024
+    let received = ''
+    const socket = connect(relayPort, '127.0.0.1')
+    socket.on('data', (data) => {
+      received += data.toString('latin1')
+      if (!received.includes('HTTP/1.1 503')) return
+      for (const end of ends.splice(0)) end({ kind: 'other' })
+    })
+    socket.write(head('a1', bytes))
+    socket.write(Buffer.alloc(bytes))
+    socket.write(`${head('a2', 5)}hello`)
+    await new Promise((resolve) => { setTimeout(resolve, 800) })
+    socket.destroy()
+    assert.match(received, /^HTTP\/1\.1 503 [^]*HTTP\/1\.1 200 /)
+  })
+})
+
 test('handle() never reports a broken connection as a refusal, when the request may have run', async () => {
   const abortResponse: BackendHandler = (_request, response) => { response.destroy() }
   await withRelay(abortResponse, async ({ call, backend }) => {
