--- a/src/entry_host/request_log.ts
+++ b/src/entry_host/request_log.ts
@@ -50,7 +50,7 @@
         status: record.status,
         reason: record.reason,
         ms: Math.round(record.durationMs),
-        // A request that was served to nobody shows that the host has not noticed that its caller had left.
+        // With another reason than caller-left, this shows that the host did not notice in time that the connection was closed.
         caller: record.isCallerConnected ? undefined : 'disconnected',
         retryAfterMs: record.retryAfterMs === undefined ? undefined : Math.round(record.retryAfterMs),
         attempts: record.attempts.map((attempt) => `${attempt.server}:${attempt.outcome}${attempt.detail === undefined ? '' : `(${attempt.detail})`}:${attempt.durationMs}ms:${attempt.inFlight}busy:${attempt.expectedMs}expected${attempt.relay === undefined ? '' : `:via=${attempt.relay}`}`).join(','),
--- a/src/gateway/poll_connections.ts
+++ b/src/gateway/poll_connections.ts
@@ -4,7 +4,7 @@
  * A process that was suspended, or had no processor time, finds requests in
  * its socket buffers whose senders have closed the connection since. It reads
  * the data of a connection first and the close when it next polls, so a request
- * that was forwarded at once would be work for nobody.
+ * that was forwarded at once would be run although its caller has gone.
  */
 
 /**
