--- a/soak/recovery_checks.ts
+++ b/soak/recovery_checks.ts
@@ -16,6 +16,9 @@
 /** Minimum share of requests that must be served after all faults have been cleared. */
 const MINIMUM_SERVED_SHARE = 0.9
 
+/** Time for which a host is suspended, in milliseconds: callers of its first second have left for long enough to count. */
+const SUSPENSION_MS = 1500
+
 /** Limit that a server names, as a share of the requests that it gets. */
 const LIMIT_SHARE = 0.4
 
@@ -42,12 +45,22 @@
   const sent = countOwed() - owedBefore
   const share = environment.checker.takeServedCount() / Math.max(1, sent)
   if (share < MINIMUM_SERVED_SHARE) environment.checker.reportViolation(Guarantees.served, `${Math.round(share * 100)} % of ${sent} requests are served ${RECOVERY_MS} ms after the last fault`)
-  for (const backend of environment.backends) backend.checksCallersLeft = true
+  await checkCallersLeft(environment)
   await checkLimit(environment)
   await checkDraining(environment)
   await checkGracefulShutdown(environment)
 }
 
+/** Checks that no server gets a request whose caller left while the host was suspended. */
+async function checkCallersLeft (environment: Environment): Promise<void> {
+  for (const backend of environment.backends) backend.checksCallersLeft = true
+  const host = pickRandom(environment, environment.hosts)
+  host.sendSignal('SIGSTOP')
+  await pause(SUSPENSION_MS)
+  host.sendSignal('SIGCONT')
+  await pause(SUSPENSION_MS)
+}
+
 /** Checks without other faults that a server gets at most one and a half times the limit that it names, and five requests. */
 async function checkLimit (environment: Environment): Promise<void> {
   const backend = environment.backends.reduce((busiest, candidate) => candidate.arrivals.length > busiest.arrivals.length ? candidate : busiest)
