--- a/src/leadership/create_leadership.ts
+++ b/src/leadership/create_leadership.ts
@@ -125,6 +125,8 @@
   let acknowledgedAt = 0
   let renewedAt = 0
   let attemptedAt = 0
+  /** Revision of the lease that the last refused write met; each is logged once. */
+  let refusedRevision: number | undefined
   let queue: Promise<unknown> = Promise.resolve()
   const revisions = new Map<string, number>()
 
@@ -176,6 +178,11 @@
       return 'written'
     }
     if (result.error.kind === 'unavailable') return 'unavailable'
+    const current = result.error.current.find((row) => row.key === LEASE_KEY)
+    if (refusedRevision !== current?.revision) {
+      refusedRevision = current?.revision
+      logger.warn({ expected: lastLease?.revision ?? 0, current: refusedRevision, holder: current === undefined ? undefined : parseRecord(current.value)?.holder }, 'lease-write-refused')
+    }
     for (const row of result.error.current) {
       if (row.key === LEASE_KEY) observeLease(row)
       else revisions.set(row.key, row.revision)
