Store eras: leases, plans, fencing tokens and cached reads survive a restore

Cause: revisions of the store were taken to rise for ever. A lease that went back to a lower revision was ignored, so each write expected a revision that the store did not have (hypothesis 1; ruled out: that the leader could not reach the store, its write was answered). Fencing tokens were made from the claim's revision and went back with it; a plan from the copy was taken for complete; a configuration was cached by its revision. The class: a position in the store's history was compared without its history.

Change: one type, StorePosition (era, revision), compared in comparePositions() only; each result of the store carries the era of its response. Leases and plans state the era that they were written in, so that one from a copy is recognised. A restored lease is written at once by a holder whose own lease is valid, by every other host after all lost leases have expired. Terms, which tokens are made from, leave room for the terms that a restore loses. The leader writes its plans again; a new leader that finds a restored plan grants nothing before every grant that the plan may lack has expired. A server that was leaving stays so, one that had left does not return from the copy, one that the copy lacks is kept until it had time to be listed again.

--- a/src/entry_host/create_coordinator.ts
+++ b/src/entry_host/create_coordinator.ts
@@ -2,7 +2,7 @@
  * Coordinates the hosts while this host leads: plans which server owns which
  * keys, grants keys, sums the loads of all hosts and publishes the results.
  */
-import type { OwnerChange, PlannedRange, RangeController, RecordedRange, ServerControl } from '../ownership/mod.ts'
+import type { OwnerChange, PlannedRange, PlanRecord, RangeController, ServerControl } from '../ownership/mod.ts'
 import { createKeyLoad, createRangeController, partitionKeySpace, decodePlanRecord, encodePlanRecord, maximumMovesPerPlan, planRanges, type KeyLoad } from '../ownership/mod.ts'
 import type { ServerView } from '../gateway/server_loads.ts'
 import type { RoutingState } from '../gateway/routing_state.ts'
@@ -11,6 +11,7 @@
 import type { TableService } from '../ports/mod.ts'
 import type { ConnectedHost, Report, Update, WireServerView } from '../replication/mod.ts'
 import type { RoutedServer } from '../routing/mod.ts'
+import { FIRST_ERA } from '../store_history/mod.ts'
 import { createLoadAggregator, type LoadAggregator, type ReportingHost } from './load_aggregator.ts'
 import { encodeViews, encodeOwnersUpdate } from './encode_updates.ts'
 import { createInitialUpdates } from './initial_updates.ts'
@@ -73,8 +74,8 @@
 const SIGNIFICANT_IN_FLIGHT_CHANGE = 2
 const SIGNIFICANT_SHARE_CHANGE = 0.1
 
-/** Number of fencing tokens that one leader may use; each claim's store revision begins a block of this size. */
-const TOKENS_PER_CLAIM = 2 ** 24
+/** Number of fencing tokens that one leader may use; each term begins a block of this size. */
+const TOKENS_PER_TERM = 2 ** 24
 
 /**
  * Creates a coordinator; it is inactive until `takeOver()` succeeds.
@@ -86,6 +87,8 @@
   const { routingState, leadership, logger, now } = options
   const rangeControllers = new Map<string, RangeController>()
   const keyLoads = new Map<string, KeyLoad>()
+  /** Era of each stored plan. */
+  const storedEras = new Map<string, number>()
   let loads: LoadAggregator = createLoadAggregator(assumedWorkMsOf)
   /** View of each server as it was last published. */
   const publishedViews = new Map<string, ServerView>()
@@ -101,11 +104,17 @@
 
   function nextToken (): number {
     tokenCount++
-    return leadership.claimRevision() * TOKENS_PER_CLAIM + tokenCount
+    return leadership.term() * TOKENS_PER_TERM + tokenCount
   }
 
-  function createServiceRangeController (service: string, recorded: readonly RecordedRange[]): RangeController {
-    const rangeController = createRangeController(recorded, {
+  /** Returns when grants that a plan may not list were made at the latest; `null` if the plan lists all of them. */
+  function unlistedGrantsMadeUntil (plan: PlanRecord): number | null {
+    return plan.era < leadership.era() ? leadership.earlierLeasesEndAt() : null
+  }
+
+  function createServiceRangeController (service: string, recorded: PlanRecord): RangeController {
+    storedEras.set(service, recorded.era)
+    const rangeController = createRangeController(recorded.ranges, {
       service,
       control: options.control,
       logger,
@@ -114,6 +123,7 @@
       isStoreUnavailable: () => leadership.isStoreUnavailable() && options.isMajorityReporting(),
       maximumGrantDurationMs: options.maximumGrantDurationMs,
       previousGrants: leadership.previousGrants(),
+      unlistedGrantsMadeUntil: unlistedGrantsMadeUntil(recorded),
       nextToken,
       publish (changes) {
         if (!active) return
@@ -169,7 +179,7 @@
   function nextPlan (service: string): readonly PlannedRange[] | null {
     const candidates = capacities(service, rangeControllers.get(service)?.unresponsiveServers() ?? new Set())
     if (candidates.length === 0) return null
-    const rangeController = rangeControllers.get(service) ?? createServiceRangeController(service, partitionKeySpace(candidates.length).map((range) => ({ ...range, previous: null })))
+    const rangeController = rangeControllers.get(service) ?? createServiceRangeController(service, createPlan(candidates.length))
     const ranges = rangeController.ranges()
     const load = keyLoads.get(service)?.read(now()) ?? new Map<number, number>()
     let total = 0
@@ -183,20 +193,35 @@
     return planned.some((range) => owners.get(range.from) !== range.owner) ? planned : null
   }
 
+  /** Creates the first plan of a service. In a restored store the plan of an earlier era may be missing. */
+  function createPlan (servers: number): PlanRecord {
+    return { era: FIRST_ERA, ranges: partitionKeySpace(servers).map((range) => ({ ...range, previous: null })) }
+  }
+
+  /** Era whose grants the plan of a service covers when it is stored now. */
+  function coveredEra (service: string): number {
+    return rangeControllers.get(service)?.isComplete() === true ? leadership.era() : storedEras.get(service) ?? FIRST_ERA
+  }
+
+  /** Whether the stored plan of a service has to be written again, because the store has lost what was written since. */
+  function isPlanRestored (service: string): boolean {
+    return rangeControllers.has(service) && (storedEras.get(service) ?? FIRST_ERA) < coveredEra(service)
+  }
+
   async function plan (): Promise<void> {
     const plans = new Map<string, readonly PlannedRange[]>()
     for (const service of keyedServices()) {
-      const planned = nextPlan(service)
+      const planned = nextPlan(service) ?? (isPlanRestored(service) ? rangeControllers.get(service)?.ranges() ?? null : null)
       if (planned !== null) plans.set(service, planned)
     }
     if (plans.size === 0) return
-    const rows = [...plans].map(([service, planned]) => ({
-      key: PLAN_PREFIX + service, value: encodePlanRecord(rangeControllers.get(service)?.beginPlan(planned) ?? [])
-    }))
-    const outcome = await leadership.write(rows)
+    const records = new Map([...plans].map(([service, planned]) => [service, { era: coveredEra(service), ranges: rangeControllers.get(service)?.beginPlan(planned) ?? [] }]))
+    const outcome = await leadership.write([...records].map(([service, record]) => ({ key: PLAN_PREFIX + service, value: encodePlanRecord(record) })))
     for (const [service, planned] of plans) {
-      if (outcome === 'written') rangeControllers.get(service)?.applyPlan(planned)
-      else rangeControllers.get(service)?.abandonPlan()
+      if (outcome === 'written') {
+        rangeControllers.get(service)?.applyPlan(planned)
+        storedEras.set(service, records.get(service)?.era ?? FIRST_ERA)
+      } else rangeControllers.get(service)?.abandonPlan()
     }
     logger.info({ services: [...plans.keys()], ranges: [...plans.values()].map((planned) => planned.length), outcome }, 'plan-stored')
     for (const rangeController of rangeControllers.values()) rangeController.tick()
@@ -205,20 +230,22 @@
   return {
     async takeOver () {
       rangeControllers.clear()
+      storedEras.clear()
       initialUpdates.invalidateOwners()
       loads = createLoadAggregator(assumedWorkMsOf)
       tokenCount = 0
       const rows = await options.table.changes(PLAN_PREFIX, 0)
-      if (!rows.ok) return false
+      // Plans of a later era than the lease may be older than the grants of this era.
+      if (!rows.ok || rows.value.era !== leadership.era()) return false
       active = true
       for (const row of rows.value.rows) {
-        const recorded = decodePlanRecord(row.value)
+        const recorded = decodePlanRecord(row)
         const service = row.key.slice(PLAN_PREFIX.length)
-        leadership.recordRevision(row.key, row.revision)
-        if (recorded === null) logger.error({ key: row.key, revision: row.revision }, 'plan-unreadable')
+        leadership.recordPosition(row.key, row)
+        if (recorded === null) logger.error({ key: row.key, era: row.era, revision: row.revision }, 'plan-unreadable')
         else createServiceRangeController(service, recorded)
       }
-      logger.info({ plans: rows.value.rows.length, revision: leadership.claimRevision() }, 'plans-taken-over')
+      logger.info({ plans: rows.value.rows.length, term: leadership.term(), era: leadership.era(), restored: [...storedEras].filter(([, era]) => era < leadership.era()).map(([service]) => service) }, 'plans-taken-over')
       return true
     },
     stop () { active = false },
--- a/src/entry_host/create_entry_host.ts
+++ b/src/entry_host/create_entry_host.ts
@@ -270,7 +270,7 @@
     else if (update.kind === 'owners') {
       routingState.setOwners(update.service, update.changes.map(([from, to, owner]) => ({ from, to, owner: decodeOwner(owner, now()) })))
     } else if (update.kind === 'beat') {
-      leadership.observeLease(update.lease)
+      if (update.lease !== null) leadership.observeLease(update.lease)
       leaderMonitor.recordHeartbeat(update, address)
       budgets.setHostCount(update.hosts)
       loads.applyViews(decodeViews(update.views), update.complete)
@@ -280,6 +280,7 @@
         logger.info({ update: update.kind, version, servers: routingState.serversDigest() }, 'update-missed')
         reader.readPublished().catch(reportFailure)
       }
+      if (update.kind === 'servers' || update.kind === 'servers-change') reader.recordServers()
       if (routingState.configuration()?.version === version) return
       logger.info({ version: routingState.configuration()?.version, source: 'leader' }, 'configuration-in-force')
       applyConfiguration()
@@ -291,9 +292,13 @@
     logger.error({ error: error instanceof Error ? error.stack : String(error) }, 'task-failed')
   }
 
+  async function renewLease (): Promise<void> {
+    if (await leadership.renew()) await coordinator.plan()
+  }
+
   const timers = [
     setInterval(() => { coordinator.tick() }, TaskTiming.grantIntervalMs),
-    setInterval(() => { leadership.renew().catch(reportFailure) }, TaskTiming.loadIntervalMs),
+    setInterval(() => { renewLease().catch(reportFailure) }, TaskTiming.loadIntervalMs),
     setInterval(() => {
       loopDelayMonitor.recordTick()
       statePublisher.sendLoads()
--- a/src/entry_host/create_leadership_controller.ts
+++ b/src/entry_host/create_leadership_controller.ts
@@ -4,7 +4,7 @@
  * claims a free lease. The leading host reads the store for all hosts.
  */
 import type { RoutingState } from '../gateway/mod.ts'
-import type { Leadership } from '../leadership/mod.ts'
+import type { Leadership, ObservedLease } from '../leadership/mod.ts'
 import type { Logger } from '../logging/mod.ts'
 import type { PeerServer, LeaderConnection } from '../replication/mod.ts'
 import type { RelayDirectory } from '../relay/mod.ts'
@@ -44,9 +44,6 @@
   readonly now: () => number
 }
 
-/** A lease and the revision of its row. */
-export interface ObservedLease { readonly revision: number, readonly value: unknown }
-
 /** Leadership controller of one host. */
 export interface LeadershipController {
   /** Whether this host has the leader's role; it acts as leader only while its lease is valid. */
@@ -105,12 +102,14 @@
   }
 
   function followSuccessor (): void {
-    const successor = leadership.lease()
+    const successor = leadership.isLeaseRestored() ? null : leadership.lease()
     if (!leading && successor !== null && successor.holder !== holder && !successor.released) leaderConnection.follow(successor.address)
   }
 
   async function tryToClaim (): Promise<void> {
-    if (options.isLeaving() || !leadership.mayClaim(leaderMonitor.isRespondingAt(leadership.lease()?.address))) {
+    // A restored lease may name an earlier holder than the one whose heartbeats arrive.
+    const isHolderResponding = leadership.isLeaseRestored() ? leaderMonitor.isReceiving() : leaderMonitor.isRespondingAt(leadership.lease()?.address)
+    if (options.isLeaving() || !leadership.mayClaim(isHolderResponding)) {
       claimableSince = null
       return
     }
@@ -118,7 +117,8 @@
     if (options.isSmall && now() - claimableSince < SMALL_HOST_CLAIM_DELAY_MS) return
     if (!await leadership.claim()) return
     // The last leader may have resigned; it then still has connections to all hosts.
-    leaderConnection.send({ kind: 'claimed', lease: { revision: leadership.leaseRevision(), value: leadership.lease() } })
+    const lease = leadership.observedLease()
+    if (lease !== null) leaderConnection.send({ kind: 'claimed', lease })
     leaderConnection.follow(null)
     if (!await coordinator.takeOver()) {
       await leadership.release()
@@ -143,6 +143,8 @@
   /** Follows the holder of the lease; returns whether its heartbeats are recent, so that this host does not have to read the store itself. */
   async function followLeader (): Promise<boolean> {
     recordProcessAt(options.address, holder)
+    // A restored lease may name a holder that no longer leads: the connection to the last leader is kept until one writes the lease.
+    if (leadership.isLeaseRestored()) return leaderMonitor.isFresh()
     const lease = leadership.lease()
     if (lease === null || lease.holder === holder || lease.released || leadership.mayClaim()) return false
     const isNewConnection = leaderConnection.follow(lease.address)
@@ -196,7 +198,7 @@
     },
     onLeaseClaimed (lease) {
       leadership.observeLease(lease)
-      if (leadership.lease()?.holder === holder) return
+      if (leadership.isHolder()) return
       if (leading) handOver()
       peerServer.publish({ kind: 'successor', lease })
       followSuccessor()
@@ -215,7 +217,7 @@
       while (!signal.aborted) {
         if (leading) {
           await reader.readPublished()
-          if (leadership.lease()?.holder !== holder) stopLeading()
+          if (!leadership.isHolder()) stopLeading()
           await pause(TaskTiming.leaderReadIntervalMs)
         } else if (leaderMonitor.isFresh() || leavesReadingToOthers()) {
           pauseMs = 0
--- a/src/entry_host/create_state_publisher.ts
+++ b/src/entry_host/create_state_publisher.ts
@@ -102,7 +102,7 @@
     peerServer.publish({
       kind: 'beat',
       storeAgeMs: Math.round(options.reader.ageMs()),
-      lease: { revision: leadership.leaseRevision(), value: leadership.lease() },
+      lease: leadership.observedLease(),
       leading: leadership.isLeading(),
       complete,
       intervalMs: leaderMonitor.intervalMs(),
--- a/src/entry_host/store_reader.ts
+++ b/src/entry_host/store_reader.ts
@@ -4,17 +4,24 @@
 import { LEASE_KEY } from '../leadership/mod.ts'
 import type { Logger } from '../logging/mod.ts'
 import { decodePlanRecord } from '../ownership/mod.ts'
-import type { Result, TableError, TableService } from '../ports/mod.ts'
+import type { Result, TableError, TableRow, TableService } from '../ports/mod.ts'
 import type { RoutedServer, RoutingConfiguration } from '../routing/mod.ts'
+import { comparePositions, type StorePosition } from '../store_history/mod.ts'
 import { PLAN_PREFIX } from './create_coordinator.ts'
 import { createServerList } from './server_list.ts'
 
 /** Port for the state that operators and backend servers publish. */
 export interface PublishedState {
   /** Reads the newest configuration; `null` if there is no usable one. */
-  readConfiguration (): Promise<Result<RoutingConfiguration | null, TableError>>
+  readConfiguration (): Promise<Result<PublishedValue<RoutingConfiguration | null>, TableError>>
   /** Reads the list of backend servers; entries that do not name a server are skipped. */
-  readServers (): Promise<Result<readonly RoutedServer[], TableError>>
+  readServers (): Promise<Result<PublishedValue<readonly RoutedServer[]>, TableError>>
+}
+
+/** A value that was read from the store, and the era of the store that it was read in. */
+export interface PublishedValue<Value> {
+  readonly era: number
+  readonly value: Value
 }
 
 /** Options of {@link createStoreReader}. */
@@ -37,6 +44,8 @@
   readPublished (): Promise<boolean>
   /** Reads the lease and, if `withPlans`, the plans. */
   readLease (withPlans: boolean): Promise<boolean>
+  /** Records the servers of the routing state, after the leader has changed them. */
+  recordServers (): void
   /** Age of the last complete read of configuration and servers, in milliseconds. */
   ageMs (): number
 }
@@ -50,7 +59,7 @@
 export function createStoreReader (options: StoreReaderOptions): StoreReader {
   const { routingState, leadership, logger, now } = options
   const serverList = createServerList()
-  const planRevisions = new Map<string, number>()
+  const planPositions = new Map<string, StorePosition>()
   let readAt = -Infinity
   let reachable = true
 
@@ -62,7 +71,7 @@
     else logger.warn({ zone: options.zone, detail }, 'store-unreachable')
   }
 
-  function applyServers (servers: readonly RoutedServer[]): void {
+  function applyServers (servers: PublishedValue<readonly RoutedServer[]>): void {
     const present = serverList.onRead(servers, now())
     const before = new Map(routingState.servers().map((server) => [server.id, server]))
     const digest = routingState.serversDigest()
@@ -76,6 +85,19 @@
     options.onServersChanged()
   }
 
+  function applyPlan (row: TableRow): void {
+    const lastPosition = planPositions.get(row.key)
+    if (lastPosition !== undefined && comparePositions(row, lastPosition) <= 0) return
+    planPositions.set(row.key, row)
+    const plan = decodePlanRecord(row)
+    const service = row.key.slice(PLAN_PREFIX.length)
+    // A restored plan is no newer than the owners that this host has.
+    if (plan === null || (plan.era < row.era && routingState.hasOwners(service))) return
+    routingState.setOwners(service, plan.ranges.map((range) => ({
+      from: range.from, to: range.to, owner: range.owner === null ? { kind: 'moving' } : { kind: 'owned', server: range.owner }
+    })))
+  }
+
   return {
     async readPublished () {
       const startedAt = now()
@@ -83,35 +105,23 @@
       const failure = configuration.ok ? (servers.ok ? null : servers.error) : configuration.error
       recordAvailability(failure === null, failure?.kind === 'unavailable' ? failure.detail : '')
       if (servers.ok) applyServers(servers.value)
-      if (configuration.ok && configuration.value !== null && routingState.applyConfiguration(configuration.value)) {
-        logger.info({ version: configuration.value.version, routes: configuration.value.routes.length }, 'configuration-in-force')
+      const candidate = configuration.ok ? configuration.value.value : null
+      if (candidate !== null && routingState.applyConfiguration(candidate)) {
+        logger.info({ version: candidate.version, routes: candidate.routes.length }, 'configuration-in-force')
         options.onConfigurationChanged()
       }
       if (failure === null) readAt = startedAt
       return failure === null
     },
     async readLease (withPlans) {
-      if (!withPlans) {
-        const row = await options.table.read(LEASE_KEY)
-        leadership.recordRead(row.ok)
-        if (row.ok) leadership.observeLease(row.value)
-        return row.ok
-      }
-      const rows = await options.table.changes('', 0)
+      const rows = await options.table.changes(withPlans ? '' : LEASE_KEY, 0)
       leadership.recordRead(rows.ok)
       if (!rows.ok) return false
-      leadership.observeLease(rows.value.rows.find((row) => row.key === LEASE_KEY) ?? null)
-      for (const row of rows.value.rows) {
-        if (!row.key.startsWith(PLAN_PREFIX) || (planRevisions.get(row.key) ?? 0) >= row.revision) continue
-        planRevisions.set(row.key, row.revision)
-        const recorded = decodePlanRecord(row.value)
-        if (recorded === null) continue
-        routingState.setOwners(row.key.slice(PLAN_PREFIX.length), recorded.map((range) => ({
-          from: range.from, to: range.to, owner: range.owner === null ? { kind: 'moving' } : { kind: 'owned', server: range.owner }
-        })))
-      }
+      leadership.observeLease(rows.value.rows.find((row) => row.key === LEASE_KEY) ?? { era: rows.value.era, revision: 0, value: null })
+      for (const row of rows.value.rows) if (row.key.startsWith(PLAN_PREFIX)) applyPlan(row)
       return true
     },
+    recordServers () { serverList.record(routingState.servers(), now()) },
     ageMs: () => now() - readAt
   }
 }
--- a/src/gateway/routing_state.ts
+++ b/src/gateway/routing_state.ts
@@ -17,6 +17,8 @@
   /** Digest of the server list, for comparing lists. */
   serversDigest (): string
   ownerOf (service: string, key: number): KeyOwner
+  /** Whether owners of the service's keys have been set. */
+  hasOwners (service: string): boolean
   /** Applies a configuration if it is newer than the one in force; returns whether it was applied. */
   applyConfiguration (configuration: RoutingConfiguration): boolean
   /** Replaces the list of servers. */
@@ -67,6 +69,7 @@
     servers: () => [...servers.values()],
     serversDigest: () => digest,
     ownerOf: owners.ownerOf,
+    hasOwners: owners.has,
     applyConfiguration (candidate) {
       if (configuration !== null && candidate.version <= configuration.version) return false
       configuration = candidate
--- a/src/host/create_host.ts
+++ b/src/host/create_host.ts
@@ -288,7 +288,7 @@
   async function writeRow (expectedRevision: number, row: CellRow): Promise<void> {
     const written = await platform.table.write([{ key: rowKey, expectedRevision, value: row }])
     metrics.platformCalls.inc({ call: 'table-write', outcome: written.ok ? 'answered' : 'failed' })
-    if (written.ok) perform(core.onRow({ kind: 'written', storedRow: { row, revision: written.value } }, now()))
+    if (written.ok) perform(core.onRow({ kind: 'written', storedRow: { row, revision: written.value.revision } }, now()))
     else if (written.error.kind === 'unavailable') perform(core.onRow({ kind: 'unavailable' }, now()))
     else perform(core.onRow({ kind: 'conflict', storedRow: toStoredRow(written.error.current[0] ?? null) }, now()))
   }
--- a/src/leadership/create_leadership.ts
+++ b/src/leadership/create_leadership.ts
@@ -6,9 +6,18 @@
  * lasts, when the holder has released it, or when the holder's process is known
  * to have ended. A leader writes its other rows in the same conditional write as
  * the lease, so a superseded leader cannot change stored data.
+ *
+ * A lease that was written in an earlier era of the store than it is read in has
+ * been restored from a copy. It does not show who leads: a later lease, which the
+ * store has lost, may still be valid. Only a holder whose own lease is still
+ * valid may write a restored lease at once; every other host first waits until
+ * any lost lease has expired.
  */
 import type { Logger } from '../logging/mod.ts'
-import type { RowWrite, TableService } from '../ports/mod.ts'
+import type { RowWrite, TableRow, TableService } from '../ports/mod.ts'
+import { comparePositions, createEraMonitor, FIRST_ERA, type StorePosition } from '../store_history/mod.ts'
+import { parseLease, type LeaseRecord } from './lease_record.ts'
+import { nextTerm } from './_next_term.ts'
 
 /** Key of the lease's row. */
 export const LEASE_KEY = 'lease'
@@ -26,19 +35,14 @@
   /** Time without an acknowledged write after which the store counts as unavailable and grants are made to outlast the lease. */
   storeUnavailableAfterMs: 1300,
   /** How long the store must have been responding before the lease of a holder that still responds may be claimed. It spans several renewals of the holder if the store responds to the holder, too. */
-  storeRecoveryMs: 1200
+  storeRecoveryMs: 1200,
+  /** Extra time that the last holder waits before it writes a restored lease, to allow for clock drift between hosts. It is shorter than the margin of a claim, so the last holder, which knows all grants, leads again before others claim. */
+  restoredLeaseMarginMs: 60
 } as const
 
-/** Value of the lease's row. */
-export interface LeaseRecord {
-  /** Identifier of the holder's process; it changes when the host restarts. */
-  readonly holder: string
-  /** Address for connections from other hosts. */
-  readonly address: string
-  /** Whether the holder has released the lease. */
-  readonly released: boolean
-  /** For a released lease, how long after the release each backend server may still hold keys, in milliseconds. */
-  readonly holdsMs?: Readonly<Record<string, number>>
+/** The lease's row as read from the table service; its revision is 0 and its value `null` if there is no row. */
+export interface ObservedLease extends StorePosition {
+  readonly value: unknown
 }
 
 /** Grants that earlier leaders may have made, as known to a new leader. */
@@ -71,14 +75,22 @@
   isLeading (): boolean
   /** Whether this process leads and the table service has not acknowledged a write for {@link LeaseTiming.storeUnavailableAfterMs}. */
   isStoreUnavailable (): boolean
-  /** Revision of the claim that made this process leader; it increases with each new leader. */
-  claimRevision (): number
-  /** Applies the lease's row as read from the table service; `null` if the row does not exist. */
-  observeLease (row: { readonly revision: number, readonly value: unknown } | null): void
-  /** Last observed revision of the lease; 0 before the first. */
-  leaseRevision (): number
-  /** Records the current revision of a row that is written together with the lease. */
-  recordRevision (key: string, revision: number): void
+  /** Whether this process has claimed the lease and not lost it; the lease may have expired. */
+  isHolder (): boolean
+  /** Term of the last lease that this process wrote; it is higher than the terms of all earlier leaders, whatever the store has lost. */
+  term (): number
+  /** Era of the last observed lease. */
+  era (): number
+  /** Whether the last observed lease was written in an earlier era, or may be missing because of a restore. */
+  isLeaseRestored (): boolean
+  /** When every lease of an earlier era has certainly expired, in milliseconds of the monotonic clock; `-Infinity` in the first era. */
+  earlierLeasesEndAt (): number
+  /** Applies the lease's row as read from the table service. */
+  observeLease (row: ObservedLease): void
+  /** Last observed lease and the position of its row; `null` before the first. */
+  observedLease (): ObservedLease | null
+  /** Records the current position of a row that is written together with the lease. */
+  recordPosition (key: string, position: StorePosition): void
   /** Last observed lease; `null` before the first. */
   lease (): LeaseRecord | null
   /** Records that the holder's process has ended. */
@@ -95,9 +107,9 @@
   claim (): Promise<boolean>
   /** Writes rows together with the lease, which also renews it. Writes run one at a time. */
   write (rows: readonly Omit<RowWrite, 'expectedRevision'>[]): Promise<LeaderWriteResult>
-  /** Renews the lease if a renewal is due. */
-  renew (): Promise<void>
-  /** Renews the lease whether or not a renewal is due; returns whether the store acknowledged it. */
+  /** Renews the lease if a renewal is due; returns whether it wrote a restored lease, so that rows that are written with the lease may have to be written again. */
+  renew (): Promise<boolean>
+  /** Renews the lease whether or not a renewal is due; returns whether the store responded. */
   renewNow (): Promise<boolean>
   /** Stops leading without a write, because only this process cannot reach the store; the holder's lease counts as ended for those that are notified. */
   resign (): void
@@ -113,10 +125,13 @@
  */
 export function createLeadership (options: LeadershipOptions): Leadership {
   const { table, logger, now, wallClock } = options
-  let lastLease: { revision: number, record: LeaseRecord | null, firstSeenAt: number } | null = null
+  const eras = createEraMonitor(now)
+  let lastLease: { readonly position: StorePosition, readonly record: LeaseRecord | null, readonly firstSeenAt: number } | null = null
   let endedHolder: string | null = null
   let leading = false
-  let claimedAt = 0
+  let term = 0
+  /** Highest term of any lease that this process has observed. */
+  let highestTerm = 0
   let grantsBeforeClaim: PreviousGrants = { kind: 'unknown', lastPossibleGrantAt: -Infinity }
   let storeRespondsSince: number | null = null
   let lastReadAt = -Infinity
@@ -125,19 +140,38 @@
   let acknowledgedAt = 0
   let renewedAt = 0
   let attemptedAt = 0
-  /** Revision of the lease that the last refused write met; each is logged once. */
-  let refusedRevision: number | undefined
+  /** Position of the lease that the last refused write met; each is logged once. */
+  let refusedBy: StorePosition | null = null
   let queue: Promise<unknown> = Promise.resolve()
-  const revisions = new Map<string, number>()
+  const positions = new Map<string, StorePosition>()
 
   function ownRecord (released: boolean): LeaseRecord {
-    return { holder: options.holder, address: options.address, released }
+    return { holder: options.holder, address: options.address, released, era: eras.era(), term }
+  }
+
+  function isLeaseRestored (): boolean {
+    if (lastLease === null) return false
+    return lastLease.record === null ? lastLease.position.era > FIRST_ERA : lastLease.record.era < lastLease.position.era
+  }
+
+  /** Revision that a row must have for a write to succeed; a revision of another era says nothing about the row. */
+  function expectedRevision (position: StorePosition | undefined): number {
+    return position?.era === eras.era() ? position.revision : 0
+  }
+
+  /** Whether this process, which holds the lease, may write it: a restored lease only while its own is valid, or once all others have expired. */
+  function mayRenew (): boolean {
+    return !isLeaseRestored() || isLeading() || now() >= earlierLeasesEndAt() + LeaseTiming.restoredLeaseMarginMs
+  }
+
+  function earlierLeasesEndAt (): number {
+    return eras.era() === FIRST_ERA ? -Infinity : eras.firstSeenAt() + LeaseTiming.durationMs
   }
 
   function stepDown (cause: string): void {
     if (!leading) return
     leading = false
-    logger.warn({ cause, revision: lastLease?.revision }, 'leadership-lost')
+    logger.warn({ cause, ...lastLease?.position }, 'leadership-lost')
   }
 
   function isLeading (): boolean {
@@ -152,47 +186,75 @@
     renewedAt = sentAt
   }
 
-  function observeLease (row: { readonly revision: number, readonly value: unknown } | null): void {
-    const revision = row?.revision ?? 0
-    if (lastLease !== null && revision <= lastLease.revision) return
-    const record = row === null ? null : parseRecord(row.value)
-    if (record === null && row !== null) logger.warn({ revision }, 'lease-unreadable')
-    lastLease = { revision, record, firstSeenAt: now() }
-    if (leading && record?.holder !== options.holder) stepDown('another host holds the lease')
+  function observeLease (row: ObservedLease): void {
+    const position = { era: row.era, revision: row.revision }
+    if (lastLease !== null && comparePositions(position, lastLease.position) <= 0) return
+    const isRestore = eras.record(row.era) && lastLease !== null
+    const record = row.revision === 0 ? null : parseLease(row)
+    if (record === null && row.revision !== 0) logger.warn(position, 'lease-unreadable')
+    highestTerm = Math.max(highestTerm, record?.term ?? 0)
+    lastLease = { position, record, firstSeenAt: now() }
+    if (isRestore) logger.warn({ ...position, holder: record?.holder, writtenInEra: record?.era, leading }, 'lease-restored')
+    if (leading && record?.holder !== options.holder && !isLeaseRestored()) stepDown('another host holds the lease')
+  }
+
+  function recordRefusal (current: readonly TableRow[], era: number): void {
+    const lease = current.find((row) => row.key === LEASE_KEY)
+    const position = { era, revision: lease?.revision ?? 0 }
+    if (refusedBy !== null && comparePositions(position, refusedBy) === 0) return
+    refusedBy = position
+    logger.warn({ expected: lastLease?.position, current: position, holder: lease === undefined ? undefined : parseLease(lease)?.holder }, 'lease-write-refused')
   }
 
-  /** Writes the lease and other rows in one conditional write. */
-  async function writeWithLease (record: LeaseRecord, rows: readonly Omit<RowWrite, 'expectedRevision'>[]): Promise<LeaderWriteResult> {
+  /** Writes the lease and other rows in one conditional write; returns `rows-changed` if the lease was as expected and another row was not. */
+  async function writeWithLease (record: LeaseRecord, rows: ReadonlyArray<Omit<RowWrite, 'expectedRevision'>>): Promise<LeaderWriteResult | 'rows-changed'> {
     const sentAt = now()
     const sentAtWallClock = wallClock()
     attemptedAt = sentAt
     const writes: RowWrite[] = [
-      { key: LEASE_KEY, expectedRevision: lastLease?.revision ?? 0, value: record },
-      ...rows.map((row) => ({ ...row, expectedRevision: revisions.get(row.key) ?? 0 }))
+      { key: LEASE_KEY, expectedRevision: expectedRevision(lastLease?.position), value: record },
+      ...rows.map((row) => ({ ...row, expectedRevision: expectedRevision(positions.get(row.key)) }))
     ]
     const result = await table.write(writes)
-    if (result.ok) {
-      lastLease = { revision: result.value, record, firstSeenAt: now() }
-      for (const row of rows) revisions.set(row.key, result.value)
+    if (result.ok && result.value.era === record.era) {
+      lastLease = { position: result.value, record, firstSeenAt: now() }
+      highestTerm = Math.max(highestTerm, record.term)
+      for (const row of rows) positions.set(row.key, result.value)
       extend(sentAt, sentAtWallClock)
       return 'written'
     }
-    if (result.error.kind === 'unavailable') return 'unavailable'
-    const current = result.error.current.find((row) => row.key === LEASE_KEY)
-    if (refusedRevision !== current?.revision) {
-      refusedRevision = current?.revision
-      logger.warn({ expected: lastLease?.revision ?? 0, current: refusedRevision, holder: current === undefined ? undefined : parseRecord(current.value)?.holder }, 'lease-write-refused')
+    if (result.ok) {
+      // The store was restored meanwhile, and the row happens to have the expected revision again: the condition did not hold for the row that was meant.
+      observeLease({ ...result.value, value: record })
+      return 'unavailable'
     }
-    for (const row of result.error.current) {
-      if (row.key === LEASE_KEY) observeLease(row)
-      else revisions.set(row.key, row.revision)
+    if (result.error.kind === 'unavailable') return 'unavailable'
+    const { current, era } = result.error
+    const expected = lastLease?.position
+    recordRefusal(current, era)
+    for (const write of writes) {
+      const row = current.find((candidate) => candidate.key === write.key) ?? { era, revision: 0, value: null }
+      if (write.key === LEASE_KEY) observeLease(row)
+      else positions.set(write.key, { era, revision: row.revision })
     }
-    // This process still holds the lease: an earlier write took effect, but its response was lost.
-    return lastLease?.record?.holder === options.holder ? 'unavailable' : 'superseded'
+    if (lastLease?.position === expected && leading) return 'rows-changed'
+    // This process still holds the lease: an earlier write took effect, but its response was lost; or the store has been restored.
+    return lastLease?.record?.holder === options.holder || isLeaseRestored() ? 'unavailable' : 'superseded'
+  }
+
+  /** Writes the lease as its holder. A restored lease is claimed anew, so that the term is above all that the store has lost. */
+  async function writeAsHolder (rows: ReadonlyArray<Omit<RowWrite, 'expectedRevision'>>): Promise<LeaderWriteResult | 'rows-changed'> {
+    if (!mayRenew()) return 'unavailable'
+    const isRestored = isLeaseRestored()
+    if (isRestored) term = nextTerm({ lease: lastLease, highestTerm })
+    const outcome = await writeWithLease(ownRecord(false), rows)
+    if (isRestored && outcome === 'written') logger.info({ ...lastLease?.position, term }, 'leadership-restored')
+    return outcome
   }
 
   function describePreviousGrants (): PreviousGrants {
-    if (lastLease === null || lastLease.revision === 0) return { kind: 'known', asOf: now(), remainingMs: {} }
+    if (isLeaseRestored()) return { kind: 'unknown', lastPossibleGrantAt: earlierLeasesEndAt() }
+    if (lastLease === null || lastLease.position.revision === 0) return { kind: 'known', asOf: now(), remainingMs: {} }
     if (lastLease.record?.released === true && lastLease.record.holdsMs !== undefined) return { kind: 'known', asOf: now(), remainingMs: lastLease.record.holdsMs }
     // A claim succeeds only if the lease has not been renewed since it was last observed.
     return { kind: 'unknown', lastPossibleGrantAt: lastLease.firstSeenAt + LeaseTiming.durationMs }
@@ -207,11 +269,15 @@
   return {
     isLeading,
     isStoreUnavailable: () => leading && now() - acknowledgedAt > LeaseTiming.storeUnavailableAfterMs,
-    claimRevision: () => claimedAt,
+    isHolder: () => leading,
+    term: () => term,
+    era: eras.era,
+    isLeaseRestored,
+    earlierLeasesEndAt,
     observeLease,
+    observedLease: () => lastLease === null ? null : { ...lastLease.position, value: lastLease.record },
     lease: () => lastLease?.record ?? null,
-    leaseRevision: () => lastLease?.revision ?? 0,
-    recordRevision (key, revision) { revisions.set(key, revision) },
+    recordPosition (key, position) { positions.set(key, position) },
     recordEnded (holder) { endedHolder = holder },
     recordRead (responded) {
       // After a gap between reads, it is unknown whether the store was responding in between.
@@ -221,6 +287,10 @@
     },
     mayClaim (isHolderResponding = false) {
       if (lastLease === null || leading) return false
+      if (isLeaseRestored()) {
+        const recoveryMs = isHolderResponding ? LeaseTiming.storeRecoveryMs : 0
+        return now() > earlierLeasesEndAt() + LeaseTiming.claimMarginMs + recoveryMs
+      }
       if (lastLease.record === null || lastLease.record.released || lastLease.record.holder === endedHolder) return true
       // An earlier claim took effect, but its response was lost.
       if (lastLease.record.holder === options.holder) return true
@@ -228,50 +298,53 @@
       return !isHolderResponding || (storeRespondsSince !== null && now() - storeRespondsSince >= LeaseTiming.storeRecoveryMs)
     },
     previousGrants: () => grantsBeforeClaim,
-    claimDelayMs: () => lastLease === null ? 0 : Math.max(0, lastLease.firstSeenAt + LeaseTiming.durationMs + LeaseTiming.claimMarginMs - now()),
+    claimDelayMs () {
+      if (lastLease === null) return 0
+      const expiresAt = isLeaseRestored() ? earlierLeasesEndAt() : lastLease.firstSeenAt + LeaseTiming.durationMs
+      return Math.max(0, expiresAt + LeaseTiming.claimMarginMs - now())
+    },
     claim: () => enqueue(async () => {
+      if (leading || (isLeaseRestored() && now() <= earlierLeasesEndAt() + LeaseTiming.claimMarginMs)) return false
       const previous = lastLease?.record
       const previousGrants = describePreviousGrants()
+      term = nextTerm({ lease: lastLease, highestTerm })
       const outcome = await writeWithLease(ownRecord(false), [])
       if (outcome !== 'written') return false
       leading = true
-      claimedAt = lastLease?.revision ?? 0
       grantsBeforeClaim = previousGrants
-      logger.info({ revision: claimedAt, previous: previous?.holder, released: previous?.released }, 'leadership-claimed')
+      logger.info({ ...lastLease?.position, term, previous: previous?.holder, released: previous?.released }, 'leadership-claimed')
       return true
     }),
     write: (rows) => enqueue(async () => {
       if (!leading) return 'superseded'
-      return await writeWithLease(ownRecord(false), rows)
+      const outcome = await writeAsHolder(rows)
+      // The refused write has returned the current positions.
+      const repeated = outcome === 'rows-changed' ? await writeAsHolder(rows) : outcome
+      return repeated === 'rows-changed' ? 'unavailable' : repeated
     }),
     async renew () {
-      if (!leading || now() - renewedAt < LeaseTiming.renewIntervalMs || now() - attemptedAt < LeaseTiming.retryDelayMs) return
-      await enqueue(async () => {
-        if (!leading || now() - renewedAt < LeaseTiming.renewIntervalMs) return
-        const outcome = await writeWithLease(ownRecord(false), [])
+      if (!leading || now() - renewedAt < LeaseTiming.renewIntervalMs || now() - attemptedAt < LeaseTiming.retryDelayMs) return false
+      return await enqueue(async () => {
+        if (!leading || now() - renewedAt < LeaseTiming.renewIntervalMs) return false
+        const isRestored = isLeaseRestored()
+        const outcome = await writeAsHolder([])
         if (outcome === 'unavailable') logger.warn({ sinceMs: Math.round(now() - acknowledgedAt) }, 'lease-not-renewed')
+        return isRestored && outcome === 'written'
       })
     },
-    renewNow: () => enqueue(async () => leading && await writeWithLease(ownRecord(false), []) === 'written'),
+    renewNow: () => enqueue(async () => {
+      if (!leading) return false
+      const before = lastLease?.position
+      // While the lease may not be written yet, a response has just shown that the store was restored.
+      return !mayRenew() || await writeAsHolder([]) === 'written' || lastLease?.position !== before
+    }),
     resign () { stepDown('other hosts reach the store and this one does not') },
     release: (remainingMs) => enqueue(async () => {
       if (!leading) return
+      const mayWrite = mayRenew()
       stepDown('the host is shutting down')
+      if (!mayWrite) return
       await writeWithLease(remainingMs === undefined ? ownRecord(true) : { ...ownRecord(true), holdsMs: remainingMs }, [])
     })
   }
 }
-
-function parseRecord (value: unknown): LeaseRecord | null {
-  if (typeof value !== 'object' || value === null) return null
-  const { holder, address, released, holdsMs } = value as Record<string, unknown>
-  if (typeof holder !== 'string' || typeof address !== 'string' || typeof released !== 'boolean') return null
-  const remainingMs = parseRemainingMs(holdsMs)
-  return remainingMs === null ? { holder, address, released } : { holder, address, released, holdsMs: remainingMs }
-}
-
-function parseRemainingMs (value: unknown): Record<string, number> | null {
-  if (typeof value !== 'object' || value === null) return null
-  const entries = Object.entries(value)
-  return entries.every(([, remainingMs]) => typeof remainingMs === 'number') ? Object.fromEntries(entries) as Record<string, number> : null
-}
--- a/src/ownership/_range_state.ts
+++ b/src/ownership/_range_state.ts
@@ -31,12 +31,25 @@
   publishedOwner: string
 }
 
+/** Options of {@link restoreRange}; times are in milliseconds of the monotonic clock. */
+export interface RestoreRangeOptions {
+  /** Returns when the last grant to a server of the plan expires. */
+  readonly grantExpiry: (server: string) => number
+  /** When the last grant that the plan does not list expires; 0 if the plan is complete. */
+  readonly unknownGrantsUntil: number
+}
+
+/** Stands for every server that may hold a range by a grant that the store has lost. No server has this identifier. */
+export const UNKNOWN_HOLDER = ''
+
 /** Restores a range from a stored plan. It is unknown which grants of the earlier leader went unanswered. */
-export function restoreRange (recorded: RecordedRange, grantExpiry: (server: string) => number): Range {
+export function restoreRange (recorded: RecordedRange, options: RestoreRangeOptions): Range {
+  const { grantExpiry, unknownGrantsUntil } = options
   const holders = new Map<string, Holder>()
   if (recorded.owner !== null) holders.set(recorded.owner, { expiresAt: grantExpiry(recorded.owner), unansweredUntil: grantExpiry(recorded.owner) })
   // The previous holder may have released the range already. It is sent a release and gets no further grant.
   if (recorded.previous !== null) holders.set(recorded.previous, { expiresAt: grantExpiry(recorded.previous), unansweredUntil: 0 })
+  if (unknownGrantsUntil > 0) holders.set(UNKNOWN_HOLDER, { expiresAt: unknownGrantsUntil, unansweredUntil: 0 })
   return { from: recorded.from, to: recorded.to, owner: recorded.owner, token: 0, granted: false, holders, handover: null, movedAt: -Infinity, nextCallAt: 0, callInProgress: null, isPlanPending: false, publishedOwner: '' }
 }
 
--- a/src/ownership/owner_map.ts
+++ b/src/ownership/owner_map.ts
@@ -21,6 +21,8 @@
 export interface OwnerMap {
   ownerOf (service: string, key: number): KeyOwner
   apply (service: string, changes: readonly OwnerChange[]): void
+  /** Whether owners of the service's keys have been set. */
+  has (service: string): boolean
   services (): string[]
 }
 
@@ -48,6 +50,7 @@
         table.owners.push(change.owner)
       }
     },
+    has: (service) => services.has(service),
     services: () => [...services.keys()]
   }
 }
--- a/src/ownership/range_controller.ts
+++ b/src/ownership/range_controller.ts
@@ -13,7 +13,7 @@
 import type { PreviousGrants } from '../leadership/mod.ts'
 import type { KeyOwner, OwnerChange } from './owner_map.ts'
 import type { PlannedRange } from './plan_ranges.ts'
-import { findRange, restoreRange, type Holder, type Range } from './_range_state.ts'
+import { findRange, restoreRange, UNKNOWN_HOLDER, type Holder, type Range } from './_range_state.ts'
 import { createServerCalls } from './_server_calls.ts'
 import { createUnresponsiveServers } from './_unresponsive_servers.ts'
 import type { RecordedRange } from './plan_record.ts'
@@ -58,6 +58,8 @@
   readonly maximumGrantDurationMs: number
   /** Grants that earlier leaders may have made. */
   readonly previousGrants: PreviousGrants
+  /** When every grant that a restored plan does not list was made at the latest, in milliseconds of the monotonic clock; `null` if the plan is complete. */
+  readonly unlistedGrantsMadeUntil: number | null
   /** Returns a fencing token above all that were used before. */
   readonly nextToken: () => number
   /** Publishes changed owners to the hosts. */
@@ -79,6 +81,8 @@
 /** Controller of the key ranges of one service. */
 export interface RangeController {
   ranges (): readonly RangeState[]
+  /** Whether every server that may hold keys is known, so that a stored plan of these ranges is complete. */
+  isComplete (): boolean
   /** Whether a range must keep its owner and bounds in the next plan. */
   isFixed (range: PlannedRange): boolean
   /** Marks the ranges that a plan changes as pending and returns the plan to store; {@link RangeController.applyPlan} is called with the same ranges after that. */
@@ -112,12 +116,25 @@
   const departed = new Map<string, RoutedServer>()
   const unresponsive = createUnresponsiveServers({ service, logger, now, probeIntervalMs: GrantTiming.retryDelayMs })
   const calls = createServerCalls(unresponsive.has)
-  let ranges: Range[] = recorded.map((range) => restoreRange(range, previousGrantExpiry))
+  let ranges: Range[] = recorded.map((range) => restoreRange(range, { grantExpiry: previousGrantExpiry, unknownGrantsUntil: isComplete() ? 0 : unknownGrantsUntil() }))
+
+  /** Longest time for which a grant may last after the leader that made it has sent it, in milliseconds. */
+  function longestGrantMs (): number {
+    return options.maximumGrantDurationMs * CLOCK_DRIFT_FACTOR + DELIVERY_MARGIN_MS
+  }
+
+  function isComplete (): boolean {
+    return unknownGrantsUntil() <= now()
+  }
+
+  function unknownGrantsUntil (): number {
+    return options.unlistedGrantsMadeUntil === null ? 0 : options.unlistedGrantsMadeUntil + longestGrantMs()
+  }
 
   /** Returns when the last grant that an earlier leader may have made to a server expires. */
   function previousGrantExpiry (id: string): number {
     const previousGrants = options.previousGrants
-    if (previousGrants.kind === 'unknown') return previousGrants.lastPossibleGrantAt + options.maximumGrantDurationMs * CLOCK_DRIFT_FACTOR + DELIVERY_MARGIN_MS
+    if (previousGrants.kind === 'unknown') return previousGrants.lastPossibleGrantAt + longestGrantMs()
     return previousGrants.asOf + (previousGrants.remainingMs[id] ?? 0)
   }
 
@@ -315,6 +332,7 @@
 
   return {
     ranges: () => ranges.map((range) => ({ from: range.from, to: range.to, owner: range.owner, granted: range.granted, holders: [...range.holders.keys()] })),
+    isComplete,
     isFixed (planned) {
       const range = findRange(ranges, planned.from)
       if (range.from !== planned.from || range.callInProgress !== null) return true
@@ -325,7 +343,7 @@
     beginPlan: (planned) => planned.map((plannedRange) => {
       const range = findRange(ranges, plannedRange.from)
       range.isPlanPending ||= range.from !== plannedRange.from || range.to !== plannedRange.to || range.owner !== plannedRange.owner
-      const otherHolders = [...range.holders.keys()].filter((id) => id !== plannedRange.owner)
+      const otherHolders = [...range.holders.keys()].filter((id) => id !== plannedRange.owner && id !== UNKNOWN_HOLDER)
       return { ...plannedRange, previous: otherHolders[0] ?? null }
     }),
     applyPlan (planned) {
@@ -381,8 +399,9 @@
       const remainingMs = new Map<string, number>()
       for (const range of ranges) {
         for (const [id, { expiresAt }] of range.holders) {
+          if (id === UNKNOWN_HOLDER) continue
           // A grant in transit has the usual or the maximum duration, so the maximum is assumed.
-          const serverRemainingMs = Number.isFinite(expiresAt) ? expiresAt - now() : options.maximumGrantDurationMs * CLOCK_DRIFT_FACTOR + DELIVERY_MARGIN_MS * 2
+          const serverRemainingMs = Number.isFinite(expiresAt) ? expiresAt - now() : longestGrantMs() + DELIVERY_MARGIN_MS
           remainingMs.set(id, Math.max(remainingMs.get(id) ?? 0, Math.ceil(serverRemainingMs)))
         }
       }
--- a/src/replication/messages.ts
+++ b/src/replication/messages.ts
@@ -2,6 +2,7 @@
 import type { Socket } from 'node:net'
 import split from 'split2'
 import type { ServerSample } from '../gateway/server_loads.ts'
+import type { ObservedLease } from '../leadership/mod.ts'
 import type { ListChange } from '../list_change/mod.ts'
 import type { RelayHost } from '../relay/mod.ts'
 import type { ConfigurationChange, RoutedServer, RoutingConfiguration } from '../routing/mod.ts'
@@ -27,10 +28,10 @@
   | { readonly kind: 'owners', readonly service: string, readonly changes: ReadonlyArray<readonly [from: number, to: number, owner: WireOwner]> }
   /** The sender stops leading, because it shuts down, or cannot reach the store and other hosts can; its lease may be claimed at once. */
   | { readonly kind: 'resigned', readonly holder: string }
-  /** The lease of the leader that has followed the sender, with the revision of its row. */
-  | { readonly kind: 'successor', readonly lease: { readonly revision: number, readonly value: unknown } }
-  /** Heartbeat, sent regularly. `views` holds changed entries, or all of them if `complete` is set; `storeAgeMs` is the age of the data that the leader has read from the store; `lease` is its lease with the revision of that row; `hosts` is the number of hosts that share limits set for all of them. */
-  | { readonly kind: 'beat', readonly storeAgeMs: number, readonly lease: { readonly revision: number, readonly value: unknown }, readonly leading: boolean, readonly complete: boolean, readonly intervalMs: number, readonly hosts: number, readonly views: readonly WireServerView[] }
+  /** The lease of the leader that has followed the sender. */
+  | { readonly kind: 'successor', readonly lease: ObservedLease }
+  /** Heartbeat, sent regularly. `views` holds changed entries, or all of them if `complete` is set; `storeAgeMs` is the age of the data that the leader has read from the store; `lease` is the lease as the leader last observed it; `hosts` is the number of hosts that share limits set for all of them. */
+  | { readonly kind: 'beat', readonly storeAgeMs: number, readonly lease: ObservedLease | null, readonly leading: boolean, readonly complete: boolean, readonly intervalMs: number, readonly hosts: number, readonly views: readonly WireServerView[] }
 
 /** Message to the leading host. */
 export type Report =
@@ -39,7 +40,7 @@
   /** The host has read the store while the leader's own data from it is out of date. */
   | { readonly kind: 'store-reachable' }
   /** The host has claimed the lease of the leader that it reports to. */
-  | { readonly kind: 'claimed', readonly lease: { readonly revision: number, readonly value: unknown } }
+  | { readonly kind: 'claimed', readonly lease: ObservedLease }
   /** The host is about to stop and accepts no more requests to relay. */
   | { readonly kind: 'leaving' }
   | {
