Send attempt: a copy of an earlier refusal is never taken for the response

What callers saw: a faulty server writes a refusal once more on a kept connection; callers were told 503, not run, for a request that the server ran. The class: a response proves something about an attempt only if nothing else can have caused it. Now an attempt that was refused on a connection is sent again on a new one, and a refusal without an identifier counts on the first request of a connection only. A relay states the identifier in its own refusals. The tests' backend echoes it, as servers do; a refusal without one has tests of its own. Ruled out: data that arrives while a connection is idle in the agent closes it (test of before).

--- /dev/null
+++ b/src/gateway/_refused_attempts.ts
@@ -0,0 +1,27 @@
+/**
+ * Remembers which attempts a server has refused on a connection.
+ *
+ * A faulty server may write a refusal once more. If the same attempt is sent
+ * again on the same connection, the copy would look like the response to it,
+ * although the server may run it.
+ */
+import type { Socket } from 'node:net'
+
+/** Maximum number of attempts remembered for a connection; an attempt is sent again at once or not at all. */
+const MAXIMUM_REMEMBERED_ATTEMPTS = 64
+
+const attemptsBySocket = new WeakMap<Socket, Set<string>>()
+
+/** Records that the server has refused an attempt on a connection. */
+export function recordRefusedAttempt (socket: Socket, attempt: string): void {
+  const attempts = attemptsBySocket.get(socket) ?? new Set<string>()
+  attemptsBySocket.set(socket, attempts)
+  attempts.add(attempt)
+  const [oldest] = attempts
+  if (attempts.size > MAXIMUM_REMEMBERED_ATTEMPTS && oldest !== undefined) attempts.delete(oldest)
+}
+
+/** Whether the server has refused the attempt on the connection before. */
+export function hasRefusedAttempt (socket: Socket, attempt: string): boolean {
+  return attemptsBySocket.get(socket)?.has(attempt) === true
+}
--- a/src/gateway/create_gateway_test.ts
+++ b/src/gateway/create_gateway_test.ts
@@ -303,4 +303,52 @@
   })
 })
 
+/** Refuses the first request, and writes that refusal once more on its connection while it runs the second one. */
+function createRepeatingRefuser (hasIdentifier: boolean): BackendHandler {
+  let first: { readonly socket: Socket, readonly text: string } | null = null
+  return (request, response) => {
+    if (first === null && response.socket !== null) {
+      const identifier = hasIdentifier ? `${TEST_HEADER_NAMES.attemptId}: ${request.id}\r\n` : ''
+      first = { socket: response.socket, text: `HTTP/1.1 503 Service Unavailable\r\n${identifier}${TEST_HEADER_NAMES.notRun}: 1\r\nContent-Length: 0\r\n\r\n` }
+      respondNotRun(request, response)
+      return
+    }
+    setTimeout(() => { first?.socket.write(first.text) }, 20)
+    setTimeout(() => { respondWithPath(request, response) }, 120)
+  }
+}
+
+// Guards against 'not run' for a request that its owner runs: a faulty server wrote the refusal of the same attempt once more.
+test('handle() returns the response of the owner, when the owner has refused the request before and repeats that refusal', async () => {
+  await withGateway([createRepeatingRefuser(true)], async ({ call, routingState, backends }) => {
+    routingState.setOwners('orders', [{ from: 0, to: 65535, owner: { kind: 'owned', server: 's0' } }])
+    const response = await call('/once/x', { body: 'b', key: 7 })
+    assert.is(response.status, 200)
+    assert.is(backends[0]?.requests.length, 2)
+  }, { keyed: true })
+})
+
+// Guards against 'not run' for a request that runs: the copy of an earlier refusal had no identifier.
+test('handle() does not report that a request has not run, when the server repeats the refusal of an earlier one', async () => {
+  for (const hasIdentifier of [true, false]) {
+    await withGateway([createRepeatingRefuser(hasIdentifier)], async ({ call, backends }) => {
+      assert.is((await call('/once/x', { id: 'a1', body: 'b' })).status, 503)
+      assert.is((await call('/once/x', { id: 'a2', body: 'b' })).status, 502)
+      assert.is(backends[0]?.requests.length, 2)
+    })
+  }
+})
+
+// Guards against an empty or short body that looks whole: a server that stops in the middle of its head and closes.
+test('handle() never responds with a success, when the server closes its connection in the middle of the head of its response', async () => {
+  const head = `HTTP/1.1 200 OK\r\n${TEST_HEADER_NAMES.attemptId}: a1\r\n${TEST_HEADER_NAMES.signature}: s\r\nContent-Length: 0\r\n\r\n`
+  for (const length of [0, 5, 15, 17, 30, 60, head.length - 4, head.length - 2, head.length - 1]) {
+    for (const method of ['GET', 'HEAD', 'POST']) {
+      await withGateway([(_request, response) => { response.socket?.end(head.slice(0, length)) }], async ({ call }) => {
+        assert.is((await call('/once/x', { method, ...(method === 'POST' ? { body: 'b' } : {}) })).status, 502, `${method}, ${length} bytes`)
+      })
+    }
+  }
+})
+
 test.run()
--- a/src/gateway/send_attempt.ts
+++ b/src/gateway/send_attempt.ts
@@ -5,6 +5,7 @@
 import type { RequestBody, StreamedBody } from './body_reader.ts'
 import type { HeaderNames } from './header_names.ts'
 import { pollConnections } from './poll_connections.ts'
+import { hasRefusedAttempt, recordRefusedAttempt } from './_refused_attempts.ts'
 import { RelayHeader, RelayRefusal } from './relay_selector.ts'
 import type { RequestLimits } from './request_limits.ts'
 
@@ -59,7 +60,12 @@
  * @param options Agent and header names.
  * @returns The outcome; never rejects.
  */
-export function sendAttempt (attempt: Attempt, options: SendAttemptOptions): Promise<AttemptOutcome> {
+export async function sendAttempt (attempt: Attempt, options: SendAttemptOptions): Promise<AttemptOutcome> {
+  return await sendOnConnection(attempt, options, options.agent) ?? await sendOnConnection(attempt, options, false) ?? { kind: 'unsent', detail: 'A new connection had been used before', refused: false }
+}
+
+/** Sends a request on a connection of the agent, or on a new one if it is `false`; returns `null` if nothing was sent, because a refusal could not be attributed on that connection. */
+function sendOnConnection (attempt: Attempt, options: SendAttemptOptions, agent: Agent | false): Promise<AttemptOutcome | null> {
   return new Promise((resolve) => {
     const { names } = options
     const { relay } = attempt
@@ -76,10 +82,10 @@
     let sentAt = 0
     let settled = false
     let interimResponses = 0
-    const request = startRequest({ agent: options.agent, host, port, method: attempt.method, path: attempt.path, headers: headers as unknown as Record<string, string>, setHost: false })
+    const request = startRequest({ agent, host, port, method: attempt.method, path: attempt.path, headers: headers as unknown as Record<string, string>, setHost: false })
     const connectTimer = setTimeout(() => { if (!connected) request.destroy(new Error('Connection timed out')) }, options.connectTimeoutMs ?? 400)
 
-    function settle (outcome: AttemptOutcome): void {
+    function settle (outcome: AttemptOutcome | null): void {
       if (settled) return
       settled = true
       clearTimeout(connectTimer)
@@ -114,6 +120,11 @@
     request.on('socket', (socket) => {
       if (!socket.connecting) {
         onConnected()
+        if (hasRefusedAttempt(socket, attempt.id)) {
+          settle(null)
+          request.destroy()
+          return
+        }
         return send()
       }
       socket.once('connect', () => {
@@ -139,7 +150,7 @@
         response.resume()
         return
       }
-      const invalidReason = describeInvalidResponse(response, attempt.id, names)
+      const invalidReason = describeInvalidResponse(response, { id: attempt.id, isFirstOnConnection: !request.reusedSocket, names })
       if (invalidReason !== null) {
         settle({ kind: 'lost', detail: invalidReason, aborted: false })
         request.destroy()
@@ -150,6 +161,7 @@
       // The end of a limit shows in responses to requests that have run; others may be created before a server knows its load.
       if (limit !== undefined || !isNotRun) options.limits.record(attempt.server, { value: limit === undefined ? undefined : String(limit), sentAt })
       if (isNotRun) {
+        if (relay === undefined) recordRefusedAttempt(response.socket, attempt.id)
         settle({ kind: 'not-run', status: response.statusCode ?? 0, misdirected: response.statusCode === 421 })
         response.resume()
         return
@@ -175,11 +187,14 @@
 }
 
 /** Why a response is not a valid response of the server to this attempt; `null` if it is valid. */
-function describeInvalidResponse (response: IncomingMessage, id: string, names: HeaderNames): string | null {
+function describeInvalidResponse (response: IncomingMessage, { id, isFirstOnConnection, names }: { readonly id: string, readonly isFirstOnConnection: boolean, readonly names: HeaderNames }): string | null {
   const echoedId = response.headers[names.attemptId]
   if (echoedId !== undefined && echoedId !== id) return `The response belongs to attempt ${String(echoedId)}`
   const status = response.statusCode ?? 0
-  if (response.headers[names.notRun] !== undefined || status === 421) return null
+  if (response.headers[names.notRun] !== undefined || status === 421) {
+    // Without an identifier, only the first response on a connection certainly belongs to the attempt.
+    return echoedId !== undefined || isFirstOnConnection ? null : `The refusal with status ${status} has no attempt identifier`
+  }
   if (echoedId === undefined) return `The response with status ${status} has no attempt identifier`
   if (response.headers[names.signature] === undefined) return `The response with status ${status} has no signature`
   if (response.headers['content-encoding'] !== undefined) return 'The response has a content encoding'
--- a/src/gateway/send_attempt_test.ts
+++ b/src/gateway/send_attempt_test.ts
@@ -250,4 +250,67 @@
   }), propertyParameters(60))
 })
 
+function refusalText (id: string | null): string {
+  return `HTTP/1.1 503 Service Unavailable\r\n${id === null ? '' : `X-Attempt: ${id}\r\n`}X-Not-Run: 1\r\nContent-Length: 0\r\n\r\n`
+}
+
+// Guards against 'not run' for a request that runs: a copy of an earlier refusal without an identifier arrived in place of the response.
+test('sendAttempt() returns lost, when a refusal without an identifier arrives on a connection that has been used before', async () => {
+  await withServer((socket, count) => { socket.write(count === 1 ? responseText('a1', 'first') : refusalText(null)) }, async (send) => {
+    assert.is((await send('a1')).kind, 'answer')
+    await new Promise((resolve) => { setTimeout(resolve, 10) })
+    assert.is((await send('a2')).kind, 'lost')
+  })
+  await withServer((socket) => { socket.write(refusalText(null)) }, async (send) => {
+    assert.is((await send('a1')).kind, 'not-run')
+  })
+})
+
+// Guards against 'not run' for a request that runs: a copy of the refusal of the same attempt arrived in place of the response.
+test('sendAttempt() sends an attempt on a new connection, when the server has refused it on the kept one', async () => {
+  const sockets: Socket[] = []
+  await withServer((socket, count) => {
+    sockets.push(socket)
+    if (count === 1) {
+      socket.write(refusalText('a1'))
+      return
+    }
+    sockets[0]?.write(refusalText('a1'))
+    setTimeout(() => { socket.write(responseText('a1', 'ran')) }, 100)
+  }, async (send) => {
+    assert.is((await send('a1')).kind, 'not-run')
+    await new Promise((resolve) => { setTimeout(resolve, 10) })
+    assert.is((await send('a1')).kind, 'answer')
+    assert.is(new Set(sockets).size, 2)
+  })
+})
+
+test('sendAttempt() keeps using a connection, when the server has refused another attempt on it', async () => {
+  const sockets = new Set<Socket>()
+  await withServer((socket, count) => {
+    sockets.add(socket)
+    socket.write(count === 1 ? refusalText('a1') : responseText('a2', 'ran'))
+  }, async (send) => {
+    assert.is((await send('a1')).kind, 'not-run')
+    await new Promise((resolve) => { setTimeout(resolve, 10) })
+    assert.is((await send('a2')).kind, 'answer')
+    assert.is(sockets.size, 1)
+  })
+})
+
+// Guards against an empty or short body that looks whole: a server that stops in the middle of its head and closes.
+test('sendAttempt() returns lost, when the connection ends anywhere in the head of a response', async () => {
+  const heads = ['200 OK', '204 No Content', '503 Service Unavailable'].map((status) => `HTTP/1.1 ${status}\r\nX-Attempt: a1\r\nX-Signature: s\r\n${status.startsWith('503') ? 'X-Not-Run: 1\r\n' : ''}Content-Length: 0\r\n\r\n`)
+  for (const head of heads) {
+    for (let length = 0; length < head.length - 1; length += length < 12 ? 1 : 7) {
+      await withServer((socket) => { socket.end(head.slice(0, length)) }, async (send) => {
+        assert.is((await send()).kind, 'lost', JSON.stringify(head.slice(0, length)))
+      })
+    }
+    await withServer((socket) => { socket.end(head.slice(0, -1)) }, async (send) => {
+      assert.is((await send()).kind, 'lost', 'all but the last byte')
+    })
+  }
+})
+
 test.run()
--- a/src/relay/create_relay.ts
+++ b/src/relay/create_relay.ts
@@ -53,8 +53,12 @@
   let pending = 0
   const bodyReader = createBodyReader()
 
+  function attemptIdOf (request: IncomingMessage): string {
+    return String(request.headers[names.attemptId] ?? '')
+  }
+
   function refuse (response: ServerResponse, refusal: string, roomAfterMs = 0): void {
-    response.writeHead(503, { 'Content-Length': '0', [RelayHeader.refusal]: refusal, [RelayHeader.roomAfterMs]: String(Math.ceil(roomAfterMs)) }).end()
+    response.writeHead(503, { [names.attemptId]: attemptIdOf(response.req), 'Content-Length': '0', [RelayHeader.refusal]: refusal, [RelayHeader.roomAfterMs]: String(Math.ceil(roomAfterMs)) }).end()
   }
 
   function admissionQuery (request: IncomingMessage, server: RoutedServer): ServerAdmissionQuery {
@@ -105,7 +109,7 @@
     const sentAt = now()
     const outcome = await sendAttempt({
       server,
-      id: String(request.headers[names.attemptId] ?? ''),
+      id: attemptIdOf(request),
       method: request.method ?? 'GET',
       path: request.url ?? '/',
       headers: withoutRelayHeaders(requestHeaders(request.rawHeaders, names)),
@@ -132,7 +136,7 @@
     } else if (!outcome.misdirected && loads.isFull(server.id)) {
       refuse(response, RelayRefusal.full, options.admission.returnAfterMs(server, query))
     } else {
-      response.writeHead(outcome.status, { 'Content-Length': '0', [names.notRun]: 'true' }).end()
+      response.writeHead(outcome.status, { 'Content-Length': '0', [names.attemptId]: attemptIdOf(response.req), [names.notRun]: 'true' }).end()
     }
   }
 
@@ -140,7 +144,7 @@
   function record (request: IncomingMessage, { server, outcome, durationMs, inFlight = 0, expectedMs = 0 }: { readonly server: RoutedServer, readonly outcome: AttemptOutcome | null, readonly durationMs: number, readonly inFlight?: number, readonly expectedMs?: number }): void {
     const isAnswered = outcome?.kind === 'answer' || outcome?.kind === 'stream'
     options.onEnd({
-      id: String(request.headers[names.attemptId] ?? ''),
+      id: attemptIdOf(request),
       route: ROUTE_NAME,
       service: server.service,
       key: parseKey(request.headers[names.key]),
--- a/src/relay/create_relay_test.ts
+++ b/src/relay/create_relay_test.ts
@@ -1,5 +1,5 @@
 /** Tests of requests that one host sends to a server through another host. */
-import { Agent, type Server } from 'node:http'
+import { Agent, type Server, type ServerResponse } from 'node:http'
 import { connect, type AddressInfo } from 'node:net'
 import { suite } from 'uvu'
 import * as assert from 'uvu/assert'
@@ -225,4 +225,34 @@
   })
 })
 
+// Guards against 'not run' for a request that its owner runs: the relay's kept connection carried a copy of an earlier refusal.
+test('handle() forwards the response of the server, when the server has refused the request before and repeats that refusal', async () => {
+  let first: ServerResponse['socket'] = null
+  const refuseOnceThenRepeat: BackendHandler = (request, response) => {
+    if (first === null) {
+      first = response.socket
+      respondNotRun(request, response)
+      return
+    }
+    setTimeout(() => { first?.write(`HTTP/1.1 503 Service Unavailable\r\n${TEST_HEADER_NAMES.attemptId}: ${request.id}\r\n${TEST_HEADER_NAMES.notRun}: 1\r\nContent-Length: 0\r\n\r\n`) }, 20)
+    setTimeout(() => { respondWithPath(request, response) }, 120)
+  }
+  await withRelay(refuseOnceThenRepeat, async ({ call, backend }) => {
+    const responses = [await call('/once/x', { body: 'b', key: 7 })]
+    if (responses[0]?.status === 503) responses.push(await call('/once/x', { body: 'b', key: 7 }))
+    assert.is(responses.at(-1)?.status, 200)
+    assert.is(backend.requests.length, 2)
+  })
+})
+
+// Guards against an empty or short body that looks whole: a server that stops in the middle of its head and closes.
+test('handle() never responds with a success, when the server closes its connection in the middle of the head of its response', async () => {
+  const head = `HTTP/1.1 200 OK\r\n${TEST_HEADER_NAMES.attemptId}: a1\r\n${TEST_HEADER_NAMES.signature}: s\r\nContent-Length: 0\r\n\r\n`
+  for (const length of [0, 15, 17, 60, head.length - 2, head.length - 1]) {
+    await withRelay((_request, response) => { response.socket?.end(head.slice(0, length)) }, async ({ call }) => {
+      assert.is((await call('/once/x', { body: 'b', key: 7 })).status, 502, `${length} bytes`)
+    })
+  }
+})
+
 test.run()
--- a/testing/fake_backend.ts
+++ b/testing/fake_backend.ts
@@ -30,8 +30,8 @@
 }
 
 /** Responds that the request was not run. */
-export function respondNotRun (_request: BackendRequest, response: ServerResponse): void {
-  response.writeHead(503, { [TEST_HEADER_NAMES.notRun]: '1' }).end()
+export function respondNotRun (request: BackendRequest, response: ServerResponse): void {
+  response.writeHead(503, { [TEST_HEADER_NAMES.attemptId]: request.id, [TEST_HEADER_NAMES.notRun]: '1' }).end()
 }
 
 /**
