Planned stop: a host refuses what it may not finish before it stops

What callers saw: in a planned stop, requests that came late in the grace period were passed on and cut with no answer when the process ended, among them some that may run only once. Cause: shutDown() took and passed on requests until the process exited, whatever their timeouts. Now a host that is shutting down refuses a request, unrun and before it is passed on, whose timeout ends after the host stops; callers come back to another host at once. A stopping relay does the same, and the host that sent the request then sends it to the server directly.

--- a/src/entry_host/create_entry_host.ts
+++ b/src/entry_host/create_entry_host.ts
@@ -119,6 +119,7 @@
   })
   const requestLog = createRequestLog(logger, now)
   let leaving = false
+  let stopsAt = Infinity
   const stop = new AbortController()
   const leaderMonitor = createLeaderMonitor(now)
   const loopDelayMonitor = createLoopDelayMonitor({ intervalMs: TaskTiming.loadIntervalMs, now })
@@ -221,10 +222,11 @@
       requestLog.write(record, describeRoutingState())
       options.onRequest(record)
     },
-    isLeaving: () => leaving
+    isLeaving: () => leaving,
+    stopsAt: () => stopsAt
   })
   const relay = createRelay({
-    routingState, loads, limits, admission, isRelay: relays.isRelay, agent, names: options.names, now, onEnd (record) { requestLog.write(record, describeRoutingState()) }
+    routingState, loads, limits, admission, isRelay: relays.isRelay, agent, names: options.names, now, onEnd (record) { requestLog.write(record, describeRoutingState()) }, stopsAt: () => stopsAt
   })
   const relayServer = createCallerServer({
     limits: RELAY_LIMITS, maximumConnections: settings.sockets, handle: relay.handle, onError: reportConnectionError
@@ -324,17 +326,17 @@
       if (leaving) return
       const signalledAt = now()
       leaving = true
+      stopsAt = signalledAt + settings.graceMs - EXIT_MARGIN_MS
       logger.info({ pending: gateway.pending(), leading: leadershipController.isLeading() }, 'stopping')
       leaderConnection.send({ kind: 'leaving' })
       // While the store is unavailable no other host can lead, so this host keeps the grants until it exits.
       if (!leadership.isStoreUnavailable()) await leadershipController.release()
-      const until = signalledAt + settings.graceMs - EXIT_MARGIN_MS
       await pause(BALANCER_DETECTION_MS)
       callerServer.close()
       callerServer.closeIdleConnections()
       relayServer.close()
       relayServer.closeIdleConnections()
-      await waitUntilIdle(until)
+      await waitUntilIdle(stopsAt)
       await leadershipController.release()
       stop.abort()
       for (const timer of timers) clearInterval(timer)
--- a/src/gateway/create_gateway.ts
+++ b/src/gateway/create_gateway.ts
@@ -54,6 +54,8 @@
   readonly onRequestEnd: (record: RequestRecord) => void
   /** Whether this host is shutting down, so that connections are closed after their request. */
   readonly isLeaving: () => boolean
+  /** When this host stops, which ends all requests in progress; monotonic time in milliseconds, `Infinity` if it is not shutting down. */
+  readonly stopsAt: () => number
 }
 
 /** Gateway of one host. */
@@ -69,6 +71,9 @@
 /** Retry delay for callers when the time until recovery is unknown, in milliseconds. */
 const DEFAULT_RETRY_AFTER_MS = 300
 
+/** Retry delay for callers of a host that stops, in milliseconds: they come to another host over a new connection. */
+const STOPPING_RETRY_AFTER_MS = 20
+
 /** Time without a response after which an idempotent request is sent to another server, as a multiple of the expected latency. */
 const ATTEMPT_TIMEOUT_FACTOR = 4
 
@@ -107,6 +112,13 @@
     finish(exchange, status, `body-${cause}`)
   }
 
+  /** Refuses a request that may still be in progress when this host stops; other hosts can serve it at once. */
+  function refuseBeforeStop (exchange: Exchange): void {
+    const retryAfterMs = STOPPING_RETRY_AFTER_MS * (1 + options.random())
+    writeLocalResponse(exchange.response, 503, retryAfterMs)
+    finish(exchange, 503, 'stopping', retryAfterMs)
+  }
+
   function remainingMs (exchange: Exchange): number {
     return exchange.deadlineAt - now()
   }
@@ -370,6 +382,7 @@
       const reading = await bodyReader.read(request, { maximumBytes: routingState.configuration()?.limits.bodyBytes ?? 0, signal: abort.signal })
       if (reading.kind !== 'body') return refuseBody(exchange, reading.kind)
       exchange.body = reading.body
+      if (exchange.deadlineAt > options.stopsAt()) return refuseBeforeStop(exchange)
       await runAttempts(exchange)
     } finally {
       clearTimeout(timer)
--- a/src/gateway/create_gateway_test.ts
+++ b/src/gateway/create_gateway_test.ts
@@ -351,4 +351,24 @@
   }
 })
 
+// Guards against requests that are cut without a response at the end of a planned stop, among them some that may run only once.
+test('handle() refuses a request before it is sent, when it may still be in progress when the host stops', async () => {
+  const stopsAt = performance.now() + 400
+  await withGateway([respondWithPath], async ({ call, exchangeBytes, backends, records }) => {
+    for (const body of ['b', 'x'.repeat(200_000)]) {
+      const response = await call('/once/x', { body })
+      assert.is(response.status, 503)
+      assert.ok(Number(response.headers['retry-after']) < 0.1)
+    }
+    const kept = await exchangeBytes((socket) => {
+      socket.write(`POST /once/x HTTP/1.1\r\nHost: one.example\r\n${TEST_HEADER_NAMES.attemptId}: a9\r\nContent-Length: 1\r\n\r\nb`)
+      setTimeout(() => { socket.destroy() }, 50)
+    })
+    assert.match(kept, /^HTTP\/1.1 503/)
+    assert.equal(backends[0]?.requests, [])
+    assert.equal(records.map((record) => record.reason), ['stopping', 'stopping', 'stopping'])
+    assert.is((await call('/once/x', { body: 'b', deadlineMs: 150 })).status, 200)
+  }, { stopsAt: () => stopsAt })
+})
+
 test.run()
--- a/src/gateway/relay_selector.ts
+++ b/src/gateway/relay_selector.ts
@@ -47,6 +47,8 @@
   unreachable: 'unreachable',
   /** The server is leaving, and the host does not know it yet. */
   leaving: 'leaving',
+  /** The relay is shutting down, and the request may still be in progress when it stops. */
+  stopping: 'stopping',
   /** The relay does not know the server. */
   unknownServer: 'unknown-server'
 } as const
--- a/src/relay/create_relay.ts
+++ b/src/relay/create_relay.ts
@@ -27,6 +27,8 @@
   /** Monotonic time in milliseconds. */
   readonly now: () => number
   readonly onEnd: (record: RequestRecord) => void
+  /** When this host stops, which ends all requests in progress; monotonic time in milliseconds, `Infinity` if it is not shutting down. */
+  readonly stopsAt: () => number
 }
 
 /** Relay of one host. */
@@ -162,6 +164,7 @@
       const server = routingState.server(String(request.headers[names.targetServer]))
       if (server === undefined) return refuse(response, RelayRefusal.unknownServer)
       if (server.leaving) return refuse(response, RelayRefusal.leaving)
+      if (now() + Number(request.headers[names.deadlineMs]) > options.stopsAt()) return refuse(response, RelayRefusal.stopping)
       pending++
       try {
         await forward(request, response, server)
--- a/src/relay/create_relay_test.ts
+++ b/src/relay/create_relay_test.ts
@@ -6,7 +6,7 @@
 import { callPort, type CallerResponse, type CallPortOptions } from '../../testing/call_port.ts'
 import { respondNotRun, respondWithPath, createFakeBackend, TEST_HEADER_NAMES, type BackendHandler, type FakeBackend } from '../../testing/fake_backend.ts'
 import { createRetryBudget } from '../dispatch/retry_budget.ts'
-import { createCallerServer, createGateway, createRequestLimits, createRequestPermits, createRoutingState, createServerAdmission, createServerAgent, createServerLoads, type RoutingState, type ServerLoads } from '../gateway/mod.ts'
+import { RelayHeader, RelayRefusal, createCallerServer, createGateway, createRequestLimits, createRequestPermits, createRoutingState, createServerAdmission, createServerAgent, createServerLoads, type RoutingState, type ServerLoads } from '../gateway/mod.ts'
 import { RequestKind, type Route, type RoutingConfiguration } from '../routing/mod.ts'
 import { createRelay } from './create_relay.ts'
 
@@ -37,7 +37,7 @@
   return (server.address() as AddressInfo).port
 }
 
-async function withRelay (handler: BackendHandler, run: (setup: Setup) => Promise<void>): Promise<void> {
+async function withRelay (handler: BackendHandler, run: (setup: Setup) => Promise<void>, relayStopsAt: () => number = () => Infinity): Promise<void> {
   const backend = await createFakeBackend('s0', handler)
   const [originState, relayState] = [createRoutingState(), createRoutingState()]
   originState.applyConfiguration(configuration)
@@ -49,7 +49,7 @@
   const limits = createRequestLimits({ now, onChange: () => {} })
   const permits = createRequestPermits({ limits, hostCount: () => 1, now, random: () => 0 })
   const agents = [createServerAgent(), createServerAgent(), new Agent({ keepAlive: true })] as const
-  const relay = createRelay({ routingState: relayState, loads, limits, admission: createServerAdmission({ loads, limits, permits, now }), isRelay: () => true, agent: agents[0], names: TEST_HEADER_NAMES, now, onEnd: () => {} })
+  const relay = createRelay({ routingState: relayState, loads, limits, admission: createServerAdmission({ loads, limits, permits, now }), isRelay: () => true, agent: agents[0], names: TEST_HEADER_NAMES, now, onEnd: () => {}, stopsAt: relayStopsAt })
   const relayServer = createCallerServer({ limits: configuration.limits, maximumConnections: 100, handle: relay.handle, onError: () => {} })
   const relayPort = await listen(relayServer)
   const address = `127.0.0.1:${relayPort}`
@@ -71,7 +71,8 @@
     random: () => 0,
     onKeyRequested: () => {},
     onRequestEnd: () => {},
-    isLeaving: () => false
+    isLeaving: () => false,
+    stopsAt: () => Infinity
   })
   const callerServer = createCallerServer({ limits: configuration.limits, maximumConnections: 100, handle: gateway.handle, onError: () => {} })
   const port = await listen(callerServer)
@@ -255,4 +256,20 @@
   }
 })
 
+// Guards against requests that a relay takes although it stops before they can end.
+test('handle() leaves a request to the host that sent it, when it may still be in progress when the relay stops', async () => {
+  const stopsAt = performance.now() + 1000
+  await withRelay(respondWithPath, async ({ call, relayPort, backend }) => {
+    const statuses: number[] = []
+    for (const deadlineMs of ['1500', '700']) {
+      const response = await fetch(`http://127.0.0.1:${relayPort}/once/x`, { headers: { [TEST_HEADER_NAMES.targetServer]: 's0', [TEST_HEADER_NAMES.attemptId]: 'a1', [TEST_HEADER_NAMES.deadlineMs]: deadlineMs, [RelayHeader.goalMs]: '300' } })
+      statuses.push(response.status)
+      if (response.status === 503) assert.is(response.headers.get(RelayHeader.refusal), RelayRefusal.stopping)
+    }
+    assert.equal(statuses, [503, 200])
+    assert.is((await call('/once/x', { body: 'b' })).status, 200)
+    assert.is(backend.requests.length, 2)
+  }, () => stopsAt)
+})
+
 test.run()
--- a/src/relay/request_limit_test.ts
+++ b/src/relay/request_limit_test.ts
@@ -57,8 +57,8 @@
   const [agent, relayAgent] = [createServerAgent(), new Agent({ keepAlive: true })]
   const budget = createRetryBudget({ share: 0, maximum: 5 })
   const shared = { routingState, loads, limits, permits, admission, isRelay: relays.isRelay, agent, names: TEST_HEADER_NAMES, now }
-  const gateway = createGateway({ ...shared, relays, relayAgent, host: name, zone: 'a', retryBudgetOf: () => budget, random: Math.random, onKeyRequested: () => {}, onRequestEnd: () => {}, isLeaving: () => false })
-  const relay = createRelay({ ...shared, onEnd: () => {} })
+  const gateway = createGateway({ ...shared, relays, relayAgent, host: name, zone: 'a', retryBudgetOf: () => budget, random: Math.random, onKeyRequested: () => {}, onRequestEnd: () => {}, isLeaving: () => false, stopsAt: () => Infinity })
+  const relay = createRelay({ ...shared, onEnd: () => {}, stopsAt: () => Infinity })
   const [callerServer, relayServer] = [gateway, relay].map(({ handle }) => createCallerServer({ limits: TEST_CONFIGURATION.limits, maximumConnections: 1000, handle, onError: () => {} }))
   if (callerServer === undefined || relayServer === undefined) throw new Error('The host has no listeners')
   return {
