Server list: a restored entry of an earlier run is not a restart; soak with restores

A server had left and started again under its identifier; the copy had its entry of before, with an earlier start. The leader took the change of run for a restart, so that the server held nothing, and granted its keys to others while it still held them. In the time after a restore in which entries may have come from the copy, an entry of an earlier run than the known one is ignored, and the server is kept as it is.

--- a/soak/environment.ts
+++ b/soak/environment.ts
@@ -17,19 +17,39 @@
   readonly spoilRandom: () => number
   readonly stoppingHosts: Set<string>
   version: number
+  /** Newest configuration. */
+  configuration: unknown
 }
 
 /** Availability zones of the hosts and servers. */
 export const ZONES = ['a', 'b', 'c'] as const
 
-const addresses = new WeakMap<SoakBackend, string>()
+/** Last entry of each server, and the start of its present run in Unix milliseconds. */
+const entries = new WeakMap<SoakBackend, { readonly address?: string, readonly state: string, readonly bornAt: number }>()
 
-/** Writes the entry of a server in the store, as the server itself does. */
+/** Start of the first run of every server, in Unix milliseconds. */
+const FIRST_BORN_AT = 1_750_000_000_000
+
+/** Writes the entry of a server in the store, as the server itself does. A server that was draining becomes ready only in another run, which holds no keys. */
 export function writeServerEntry (environment: Environment, backend: SoakBackend, entry: { readonly state: 'ready' | 'draining', readonly address?: string }): void {
-  if (entry.address !== undefined) addresses.set(backend, entry.address)
+  const last = entries.get(backend)
+  const hasRestarted = last?.state === 'draining' && entry.state === 'ready'
+  if (hasRestarted) backend.reset()
+  entries.set(backend, { address: entry.address ?? last?.address, state: entry.state, bornAt: (last?.bornAt ?? FIRST_BORN_AT) + (hasRestarted ? 1 : 0) })
+  putServerEntry(environment, backend)
+}
+
+/** Writes again, after the store has been restored, what the operator and the servers wrote. */
+export function writeAgain (environment: Environment): void {
+  environment.store.put('op', 'config', environment.configuration)
+  for (const backend of environment.backends) putServerEntry(environment, backend)
+}
+
+function putServerEntry (environment: Environment, backend: SoakBackend): void {
+  const entry = entries.get(backend)
   const index = environment.backends.indexOf(backend)
   environment.store.put('servers', backend.id, {
-    Service: backend.keyed ? 'lookups' : 'orders', Address: addresses.get(backend), Zone: ZONES[index % ZONES.length], Version: 'v1', Slots: 6, State: entry.state, WarmupLeft: '0ms', Seq: 1, born: 1_750_000_000_000
+    Service: backend.keyed ? 'lookups' : 'orders', Address: entry?.address, Zone: ZONES[index % ZONES.length], Version: 'v1', Slots: 6, State: entry?.state, WarmupLeft: '0ms', Seq: 1, born: entry?.bornAt
   })
 }
 
--- a/soak/run_soak.ts
+++ b/soak/run_soak.ts
@@ -6,7 +6,7 @@
 import { uniformInt } from 'pure-rand/distribution/uniformInt'
 import { createBackend, createKeyGrantTracker } from './backend.ts'
 import { createCallers } from './callers.ts'
-import { pause, pickRandom, writeServerEntry, ZONES, type Environment } from './environment.ts'
+import { pause, pickRandom, writeAgain, writeServerEntry, ZONES, type Environment } from './environment.ts'
 import { createHosts, type SoakHost } from './hosts.ts'
 import { LinkState, openLinkProxy, type LinkProxy } from './link_proxy.ts'
 import { createGuaranteeChecker, type GuaranteeChecker } from './guarantee_checker.ts'
@@ -62,6 +62,19 @@
 /** Added to the seed for the random numbers of callers that leave. */
 const LEAVE_SEED_OFFSET = 2_000_000_011
 
+/** Added to the seed for the random numbers of restores of the store. */
+const RESTORE_SEED_OFFSET = 3_000_000_019
+
+/** Range of the time before a restore and between two, in milliseconds: most runs have two or more beside their other faults. */
+const RESTORE_INTERVAL_MS = { minimum: 1500, maximum: 9000 } as const
+
+/** Range of the age of the copy that the store is restored from, in milliseconds. */
+const COPY_AGE_MS = { minimum: 500, maximum: 12_000 } as const
+
+/** Longest time for which the store is away before a restore, and before the others have written again after it, in milliseconds. */
+const RESTORE_OUTAGE_MS = 2500
+const WRITE_AGAIN_MS = 1500
+
 /** Interval at which another server begins to spoil responses, in milliseconds. */
 const SPOIL_INTERVAL_MS = 1500
 
@@ -80,7 +93,7 @@
   const basePort = BASE_PORT
   const store = createSoakStore(random)
   const network = await listenOnFreeNetwork(store, options.seed)
-  const environment: Environment = { hosts: [], backends: [], linkProxies: new Map(), store, checker, random, spoilRandom, stoppingHosts: new Set(), version: 1 }
+  const environment: Environment = { hosts: [], backends: [], linkProxies: new Map(), store, checker, random, spoilRandom, stoppingHosts: new Set(), version: 1, configuration: null }
   await startBackends(environment, { network, basePort, seed: options.seed })
   writeConfiguration(environment)
   environment.hosts.push(...await createHosts({ count: options.hosts ?? 6, zones: ZONES, storeHost: `127.0.${network}.${STORE_HOST_NUMBER}`, storePort: basePort + 39, basePort, network, folder, program: options.program }))
@@ -91,12 +104,14 @@
     await pause(STARTUP_MS)
     callers.start()
     const until = performance.now() + (options.faultMs ?? 20_000)
+    const restores = restoreRepeatedly(environment, { until, random: createRandom(options.seed + RESTORE_SEED_OFFSET), onRestore (text) { faults.push(`${((performance.now() - startedAt) / 1000).toFixed(2)} s ${text}`) } })
     while (performance.now() < until) {
       await pause(200 + random() * 1800)
       const text = injectFault(environment)
       faults.push(`${((performance.now() - startedAt) / 1000).toFixed(2)} s ${text}`)
       options.onFault?.(faults.at(-1) ?? '')
     }
+    await restores
     clearInterval(spoilTimer)
     clearFaults(environment)
     checkMemory(environment)
@@ -118,6 +133,24 @@
   return () => uniformInt(generator, 0, 2 ** 30) / 2 ** 30
 }
 
+/** Restores the store from copies at random moments until a time, beside the other faults. */
+async function restoreRepeatedly (environment: Environment, { until, random, onRestore }: { readonly until: number, readonly random: () => number, readonly onRestore: (text: string) => void }): Promise<void> {
+  const between = ({ minimum, maximum }: { readonly minimum: number, readonly maximum: number }): number => minimum + random() * (maximum - minimum)
+  for (;;) {
+    await pause(between(RESTORE_INTERVAL_MS))
+    if (performance.now() >= until) return
+    const ageMs = between(COPY_AGE_MS)
+    const outageMs = random() * RESTORE_OUTAGE_MS
+    environment.store.faults.busy = true
+    await pause(outageMs)
+    environment.store.restore(ageMs)
+    environment.store.faults.busy = false
+    onRestore(`restore: from a copy ${Math.round(ageMs)} ms old, after ${Math.round(outageMs)} ms`)
+    await pause(random() * WRITE_AGAIN_MS)
+    writeAgain(environment)
+  }
+}
+
 /** Makes the store listen on the first free loopback network, so that simultaneous runs use different ones. */
 async function listenOnFreeNetwork (store: SoakStore, seed: number): Promise<number> {
   for (let attempt = 0; attempt < NETWORK_COUNT; attempt++) {
@@ -149,12 +182,13 @@
   const rule = (name: string, kind: string): unknown => ({
     Name: name, Kind: kind, LatencyGoal: '300ms', Priority: 1, Match: { Prefix: `/${name}/` }, Action: { Service: name, Timeout: '1200ms', MaxAttempts: 2 }
   })
-  environment.store.put('op', 'config', {
+  environment.configuration = {
     Version: environment.version++,
     Limits: { MaxHeaderBytes: 16384, MaxBodyBytes: 1_000_000, HeaderTimeout: '3000ms', IdleTimeout: '15000ms' },
     Listeners: [{ Host: 'soak.example', Rules: [rule('lookups', 'idempotent'), rule('orders', 'non_idempotent')] }],
     Clusters: [{ Name: 'lookups', MaxConns: 300, Sharded: true, Warm: '3s' }, { Name: 'orders', MaxConns: 300 }]
-  })
+  }
+  environment.store.put('op', 'config', environment.configuration)
 }
 
 /** Faults by name; each ends by itself after some time. Their order determines which fault a seed draws. */
--- a/soak/store.ts
+++ b/soak/store.ts
@@ -18,8 +18,16 @@
   /** Writes a row without conditions, as operators and backend servers do. */
   put (table: string, key: string, value: unknown): void
   remove (table: string, key: string): void
+  /** Restores the tables as they were some time ago, in milliseconds, and begins the next era; later versions are given out again. */
+  restore (ageMs: number): void
 }
 
+/** The tables as they were when a version was written. */
+interface Copy { readonly at: number, readonly version: number, readonly tables: ReadonlyMap<string, ReadonlyMap<string, Row>> }
+
+/** Age of the oldest copy, in milliseconds. */
+const MAXIMUM_COPY_AGE_MS = 15_000
+
 interface Row { readonly Table: string, readonly part: string, readonly Key: string, readonly Value: string, readonly Ver: number }
 interface Transaction {
   readonly Expected: ReadonlyArray<{ readonly Table: string, readonly Key: string, readonly Ver: number }>
@@ -36,6 +44,8 @@
   const tables = new Map<string, Map<string, Row>>()
   const faults: StoreFaults = { busy: false, slowMs: 4, loseAnswers: 0 }
   let version = 0
+  let era = 1
+  let copies: Copy[] = []
 
   function getTable (name: string): Map<string, Row> {
     const table = tables.get(name) ?? new Map<string, Row>()
@@ -47,6 +57,12 @@
     getTable(table).set(key, { Table: table, part: '', Key: key, Value: value, Ver: version })
   }
 
+  function recordCopy (): void {
+    const at = performance.now()
+    copies = copies.filter((copy, index) => at - copy.at < MAXIMUM_COPY_AGE_MS || index === copies.length - 1)
+    copies.push({ at, version, tables: new Map([...tables].map(([name, rows]) => [name, new Map(rows)])) })
+  }
+
   function transact (transaction: Transaction): { readonly status: number, readonly body: unknown } {
     const current = transaction.Expected.map((expected) => ({ expected, row: getTable(expected.Table).get(expected.Key) }))
     if (current.some(({ expected, row }) => (row?.Ver ?? 0) !== expected.Ver)) {
@@ -54,6 +70,7 @@
     }
     version++
     for (const put of transaction.Puts) write(put.Table, put.Key, put.Value)
+    recordCopy()
     return { status: 200, body: { Ver: version, Now: '0ms' } }
   }
 
@@ -67,6 +84,7 @@
   }
 
   function respond (request: IncomingMessage, response: ServerResponse, body: string): void {
+    response.setHeader('Store-Era', String(era))
     const url = new URL(request.url ?? '/', 'http://store')
     if (faults.busy) {
       response.writeHead(503).end()
@@ -89,10 +107,21 @@
     put (table, key, value) {
       version++
       write(table, key, Buffer.from(JSON.stringify(value)).toString('base64'))
+      recordCopy()
     },
     remove (table, key) {
       version++
       getTable(table).delete(key)
+      recordCopy()
+    },
+    restore (ageMs) {
+      const copy = copies.findLast((candidate) => performance.now() - candidate.at >= ageMs) ?? copies[0]
+      era++
+      version = copy?.version ?? 0
+      tables.clear()
+      for (const [name, rows] of copy?.tables ?? []) tables.set(name, new Map(rows))
+      copies = []
+      recordCopy()
     }
   }
 }
--- a/src/entry_host/server_list.ts
+++ b/src/entry_host/server_list.ts
@@ -56,10 +56,10 @@
     present = servers
   }
 
-  /** Whether the entry may have been restored, and its server is known to have left. */
-  function hasLeft (server: RoutedServer, now: number): boolean {
-    const departed = departures.get(server.id)?.server
-    return now - restoredAt < RESTORED_ENTRY_LIFETIME_MS && departed !== undefined && isSameRun(departed, server)
+  /** Whether the entry has been restored: its server is known to have left, or to have started again since. */
+  function isOutdated (entry: RoutedServer, known: RoutedServer | undefined, now: number): boolean {
+    if (known === undefined || now - restoredAt >= RESTORED_ENTRY_LIFETIME_MS) return false
+    return entry.bornAt < known.bornAt || (departures.has(entry.id) && isSameRun(entry, known))
   }
 
   return {
@@ -69,15 +69,17 @@
       era = list.era
       const known = new Map(present.map((server) => [server.id, server]))
       for (const [id, { server }] of departures) known.set(id, server)
-      const servers = list.value.filter((server) => !hasLeft(server, now)).map((server) => {
+      const servers = list.value.filter((server) => !isOutdated(server, known.get(server.id), now)).map((server) => {
         const before = known.get(server.id)
         return before?.leaving === true && isSameRun(before, server) ? { ...server, leaving: true } : server
       })
       const listed = new Set(servers.map((server) => server.id))
       const addresses = new Set(servers.map((server) => server.address))
+      // An outdated entry stands for a server that is listed.
+      const relisted = present.filter((server) => !listed.has(server.id) && list.value.some((entry) => entry.id === server.id))
       const isComplete = now - Math.max(failedAt, restoredAt) >= RELISTING_GRACE_MS
       // A server has ended if another server uses its address.
-      const kept = isComplete ? [] : present.filter((server) => !listed.has(server.id) && !addresses.has(server.address))
+      const kept = isComplete ? relisted : present.filter((server) => !listed.has(server.id) && !addresses.has(server.address))
       record([...servers, ...kept], now)
       return present
     },
--- a/src/entry_host/server_list_test.ts
+++ b/src/entry_host/server_list_test.ts
@@ -65,6 +65,17 @@
   assert.equal(ids(list.onRead({ era: 2, value: [server('s1')] }, 9000)), ['s1'])
 })
 
+// Guards against two owners of a key: an entry of an earlier run was taken for a restart, although the present run still held its keys.
+test('onRead() keeps the present run of a server, when the store is restored to before its last start', () => {
+  const list = createServerList()
+  list.onRead({ era: 1, value: [server('s1'), server('s2')] }, 0)
+  list.onRead({ era: 1, value: [{ ...server('s1'), bornAt: 7 }, server('s2')] }, 5000)
+  for (const at of [9000, 12_000]) {
+    const present = list.onRead({ era: 2, value: [{ ...server('s1'), leaving: true }, server('s2')] }, at)
+    assert.equal(present.filter((entry) => entry.id === 's1').map((entry) => [entry.bornAt, entry.leaving]), [[7, false]], `at ${at}`)
+  }
+})
+
 test('onRead() ignores a list of an earlier era, when its response is late', () => {
   const list = createServerList()
   list.onRead({ era: 2, value: [server('s1')] }, 0)
