Publish: versions rise over a restore of the table service

A bundle got the version after the one in the table. After a restore the version of a lost publication was given out again for other contents; hosts that had the first one ignored the second, so a confirmed publication was never in force. Hosts also asked for the rows after a revision that the restored table had not reached. The pointer states its era; the next version leaves room for those that a restore has lost, also when nothing else changes. Shared rows are compared by position, and all are read again when the era changes. The table service may state an era; one that does not counts as never restored.

--- a/src/configuration/bundle.ts
+++ b/src/configuration/bundle.ts
@@ -54,6 +54,8 @@
   readonly services: readonly ServiceConfiguration[]
   /** Bundle version that the publication is based on; a service that changed after it is a conflict. */
   readonly base: number
+  /** Version of the merged bundle. Default: the one after the version in force. */
+  readonly nextVersion?: number
 }
 
 /**
@@ -66,6 +68,7 @@
 export function mergeServices (current: Bundle, options: MergeOptions): MergeOutcome {
   const entries = new Map(current.services.map((entry) => [entry.service.name, entry]))
   const findings: Finding[] = []
+  const nextVersion = options.nextVersion ?? current.version + 1
   let changeCount = 0
   for (const service of options.services) {
     const existing = entries.get(service.name)
@@ -77,14 +80,14 @@
       })
     }
     if (existing !== undefined) findings.push(...findImmutableFieldChanges(existing.service, service))
-    entries.set(service.name, { changed_in: current.version + 1, service })
+    entries.set(service.name, { changed_in: nextVersion, service })
     changeCount++
   }
   findings.push(...findDuplicateMatches([...entries.values()].map((entry) => entry.service)))
   if (findings.length > 0) return { kind: 'conflict', findings }
-  if (changeCount === 0) return { kind: 'unchanged' }
+  if (changeCount === 0 && nextVersion === current.version + 1) return { kind: 'unchanged' }
   const services = [...entries.values()].sort((left, right) => left.service.name < right.service.name ? -1 : 1)
-  return { kind: 'merged', bundle: { version: current.version + 1, services } }
+  return { kind: 'merged', bundle: { version: nextVersion, services } }
 }
 
 /**
--- a/src/configuration/publish.ts
+++ b/src/configuration/publish.ts
@@ -4,6 +4,7 @@
  */
 import type { Finding } from '../errors/mod.ts'
 import type { ObjectStore, TableService } from '../ports/mod.ts'
+import { FIRST_ERA, type StorePosition } from '../store_history/mod.ts'
 import { decodeBundle, encodeBundle, mergeServices } from './bundle.ts'
 import { EMPTY_BUNDLE, pointerSchema, type Bundle, type Pointer, type ServiceConfiguration } from './service_configuration.ts'
 
@@ -16,6 +17,9 @@
 /** Number of identifiers of earlier publications that the pointer keeps. */
 const MAXIMUM_RECORDED_ATTEMPTS = 64
 
+/** Versions that are left out for each restore: more than can have been published in the seconds that a restore loses. */
+const VERSIONS_PER_RESTORE = 1000
+
 /** Options of {@link publish}. */
 export interface PublishOptions {
   readonly services: readonly ServiceConfiguration[]
@@ -40,7 +44,8 @@
 }
 
 interface CurrentConfiguration {
-  readonly revision: number
+  /** Position of the pointer; its revision is 0 if there is none. */
+  readonly position: StorePosition
   readonly pointer: Pointer | null
   readonly bundle: Bundle
 }
@@ -63,7 +68,7 @@
       return { kind: 'in-force', version: pointer.version, digest: pointer.digest }
     }
     base ??= current.bundle.version
-    const merged = mergeServices(current.bundle, { services: options.services, base })
+    const merged = mergeServices(current.bundle, { services: options.services, base, nextVersion: nextVersion(current) })
     if (merged.kind === 'unchanged') return { kind: 'unchanged', version: current.bundle.version }
     if (merged.kind === 'conflict') return merged
     const written = await writeBundle(ports, { current, bundle: merged.bundle, attemptId: options.attemptId })
@@ -79,15 +84,21 @@
 }
 
 async function readCurrent (ports: PublishPorts): Promise<CurrentConfiguration | string> {
-  const row = await ports.table.read(POINTER_KEY)
-  if (!row.ok) return 'The table service could not be read'
-  if (row.value === null) return { revision: 0, pointer: null, bundle: EMPTY_BUNDLE }
-  const pointer = pointerSchema.parse(row.value.value)
+  const rows = await ports.table.changes(POINTER_KEY, 0)
+  if (!rows.ok) return 'The table service could not be read'
+  const row = rows.value.rows.find((candidate) => candidate.key === POINTER_KEY)
+  if (row === undefined) return { position: { era: rows.value.era, revision: 0 }, pointer: null, bundle: EMPTY_BUNDLE }
+  const pointer = pointerSchema.parse(row.value)
   const text = await ports.objects.get(pointer.digest)
   if (!text.ok) return `The bundle ${pointer.digest} could not be read: ${text.error.kind}`
   const bundle = decodeBundle(text.value, pointer.digest)
   if (bundle === null) return `The bundle ${pointer.digest} does not match its digest`
-  return { revision: row.value.revision, pointer, bundle }
+  return { position: { era: row.era, revision: row.revision }, pointer, bundle }
+}
+
+/** Returns the version of the next bundle, above the versions that the table service has lost in restores: hosts may have them in force. */
+function nextVersion ({ position, pointer, bundle }: CurrentConfiguration): number {
+  return bundle.version + 1 + (position.era - (pointer?.era ?? FIRST_ERA)) * VERSIONS_PER_RESTORE
 }
 
 type WriteOutcome = PublishOutcome | { readonly kind: 'raced' }
@@ -100,9 +111,9 @@
   const stored = await ports.objects.put(digest, text)
   if (!stored.ok) return { kind: 'not-published', detail: `The bundle could not be stored: ${stored.error.kind}` }
   const attempts = [...(change.current.pointer?.attempts ?? []), change.attemptId].slice(-MAXIMUM_RECORDED_ATTEMPTS)
-  const pointer: Pointer = { version: change.bundle.version, digest, attempts }
+  const pointer: Pointer = { version: change.bundle.version, era: change.current.position.era, digest, attempts }
   const written = await ports.table.write([
-    { key: POINTER_KEY, expectedRevision: change.current.revision, value: pointer }
+    { key: POINTER_KEY, expectedRevision: change.current.position.revision, value: pointer }
   ])
   if (written.ok) return { kind: 'in-force', version: pointer.version, digest }
   return written.error.kind === 'conflict' ? { kind: 'raced' } : unknownOutcome(written.error.detail)
--- a/src/configuration/service_configuration.ts
+++ b/src/configuration/service_configuration.ts
@@ -1,5 +1,6 @@
 /** Schemas of service files, bundles and the pointer to the bundle in force. */
 import { z } from 'zod'
+import { FIRST_ERA } from '../store_history/mod.ts'
 
 const name = z.string().regex(/^[a-z][a-z0-9-]{0,62}$/, 'Expected lower-case letters, digits and hyphens, at most 63')
 const pathPrefix = z.string().regex(/^\/[^\s]*$/, 'Expected a path that starts with "/"').max(512)
@@ -72,6 +73,8 @@
 /** Schema of the table row that points to the bundle in force. */
 export const pointerSchema = z.object({
   version: z.number().int().min(1),
+  /** Era of the table service in which the pointer was written. */
+  era: z.number().int().default(FIRST_ERA),
   digest: z.string(),
   /** Identifiers of the most recent publications that took effect, newest last. */
   attempts: z.array(z.string())
--- a/src/host/control_router.ts
+++ b/src/host/control_router.ts
@@ -4,11 +4,12 @@
 import { z } from 'zod'
 import type { CellView } from '../cell/mod.ts'
 import type { TableRow } from '../ports/mod.ts'
+import { FIRST_ERA, type StorePosition } from '../store_history/mod.ts'
 
 /** State and handlers behind a host's control interface. */
 export interface ControlSource {
   view (): CellView | null
-  rowsSince (revision: number): TableRow[]
+  rowsSince (position: StorePosition): TableRow[]
   bundle (digest: string): string | null
   takeLoads (): Record<string, Record<string, number>>
   onSuspects (suspects: ReadonlyArray<{ readonly fingerprint: string, readonly crashes: number }>): void
@@ -27,8 +28,8 @@
 export function createControlRouter (source: ControlSource) {
   return trpc.router({
     view: trpc.procedure.query(() => source.view()),
-    rows: trpc.procedure.input(z.object({ since: z.number().int().min(0) }))
-      .query(({ input }) => source.rowsSince(input.since)),
+    rows: trpc.procedure.input(z.object({ era: z.number().int().default(FIRST_ERA), since: z.number().int().min(0) }))
+      .query(({ input }) => source.rowsSince({ era: input.era, revision: input.since })),
     bundle: trpc.procedure.input(z.object({ digest: z.string() })).query(({ input }) => source.bundle(input.digest)),
     loads: trpc.procedure.mutation(() => source.takeLoads()),
     suspects: trpc.procedure
--- a/src/host/create_host.ts
+++ b/src/host/create_host.ts
@@ -120,7 +120,7 @@
   })
   const router = createControlRouter({
     view: () => cell.heldView(),
-    rowsSince: (revision) => rows.since(revision),
+    rowsSince: (position) => rows.since(position),
     bundle: (digest) => sync.bundleText(digest),
     takeLoads: () => dispatcher.takeLoads(),
     onSuspects (suspects) { for (const suspect of suspects) dispatcher.suspects.merge(suspect.fingerprint, suspect.crashes, now()) },
--- a/src/host/platform_sync.ts
+++ b/src/host/platform_sync.ts
@@ -5,7 +5,7 @@
  */
 import { decodeBundle, pointerSchema, POINTER_KEY, type ConfigurationCache, type Pointer } from '../configuration/mod.ts'
 import type { PlatformClient } from '../platform_client/mod.ts'
-import type { TableRow } from '../ports/mod.ts'
+import type { Result, TableChanges, TableError, TableRow } from '../ports/mod.ts'
 import type { HostListTracker } from './cell_input.ts'
 import type { ControlClient } from './control_router.ts'
 import { SHARED_PREFIX, type SharedRows } from './shared_rows.ts'
@@ -103,12 +103,19 @@
     if (listing.ok) options.tracker.update(listing.value, now())
   }
 
+  /** Reads the rows that have changed; all of them if the table service has been restored since the last read. */
+  async function readChanges (): Promise<Result<TableChanges, TableError>> {
+    const known = rows.position()
+    const changes = await options.platform.table.changes(SHARED_PREFIX, known.revision)
+    return changes.ok && changes.value.era !== known.era && known.revision > 0 ? await options.platform.table.changes(SHARED_PREFIX, 0) : changes
+  }
+
   return {
     async poll () {
       if (polling) return
       polling = true
       try {
-        const changes = await options.platform.table.changes(SHARED_PREFIX, rows.revision())
+        const changes = await readChanges()
         recordCall('table-changes', changes.ok)
         rowsPeer = null
         if (changes.ok) await applyRows(changes.value.rows)
@@ -122,7 +129,7 @@
       pulling = true
       try {
         rowsPeer = host
-        await applyRows(await options.peer(host).rows.query({ since: rows.revision() }) as TableRow[])
+        await applyRows(await options.peer(host).rows.query({ era: rows.position().era, since: rows.revision() }) as TableRow[])
       } catch {
         options.onCall('peer-rows', false)
       } finally {
