--- a/soak/backend.ts
+++ b/soak/backend.ts
@@ -27,6 +27,8 @@
   limitPerSecond: number | null
   /** Times at which requests arrived since the limit was set; monotonic time in milliseconds. */
   arrivals: number[]
+  /** Share of requests that take {@link LONG_WORK_MS}, from 0 to 1. */
+  longWorkShare: number
   /** Whether a request of a caller that has left for long is a violation: without other faults only. */
   checksCallersLeft: boolean
   /** Discards all grants and tokens, as a restart of the server does. */
@@ -51,6 +53,9 @@
 /** Processing time of a request, in milliseconds. */
 const WORK_MS = { minimum: 5, maximum: 40 } as const
 
+/** Processing time of a long request, in milliseconds: most of its timeout. */
+export const LONG_WORK_MS = 1000
+
 /** Factor by which a server extends its grants: its clock may run 2 % slow. */
 const CLOCK_DRIFT_FACTOR = 1.02
 
@@ -149,7 +154,8 @@
       if (now() > backend.drainDeadline) checker.reportViolation(Guarantees.leaving, `${id} gets ${attempt} ${Math.round(now() - backend.drainDeadline)} ms after the drain deadline`)
       checker.recordStarted(attempt, id, body)
       runningRequests.set(key, (runningRequests.get(key) ?? 0) + 1)
-      await new Promise((resolve) => { setTimeout(resolve, WORK_MS.minimum + options.random() * (WORK_MS.maximum - WORK_MS.minimum)) })
+      const workMs = backend.longWorkShare > 0 && options.random() < backend.longWorkShare ? LONG_WORK_MS : WORK_MS.minimum + options.random() * (WORK_MS.maximum - WORK_MS.minimum)
+      await new Promise((resolve) => { setTimeout(resolve, workMs) })
       runningRequests.set(key, (runningRequests.get(key) ?? 1) - 1)
       const headers = { 'Gooseberryfold-Attempt-Id': attempt, 'Gooseberryfold-Backend-Signature': `signed-${id}`, ...limit }
       if (backend.responseFault !== null && options.spoilRandom() < SPOILED_SHARE) sendSpoiledResponse(response, backend.responseFault, { headers, body: `done ${attempt}` })
@@ -177,6 +183,7 @@
     responseFault: null,
     limitPerSecond: null,
     arrivals: [],
+    longWorkShare: 0,
     checksCallersLeft: false,
     server: createServer((request, response) => {
       const parts: Buffer[] = []
--- a/soak/recovery_checks.ts
+++ b/soak/recovery_checks.ts
@@ -13,6 +13,9 @@
 /** Time between the stop signals to two hosts, in milliseconds: short enough that their shutdowns overlap. */
 const STOP_INTERVAL_MS = 400
 
+/** Share of requests that take long while hosts shut down: some of them are in progress at any moment. */
+const LONG_WORK_SHARE = 0.1
+
 /** Minimum share of requests that must be served after all faults have been cleared. */
 const MINIMUM_SERVED_SHARE = 0.9
 
@@ -76,8 +79,9 @@
   if (most > limit * LIMIT_WINDOW_MS / 1000 * 1.5 + 5) environment.checker.reportViolation(Guarantees.limit, `${backend.id} gets ${most} requests in ${LIMIT_WINDOW_MS} ms with a limit of ${limit} a second`)
 }
 
-/** Checks without other faults that hosts with overlapping shutdowns respond to every request that they have forwarded. */
+/** Checks without other faults that hosts with overlapping shutdowns respond to every request that they have forwarded, also if it comes late and takes long. */
 async function checkGracefulShutdown (environment: Environment): Promise<void> {
+  for (const backend of environment.backends) backend.longWorkShare = LONG_WORK_SHARE
   const first = Math.floor(environment.random() * environment.hosts.length)
   await Promise.all(Array.from({ length: Math.floor(environment.hosts.length / 2) }, async (_, index) => {
     const host = environment.hosts[(first + index) % environment.hosts.length]
--- a/src/gateway/_exchange.ts
+++ b/src/gateway/_exchange.ts
@@ -38,3 +38,12 @@
   | { readonly kind: 'retry' }
   | { readonly kind: 'refuse', readonly reason: string, readonly retryAfterMs: number }
   | { readonly kind: 'fail', readonly reason: string, readonly status: 502 | 504 }
+
+/** Retry delay for callers when the time until recovery is unknown, in milliseconds. */
+export const DEFAULT_RETRY_AFTER_MS = 300
+
+/** Decides what to do when the time for a request has ended. */
+export function decideOnTimeout (exchange: Exchange): AttemptDecision {
+  if (exchange.mayHaveRun) return { kind: 'fail', reason: 'timed-out', status: 504 }
+  return { kind: 'refuse', reason: 'timed-out-unsent', retryAfterMs: DEFAULT_RETRY_AFTER_MS }
+}
--- a/src/gateway/create_gateway.ts
+++ b/src/gateway/create_gateway.ts
@@ -10,7 +10,7 @@
 import { pickTarget, RequestKind, type RoutedServer } from '../routing/mod.ts'
 import { clampRetryAfterMs } from './admission.ts'
 import { bodyBytes, createBodyReader, discardBody } from './body_reader.ts'
-import type { Exchange, AttemptDecision } from './_exchange.ts'
+import { decideOnTimeout, DEFAULT_RETRY_AFTER_MS, type Exchange, type AttemptDecision } from './_exchange.ts'
 import { createCallerDeadlines } from './caller_deadlines.ts'
 import { requestHeaders } from './forwarded_headers.ts'
 import { chooseServer } from './choose_server.ts'
@@ -68,9 +68,6 @@
 /** Maximum wait for the owner of a key, as a share of the latency goal. */
 const OWNER_WAIT_SHARE = 0.6
 
-/** Retry delay for callers when the time until recovery is unknown, in milliseconds. */
-const DEFAULT_RETRY_AFTER_MS = 300
-
 /** Retry delay for callers of a host that stops, in milliseconds: they come to another host over a new connection. */
 const STOPPING_RETRY_AFTER_MS = 20
 
@@ -322,11 +319,6 @@
     return sentAttempts < exchange.route.maximumAttempts && remainingMs(exchange) > MINIMUM_ATTEMPT_MS && options.retryBudgetOf(exchange.service).tryWithdraw()
   }
 
-  function decideOnTimeout (exchange: Exchange): AttemptDecision {
-    if (exchange.mayHaveRun) return { kind: 'fail', reason: 'timed-out', status: 504 }
-    return { kind: 'refuse', reason: 'timed-out-unsent', retryAfterMs: DEFAULT_RETRY_AFTER_MS }
-  }
-
   async function runAttempts (exchange: Exchange): Promise<void> {
     let decision: AttemptDecision = { kind: 'retry' }
     while (decision.kind === 'retry') {
--- a/src/ownership/range_controller.ts
+++ b/src/ownership/range_controller.ts
@@ -10,9 +10,9 @@
  */
 import type { Logger } from '../logging/mod.ts'
 import type { RoutedServer } from '../routing/mod.ts'
-import type { PreviousGrants } from '../leadership/mod.ts'
 import type { KeyOwner, OwnerChange } from './owner_map.ts'
 import type { PlannedRange } from './plan_ranges.ts'
+import { CLOCK_DRIFT_FACTOR, createEarlierGrants, DELIVERY_MARGIN_MS, type EarlierGrantsOptions } from './_earlier_grants.ts'
 import { findRange, restoreRange, UNKNOWN_HOLDER, type Holder, type Range } from './_range_state.ts'
 import { createServerCalls } from './_server_calls.ts'
 import { createUnresponsiveServers } from './_unresponsive_servers.ts'
@@ -31,20 +31,14 @@
   singleKeyStayMs: 2500
 } as const
 
-/** Factor by which a grant may last longer on a server, whose clock may run 2 % slow. */
-const CLOCK_DRIFT_FACTOR = 1.02
-
 /** Duration of a grant that only raises the server's fencing token, in milliseconds; a release follows at once. */
 const FENCE_GRANT_DURATION_MS = 100
 
-/** Allowance for a grant that is still in transit when its call times out, in milliseconds. */
-const DELIVERY_MARGIN_MS = 300
-
 /** Delay between publishing that a range moves and sending the release to its holder, in milliseconds: a few network trips within a region. */
 const RELEASE_DELAY_MS = 8
 
 /** Options of {@link createRangeController}. */
-export interface RangeControllerOptions {
+export interface RangeControllerOptions extends EarlierGrantsOptions {
   readonly service: string
   readonly control: ServerControl
   readonly logger: Logger
@@ -54,12 +48,6 @@
   readonly mayGrant: () => boolean
   /** Whether the store does not respond, so that grants should outlast this host's lease. */
   readonly isStoreUnavailable: () => boolean
-  /** Maximum grant duration that servers accept, in milliseconds. */
-  readonly maximumGrantDurationMs: number
-  /** Grants that earlier leaders may have made. */
-  readonly previousGrants: PreviousGrants
-  /** When every grant that a restored plan does not list was made at the latest, in milliseconds of the monotonic clock; `null` if the plan is complete. */
-  readonly unlistedGrantsMadeUntil: number | null
   /** Returns a fencing token above all that were used before. */
   readonly nextToken: () => number
   /** Publishes changed owners to the hosts. */
@@ -116,26 +104,11 @@
   const departed = new Map<string, RoutedServer>()
   const unresponsive = createUnresponsiveServers({ service, logger, now, probeIntervalMs: GrantTiming.retryDelayMs })
   const calls = createServerCalls(unresponsive.has)
-  let ranges: Range[] = recorded.map((range) => restoreRange(range, { grantExpiry: previousGrantExpiry, unknownGrantsUntil: isComplete() ? 0 : unknownGrantsUntil() }))
-
-  /** Longest time for which a grant may last after the leader that made it has sent it, in milliseconds. */
-  function longestGrantMs (): number {
-    return options.maximumGrantDurationMs * CLOCK_DRIFT_FACTOR + DELIVERY_MARGIN_MS
-  }
+  const earlierGrants = createEarlierGrants(options)
+  let ranges: Range[] = recorded.map((range) => restoreRange(range, { grantExpiry: earlierGrants.expiryOf, unknownGrantsUntil: isComplete() ? 0 : earlierGrants.unlistedUntil }))
 
   function isComplete (): boolean {
-    return unknownGrantsUntil() <= now()
-  }
-
-  function unknownGrantsUntil (): number {
-    return options.unlistedGrantsMadeUntil === null ? 0 : options.unlistedGrantsMadeUntil + longestGrantMs()
-  }
-
-  /** Returns when the last grant that an earlier leader may have made to a server expires. */
-  function previousGrantExpiry (id: string): number {
-    const previousGrants = options.previousGrants
-    if (previousGrants.kind === 'unknown') return previousGrants.lastPossibleGrantAt + longestGrantMs()
-    return previousGrants.asOf + (previousGrants.remainingMs[id] ?? 0)
+    return earlierGrants.unlistedUntil <= now()
   }
 
   function ownerOf (range: Range): KeyOwner {
@@ -401,7 +374,7 @@
         for (const [id, { expiresAt }] of range.holders) {
           if (id === UNKNOWN_HOLDER) continue
           // A grant in transit has the usual or the maximum duration, so the maximum is assumed.
-          const serverRemainingMs = Number.isFinite(expiresAt) ? expiresAt - now() : longestGrantMs() + DELIVERY_MARGIN_MS
+          const serverRemainingMs = Number.isFinite(expiresAt) ? expiresAt - now() : earlierGrants.longestMs + DELIVERY_MARGIN_MS
           remainingMs.set(id, Math.max(remainingMs.get(id) ?? 0, Math.ceil(serverRemainingMs)))
         }
       }
