Leadership: a late write of an earlier era does not look like an old restore

Found by reading, shown by a test that failed before (16 of 17): a write whose response was lost takes effect seconds later, in the next era, when the store has given out the expected revision again. The lease then states an earlier era although its leader is alive, and hosts that had seen the era for long claimed it at once: two leaders. The wait now counts from the later of the era and of the lease's last change. A stored plan of an earlier era is taken for incomplete for as long, whenever it is met.

--- a/src/entry_host/create_coordinator.ts
+++ b/src/entry_host/create_coordinator.ts
@@ -108,11 +108,15 @@
   }
 
   /** Returns when grants that a plan may not list were made at the latest; `null` if the plan lists all of them. */
-  function unlistedGrantsMadeUntil (plan: PlanRecord): number | null {
-    return plan.era < leadership.era() ? leadership.earlierLeasesEndAt() : null
+  function unlistedGrantsMadeUntil (plan: PlanRecord, isStored: boolean): number | null {
+    if (plan.era >= leadership.era()) return null
+    const previousGrants = leadership.previousGrants()
+    // A late write of an earlier era may have replaced a plan of this one.
+    const lastPlanAt = !isStored ? -Infinity : previousGrants.kind === 'unknown' ? previousGrants.lastPossibleGrantAt : previousGrants.asOf
+    return Math.max(leadership.earlierLeasesEndAt(), lastPlanAt)
   }
 
-  function createServiceRangeController (service: string, recorded: PlanRecord): RangeController {
+  function createServiceRangeController (service: string, recorded: PlanRecord, isStored: boolean): RangeController {
     storedEras.set(service, recorded.era)
     const rangeController = createRangeController(recorded.ranges, {
       service,
@@ -123,7 +127,7 @@
       isStoreUnavailable: () => leadership.isStoreUnavailable() && options.isMajorityReporting(),
       maximumGrantDurationMs: options.maximumGrantDurationMs,
       previousGrants: leadership.previousGrants(),
-      unlistedGrantsMadeUntil: unlistedGrantsMadeUntil(recorded),
+      unlistedGrantsMadeUntil: unlistedGrantsMadeUntil(recorded, isStored),
       nextToken,
       publish (changes) {
         if (!active) return
@@ -179,7 +183,7 @@
   function nextPlan (service: string): readonly PlannedRange[] | null {
     const candidates = capacities(service, rangeControllers.get(service)?.unresponsiveServers() ?? new Set())
     if (candidates.length === 0) return null
-    const rangeController = rangeControllers.get(service) ?? createServiceRangeController(service, createPlan(candidates.length))
+    const rangeController = rangeControllers.get(service) ?? createServiceRangeController(service, createPlan(candidates.length), false)
     const ranges = rangeController.ranges()
     const load = keyLoads.get(service)?.read(now()) ?? new Map<number, number>()
     let total = 0
@@ -243,7 +247,7 @@
         const service = row.key.slice(PLAN_PREFIX.length)
         leadership.recordPosition(row.key, row)
         if (recorded === null) logger.error({ key: row.key, era: row.era, revision: row.revision }, 'plan-unreadable')
-        else createServiceRangeController(service, recorded)
+        else createServiceRangeController(service, recorded, true)
       }
       logger.info({ plans: rows.value.rows.length, term: leadership.term(), era: leadership.era(), restored: [...storedEras].filter(([, era]) => era < leadership.era()).map(([service]) => service) }, 'plans-taken-over')
       return true
--- a/src/leadership/create_leadership.ts
+++ b/src/leadership/create_leadership.ts
@@ -161,7 +161,12 @@
 
   /** Whether this process, which holds the lease, may write it: a restored lease only while its own is valid, or once all others have expired. */
   function mayRenew (): boolean {
-    return !isLeaseRestored() || isLeading() || now() >= earlierLeasesEndAt() + LeaseTiming.restoredLeaseMarginMs
+    return !isLeaseRestored() || isLeading() || now() >= leaseEndsAt() + LeaseTiming.restoredLeaseMarginMs
+  }
+
+  /** When the last observed lease, and every lease of an earlier era, has certainly expired. A late write of an earlier era may have replaced a valid lease. */
+  function leaseEndsAt (): number {
+    return Math.max(earlierLeasesEndAt(), (lastLease?.firstSeenAt ?? -Infinity) + LeaseTiming.durationMs)
   }
 
   function earlierLeasesEndAt (): number {
@@ -253,7 +258,7 @@
   }
 
   function describePreviousGrants (): PreviousGrants {
-    if (isLeaseRestored()) return { kind: 'unknown', lastPossibleGrantAt: earlierLeasesEndAt() }
+    if (isLeaseRestored()) return { kind: 'unknown', lastPossibleGrantAt: leaseEndsAt() }
     if (lastLease === null || lastLease.position.revision === 0) return { kind: 'known', asOf: now(), remainingMs: {} }
     if (lastLease.record?.released === true && lastLease.record.holdsMs !== undefined) return { kind: 'known', asOf: now(), remainingMs: lastLease.record.holdsMs }
     // A claim succeeds only if the lease has not been renewed since it was last observed.
@@ -289,7 +294,7 @@
       if (lastLease === null || leading) return false
       if (isLeaseRestored()) {
         const recoveryMs = isHolderResponding ? LeaseTiming.storeRecoveryMs : 0
-        return now() > earlierLeasesEndAt() + LeaseTiming.claimMarginMs + recoveryMs
+        return now() > leaseEndsAt() + LeaseTiming.claimMarginMs + recoveryMs
       }
       if (lastLease.record === null || lastLease.record.released || lastLease.record.holder === endedHolder) return true
       // An earlier claim took effect, but its response was lost.
@@ -300,11 +305,10 @@
     previousGrants: () => grantsBeforeClaim,
     claimDelayMs () {
       if (lastLease === null) return 0
-      const expiresAt = isLeaseRestored() ? earlierLeasesEndAt() : lastLease.firstSeenAt + LeaseTiming.durationMs
-      return Math.max(0, expiresAt + LeaseTiming.claimMarginMs - now())
+      return Math.max(0, leaseEndsAt() + LeaseTiming.claimMarginMs - now())
     },
     claim: () => enqueue(async () => {
-      if (leading || (isLeaseRestored() && now() <= earlierLeasesEndAt() + LeaseTiming.claimMarginMs)) return false
+      if (leading || (isLeaseRestored() && now() <= leaseEndsAt() + LeaseTiming.claimMarginMs)) return false
       const previous = lastLease?.record
       const previousGrants = describePreviousGrants()
       term = nextTerm({ lease: lastLease, highestTerm })
--- a/src/leadership/create_leadership_test.ts
+++ b/src/leadership/create_leadership_test.ts
@@ -263,15 +263,49 @@
   assert.not(holder.isHolder())
 })
 
-test('isLeading() returns true for at most one host and terms rise, when writes fail, hosts are suspended and the store is restored', async () => {
-  const step = fc.record({ host: fc.nat({ max: 2 }), behaviour: fc.constantFrom<CallBehaviour>('works', 'down', 'lost'), restoredRevisions: fc.option(fc.nat({ max: 6 }), { freq: 8 }), elapsedMs: fc.integer({ min: 0, max: 2000 }), suspended: fc.boolean() })
+// Guards against two leaders: a write of an earlier era that takes effect late makes a valid lease look like one that was restored long ago.
+test('mayClaim() waits as after any renewal, when a late write of an earlier era replaces the lease', async () => {
+  const { table, clocks, holder } = await createHeldLease()
+  const other = createHost(table, 'b', clocks)
+  async function renewUntil (revision: number): Promise<void> {
+    while (table.position().revision < revision) {
+      clocks.monotonic = clocks.wall += LeaseTiming.renewIntervalMs
+      await holder.renew()
+      await observe(other, table)
+    }
+  }
+  await renewUntil(11)
+  table.writeBehaviour = 'late'
+  clocks.monotonic = clocks.wall += LeaseTiming.renewIntervalMs
+  await holder.renew()
+  table.writeBehaviour = 'works'
+  table.restore(3)
+  await renewUntil(11)
+  table.deliverLateWrites()
+  assert.equal(table.position(), { era: 2, revision: 12 })
+  await observe(other, table)
+  assert.ok(holder.isLeading())
+  assert.not(other.mayClaim())
+  assert.not(await other.claim())
+  for (let renewals = 0; renewals < 2; renewals++) {
+    clocks.monotonic = clocks.wall += LeaseTiming.renewIntervalMs
+    await holder.renew()
+  }
+  await observe(other, table)
+  assert.ok(holder.isLeading())
+  assert.not(other.isLeaseRestored())
+})
+
+test('isLeading() returns true for at most one host and terms rise, when writes fail or are late, hosts are suspended and the store is restored', async () => {
+  const step = fc.record({ host: fc.nat({ max: 2 }), behaviour: fc.constantFrom<CallBehaviour>('works', 'works', 'down', 'lost', 'late'), deliversLateWrites: fc.nat({ max: 7 }).map((number) => number === 0), restoredRevisions: fc.option(fc.nat({ max: 6 }), { freq: 8 }), elapsedMs: fc.integer({ min: 0, max: 2000 }), suspended: fc.boolean() })
   await fc.assert(fc.asyncProperty(fc.array(step, { maxLength: 40 }), async (steps) => {
     const table = createFakeTable()
     const clocks = [0, 1, 2].map(() => ({ monotonic: 0, wall: 0 }))
     const hosts = clocks.map((clock, index) => createHost(table, `h${index}`, clock))
     const terms = new Map<number, number>()
-    for (const { host: index, behaviour, restoredRevisions, elapsedMs, suspended } of steps) {
+    for (const { host: index, behaviour, deliversLateWrites, restoredRevisions, elapsedMs, suspended } of steps) {
       table.writeBehaviour = behaviour
+      if (deliversLateWrites) table.deliverLateWrites()
       if (restoredRevisions !== null) table.restore(Math.max(0, table.position().revision - restoredRevisions))
       for (const [clockIndex, clock] of clocks.entries()) {
         clock.wall += elapsedMs
--- a/testing/fake_table.ts
+++ b/testing/fake_table.ts
@@ -2,8 +2,8 @@
 import { FIRST_ERA, type StorePosition } from '../src/store_history/mod.ts'
 import { fail, succeed, type ObjectStore, type RowWrite, type TableChanges, type TableRow, type TableService } from '../src/ports/mod.ts'
 
-/** Behaviour of one call: it works, it does not arrive, or its response is lost after it took effect. */
-export type CallBehaviour = 'works' | 'down' | 'lost'
+/** Behaviour of one call: it works, it does not arrive, its response is lost after it took effect, or, for a write, its response is lost and it takes effect late, if its condition still holds. */
+export type CallBehaviour = 'works' | 'down' | 'lost' | 'late'
 
 /** A table whose calls follow the given behaviours in order, and work afterwards. */
 export interface FakeTable extends TableService {
@@ -12,6 +12,8 @@
   setCallBehaviours (behaviours: readonly CallBehaviour[]): void
   /** Behaviour of writes that {@link FakeTable.setCallBehaviours} says nothing of. */
   writeBehaviour: CallBehaviour
+  /** Carries out the writes that are late. */
+  deliverLateWrites (): void
   /** Current position of the table. */
   position (): StorePosition
   /** Restores the table as it was at a revision of the current era, and begins the next era; later revisions are given out again. */
@@ -32,6 +34,7 @@
   const rows = new Map<string, TableRow>()
   const histories = new Map<string, TableRow[]>()
   let callBehaviours: CallBehaviour[] = []
+  let lateWrites: Array<readonly RowWrite[]> = []
   let revision = 0
   let era = FIRST_ERA
 
@@ -56,6 +59,10 @@
     writeBehaviour: 'works',
     history: (key) => histories.get(key) ?? [],
     setCallBehaviours (next) { callBehaviours = [...next] },
+    deliverLateWrites () {
+      for (const writes of lateWrites) apply(writes)
+      lateWrites = []
+    },
     position: () => ({ era, revision }),
     restore (copied) {
       era++
@@ -84,7 +91,8 @@
     async write (writes) {
       await beforeCall()
       const behaviour = callBehaviours.shift() ?? table.writeBehaviour
-      if (behaviour === 'down') return fail(UNAVAILABLE)
+      if (behaviour === 'late') lateWrites.push(writes)
+      if (behaviour === 'down' || behaviour === 'late') return fail(UNAVAILABLE)
       const written = apply(writes)
       if (behaviour === 'lost') return fail(UNAVAILABLE)
       if (written !== null) return succeed(written)
