Leadership controller: a leader that reads the store does not resign for an unanswered write

The next leader found a restored plan, so keyed requests were refused from 19 to 28 s. Ruled out: that the store turned the leader away; its reads were answered. The leader now looks at the age of its last read again after the write.

--- a/src/entry_host/create_leadership_controller.ts
+++ b/src/entry_host/create_leadership_controller.ts
@@ -190,7 +190,8 @@
       checksStore = true
       const reachesStore = await leadership.renewNow()
       checksStore = false
-      if (reachesStore || !leading) return
+      // A write may go unanswered although this host reaches the store: it may have read it meanwhile.
+      if (reachesStore || !leading || reader.ageMs() < TaskTiming.resignAfterMs) return
       handOver()
       leadership.resign()
       logger.warn({ storeAgeMs: Math.round(reader.ageMs()) }, 'resigned')
--- a/src/entry_host/create_leadership_controller_test.ts
+++ b/src/entry_host/create_leadership_controller_test.ts
@@ -26,6 +26,8 @@
   readonly published: string[]
   /** Makes the store refuse the writes of this host from now on. */
   failWrites (): void
+  /** Sets the age of what this host has read from the store, in milliseconds. */
+  setStoreAge (ageMs: number): void
 }
 
 function createTable (rows: Map<string, TableRow>, failsWrites: () => boolean): TableService {
@@ -45,6 +47,7 @@
 
 function createHost (rows: Map<string, TableRow>, options: { readonly isSmall?: boolean, readonly isFirstStart?: boolean, readonly hostsInZone?: readonly string[], readonly storeAgeMs?: number } = {}): Host {
   let failsWrites = false
+  let storeAgeMs = options.storeAgeMs ?? 0
   const table = createTable(rows, () => failsWrites)
   const now = (): number => performance.now()
   const leadership = createLeadership({ table, logger, holder: 'h1/1', address: 'h1:1', now, wallClock: () => Date.now() })
@@ -66,7 +69,7 @@
       return row.ok
     },
     recordServers: () => {},
-    ageMs: () => options.storeAgeMs ?? 0
+    ageMs: () => storeAgeMs
   }
   const coordinator = { takeOver: async () => true, onServersChanged: () => {}, plan: async () => {}, ownersUpdates: () => [], stop: () => {}, remainingGrantDurationsMs: () => ({ 'i-1': 900 }) } as unknown as Coordinator
   const statePublisher = { reset: () => {}, publishChanges: () => {} } as unknown as StatePublisher
@@ -96,7 +99,7 @@
     isLeaving: () => false,
     now
   })
-  return { leadershipController, leaderMonitor, reads, followed, sent, published, failWrites () { failsWrites = true } }
+  return { leadershipController, leaderMonitor, reads, followed, sent, published, failWrites () { failsWrites = true }, setStoreAge (ageMs) { storeAgeMs = ageMs } }
 }
 
 async function runFor (host: Host, lengthMs: number): Promise<void> {
@@ -228,6 +231,18 @@
   assert.equal(host.published, ['resigned'])
 })
 
+// Guards against a leader that resigns although it reaches the store: one of its writes went unanswered just after the store came back.
+test('onStoreReachable() leads on, when its write goes unanswered and the store has been read meanwhile', async () => {
+  const host = createHost(new Map(), { storeAgeMs: 1500 })
+  await runFor(host, 50)
+  host.failWrites()
+  const handled = host.leadershipController.onStoreReachable()
+  host.setStoreAge(300)
+  await handled
+  assert.ok(host.leadershipController.isLeading())
+  assert.equal(host.published, [])
+})
+
 test('onStoreReachable() leads on, when the data from the store is recent', async () => {
   const host = createHost(new Map(), { storeAgeMs: 300 })
   await runFor(host, 50)
