Fencing tokens are made from the position of the leader's lease

Callers would have seen keys with two owners under the same token. The position of the last lease that the leader wrote, era and revision, has that order by itself.

--- a/src/entry_host/create_coordinator.ts
+++ b/src/entry_host/create_coordinator.ts
@@ -3,7 +3,7 @@
  * keys, grants keys, sums the loads of all hosts and publishes the results.
  */
 import type { OwnerChange, PlannedRange, PlanRecord, RangeController, ServerControl } from '../ownership/mod.ts'
-import { createKeyLoad, createRangeController, partitionKeySpace, decodePlanRecord, encodePlanRecord, maximumMovesPerPlan, planRanges, type KeyLoad } from '../ownership/mod.ts'
+import { createFencingTokens, createKeyLoad, createRangeController, partitionKeySpace, decodePlanRecord, encodePlanRecord, maximumMovesPerPlan, planRanges, type KeyLoad } from '../ownership/mod.ts'
 import type { ServerView } from '../gateway/server_loads.ts'
 import type { RoutingState } from '../gateway/routing_state.ts'
 import type { Leadership } from '../leadership/mod.ts'
@@ -74,9 +74,6 @@
 const SIGNIFICANT_IN_FLIGHT_CHANGE = 2
 const SIGNIFICANT_SHARE_CHANGE = 0.1
 
-/** Number of fencing tokens that one leader may use; each term begins a block of this size. */
-const TOKENS_PER_TERM = 2 ** 24
-
 /**
  * Creates a coordinator; it is inactive until `takeOver()` succeeds.
  *
@@ -94,7 +91,7 @@
   const publishedViews = new Map<string, ServerView>()
   const initialUpdates = createInitialUpdates(routingState)
   let active = false
-  let tokenCount = 0
+  const nextToken = createFencingTokens(leadership.heldPosition)
   let planning = false
 
   function assumedWorkMsOf (server: string): number | undefined {
@@ -102,11 +99,6 @@
     return service === undefined ? undefined : routingState.assumedWorkMs(service)
   }
 
-  function nextToken (): number {
-    tokenCount++
-    return leadership.term() * TOKENS_PER_TERM + tokenCount
-  }
-
   /** Returns when grants that a plan may not list were made at the latest; `null` if the plan lists all of them. */
   function unlistedGrantsMadeUntil (plan: PlanRecord, isStored: boolean): number | null {
     if (plan.era >= leadership.era()) return null
@@ -237,7 +229,6 @@
       storedEras.clear()
       initialUpdates.invalidateOwners()
       loads = createLoadAggregator(assumedWorkMsOf)
-      tokenCount = 0
       const rows = await options.table.changes(PLAN_PREFIX, 0)
       // Plans of a later era than the lease may be older than the grants of this era.
       if (!rows.ok || rows.value.era !== leadership.era()) return false
@@ -249,7 +240,7 @@
         if (recorded === null) logger.error({ key: row.key, era: row.era, revision: row.revision }, 'plan-unreadable')
         else createServiceRangeController(service, recorded, true)
       }
-      logger.info({ plans: rows.value.rows.length, term: leadership.term(), era: leadership.era(), restored: [...storedEras].filter(([, era]) => era < leadership.era()).map(([service]) => service) }, 'plans-taken-over')
+      logger.info({ plans: rows.value.rows.length, ...leadership.heldPosition(), restored: [...storedEras].filter(([, era]) => era < leadership.era()).map(([service]) => service) }, 'plans-taken-over')
       return true
     },
     stop () { active = false },
--- a/src/entry_host/create_leadership_controller_test.ts
+++ b/src/entry_host/create_leadership_controller_test.ts
@@ -171,7 +171,7 @@
   await runFor(host, 50)
   await host.leadershipController.release()
   assert.not(host.leadershipController.isLeading())
-  assert.equal(rows.get(LEASE_KEY)?.value, { holder: 'h1/1', address: 'h1:1', released: true, holdsMs: { 'i-1': 900 }, era: 1, term: 1 })
+  assert.equal(rows.get(LEASE_KEY)?.value, { holder: 'h1/1', address: 'h1:1', released: true, holdsMs: { 'i-1': 900 }, era: 1 })
 })
 
 const LEASE_OF_H2 = { holder: 'h2/1', address: 'h2:1', released: false }
--- a/src/leadership/create_leadership.ts
+++ b/src/leadership/create_leadership.ts
@@ -9,15 +9,14 @@
  *
  * A lease that was written in an earlier era of the store than it is read in has
  * been restored from a copy. It does not show who leads: a later lease, which the
- * store has lost, may still be valid. Only a holder whose own lease is still
- * valid may write a restored lease at once; every other host first waits until
- * any lost lease has expired.
+ * store has lost, may still be valid. Only the last holder may write a restored
+ * lease at once, if no other host can have claimed it before the restore; every
+ * other host first waits until any lost lease has expired.
  */
 import type { Logger } from '../logging/mod.ts'
 import type { RowWrite, TableRow, TableService } from '../ports/mod.ts'
 import { comparePositions, createEraMonitor, FIRST_ERA, type StorePosition } from '../store_history/mod.ts'
 import { parseLease, type LeaseRecord } from './lease_record.ts'
-import { nextTerm } from './_next_term.ts'
 
 /** Key of the lease's row. */
 export const LEASE_KEY = 'lease'
@@ -77,8 +76,8 @@
   isStoreUnavailable (): boolean
   /** Whether this process has claimed the lease and not lost it; the lease may have expired. */
   isHolder (): boolean
-  /** Term of the last lease that this process wrote; it is higher than the terms of all earlier leaders, whatever the store has lost. */
-  term (): number
+  /** Position of the last lease that this process wrote; it is after those of all earlier leaders, whatever the store has lost. */
+  heldPosition (): StorePosition
   /** Era of the last observed lease. */
   era (): number
   /** Whether the last observed lease was written in an earlier era, or may be missing because of a restore. */
@@ -129,16 +128,20 @@
   let lastLease: { readonly position: StorePosition, readonly record: LeaseRecord | null, readonly firstSeenAt: number } | null = null
   let endedHolder: string | null = null
   let leading = false
-  let term = 0
-  /** Highest term of any lease that this process has observed. */
-  let highestTerm = 0
+  let heldPosition: StorePosition = { era: 0, revision: 0 }
   let grantsBeforeClaim: PreviousGrants = { kind: 'unknown', lastPossibleGrantAt: -Infinity }
   let storeRespondsSince: number | null = null
   let lastReadAt = -Infinity
   let validUntil = 0
   let validUntilWallClock = 0
   let acknowledgedAt = 0
+  /** When the last acknowledged renewal was sent, and its era. */
   let renewedAt = 0
+  let renewedAtWallClock = 0
+  let renewedInEra = 0
+  /** First observed position of the lease in the present era, and when it was observed. */
+  let eraStart: StorePosition = { era: 0, revision: 0 }
+  let eraSeenAtWallClock = 0
   let attemptedAt = 0
   /** Position of the lease that the last refused write met; each is logged once. */
   let refusedBy: StorePosition | null = null
@@ -146,7 +149,7 @@
   const positions = new Map<string, StorePosition>()
 
   function ownRecord (released: boolean): LeaseRecord {
-    return { holder: options.holder, address: options.address, released, era: eras.era(), term }
+    return { holder: options.holder, address: options.address, released, era: eras.era() }
   }
 
   function isLeaseRestored (): boolean {
@@ -159,9 +162,18 @@
     return position?.era === eras.era() ? position.revision : 0
   }
 
-  /** Whether this process, which holds the lease, may write it: a restored lease only while its own is valid, or once all others have expired. */
+  /** Whether this process, which holds the lease, may write it: a restored lease only if the store can't have lost another holder's, or once all others have expired. */
   function mayRenew (): boolean {
-    return !isLeaseRestored() || isLeading() || now() >= leaseEndsAt() + LeaseTiming.restoredLeaseMarginMs
+    return !isLeaseRestored() || isLeading() || wasRestoredBeforeOtherClaims() || now() >= leaseEndsAt() + LeaseTiming.restoredLeaseMarginMs
+  }
+
+  /** Whether the store was restored before any other host could claim the lease that this process renewed last. */
+  function wasRestoredBeforeOtherClaims (): boolean {
+    // A late write of an earlier era may have replaced the lease of a holder in this one.
+    if (renewedInEra >= eras.era() || lastLease === null || comparePositions(lastLease.position, eraStart) !== 0) return false
+    // The monotonic clock stops while the machine is suspended; the wall clock does not.
+    const sinceRenewalMs = Math.max(eras.firstSeenAt() - renewedAt, eraSeenAtWallClock - renewedAtWallClock)
+    return sinceRenewalMs < LeaseTiming.durationMs + LeaseTiming.claimMarginMs - LeaseTiming.restoredLeaseMarginMs
   }
 
   /** When the last observed lease, and every lease of an earlier era, has certainly expired. A late write of an earlier era may have replaced a valid lease. */
@@ -189,18 +201,27 @@
     validUntilWallClock = sentAtWallClock + LeaseTiming.durationMs
     acknowledgedAt = now()
     renewedAt = sentAt
+    renewedAtWallClock = sentAtWallClock
+    renewedInEra = eras.era()
   }
 
   function observeLease (row: ObservedLease): void {
     const position = { era: row.era, revision: row.revision }
     if (lastLease !== null && comparePositions(position, lastLease.position) <= 0) return
-    const isRestore = eras.record(row.era) && lastLease !== null
+    const isLaterEra = eras.record(row.era)
+    if (isLaterEra) {
+      eraStart = position
+      eraSeenAtWallClock = wallClock()
+    }
+    const isRestore = isLaterEra && lastLease !== null
     const record = row.revision === 0 ? null : parseLease(row)
     if (record === null && row.revision !== 0) logger.warn(position, 'lease-unreadable')
-    highestTerm = Math.max(highestTerm, record?.term ?? 0)
     lastLease = { position, record, firstSeenAt: now() }
     if (isRestore) logger.warn({ ...position, holder: record?.holder, writtenInEra: record?.era, leading }, 'lease-restored')
-    if (leading && record?.holder !== options.holder && !isLeaseRestored()) stepDown('another host holds the lease')
+    if (!leading || record === null || isLeaseRestored()) return
+    if (record.holder !== options.holder) stepDown('another host holds the lease')
+    // A write took effect whose response was lost.
+    else heldPosition = position
   }
 
   function recordRefusal (current: readonly TableRow[], era: number): void {
@@ -223,7 +244,7 @@
     const result = await table.write(writes)
     if (result.ok && result.value.era === record.era) {
       lastLease = { position: result.value, record, firstSeenAt: now() }
-      highestTerm = Math.max(highestTerm, record.term)
+      heldPosition = result.value
       for (const row of rows) positions.set(row.key, result.value)
       extend(sentAt, sentAtWallClock)
       return 'written'
@@ -247,13 +268,12 @@
     return lastLease?.record?.holder === options.holder || isLeaseRestored() ? 'unavailable' : 'superseded'
   }
 
-  /** Writes the lease as its holder. A restored lease is claimed anew, so that the term is above all that the store has lost. */
+  /** Writes the lease as its holder. */
   async function writeAsHolder (rows: ReadonlyArray<Omit<RowWrite, 'expectedRevision'>>): Promise<LeaderWriteResult | 'rows-changed'> {
     if (!mayRenew()) return 'unavailable'
     const isRestored = isLeaseRestored()
-    if (isRestored) term = nextTerm({ lease: lastLease, highestTerm })
     const outcome = await writeWithLease(ownRecord(false), rows)
-    if (isRestored && outcome === 'written') logger.info({ ...lastLease?.position, term }, 'leadership-restored')
+    if (isRestored && outcome === 'written') logger.info(heldPosition, 'leadership-restored')
     return outcome
   }
 
@@ -275,7 +295,7 @@
     isLeading,
     isStoreUnavailable: () => leading && now() - acknowledgedAt > LeaseTiming.storeUnavailableAfterMs,
     isHolder: () => leading,
-    term: () => term,
+    heldPosition: () => heldPosition,
     era: eras.era,
     isLeaseRestored,
     earlierLeasesEndAt,
@@ -311,12 +331,11 @@
       if (leading || (isLeaseRestored() && now() <= leaseEndsAt() + LeaseTiming.claimMarginMs)) return false
       const previous = lastLease?.record
       const previousGrants = describePreviousGrants()
-      term = nextTerm({ lease: lastLease, highestTerm })
       const outcome = await writeWithLease(ownRecord(false), [])
       if (outcome !== 'written') return false
       leading = true
       grantsBeforeClaim = previousGrants
-      logger.info({ ...lastLease?.position, term, previous: previous?.holder, released: previous?.released }, 'leadership-claimed')
+      logger.info({ ...heldPosition, previous: previous?.holder, released: previous?.released }, 'leadership-claimed')
       return true
     }),
     write: (rows) => enqueue(async () => {
--- a/src/leadership/create_leadership_test.ts
+++ b/src/leadership/create_leadership_test.ts
@@ -5,6 +5,7 @@
 import { propertyParameters } from '../../testing/arbitrary_steps.ts'
 import { createFakeTable, type CallBehaviour, type FakeTable } from '../../testing/fake_table.ts'
 import { createLogger } from '../logging/mod.ts'
+import { comparePositions, type StorePosition } from '../store_history/mod.ts'
 import type { TableService } from '../ports/mod.ts'
 import { createLeadership, LEASE_KEY, LeaseTiming, type Leadership } from './create_leadership.ts'
 
@@ -172,27 +173,50 @@
 })
 
 // Guards against an outage without end: a lease that went back to a lower revision was ignored, and every later write expected a revision that the store did not have.
-test('renew() writes the lease again with a higher term, when the store has lost its last revisions', async () => {
+test('renew() writes the lease again at a later position, when the store has lost its last revisions', async () => {
   const { table, clocks, holder } = await createHeldLease()
   const copied = table.position().revision
   for (const at of [800, 1600]) {
     clocks.monotonic = clocks.wall = at
     await holder.renew()
   }
-  const term = holder.term()
+  const position = holder.heldPosition()
   table.restore(copied)
   for (const at of [2400, 2700]) {
     clocks.monotonic = clocks.wall = at
     await holder.renew()
   }
   assert.ok(holder.isLeading())
-  assert.ok(holder.term() > term)
+  assert.ok(comparePositions(holder.heldPosition(), position) > 0)
   const other = createHost(table, 'b', clocks)
   await observe(other, table)
   assert.is(other.lease()?.holder, 'a')
   assert.not(other.isLeaseRestored())
 })
 
+test('renew() writes a restored lease at once, when the store was restored before another host could claim the lease', async () => {
+  for (const { outageMs, leads } of [{ outageMs: 2600, leads: true }, { outageMs: 2700, leads: false }]) {
+    const { table, clocks, holder } = await createHeldLease()
+    await observe(holder, table)
+    clocks.monotonic = clocks.wall = outageMs
+    table.restore(1)
+    await observe(holder, table)
+    await holder.renew()
+    assert.is(holder.isLeading(), leads, `${outageMs} ms`)
+  }
+})
+
+// Guards against two leaders: time that passes while a host is suspended shows on the wall clock only.
+test('renew() waits until a lost lease has expired, when the host was suspended before the restore', async () => {
+  const { table, clocks, holder } = await createHeldLease()
+  clocks.wall = 5000
+  table.restore(1)
+  await observe(holder, table)
+  clocks.monotonic = 900
+  await holder.renew()
+  assert.not(holder.isLeading())
+})
+
 // Guards against two leaders: a host that had claimed the lease in the history that the store lost may still lead.
 test('renew() waits until a lost lease has expired, when the holder of the restored lease has lost its own', async () => {
   const { table, clocks, holder } = await createHeldLease()
@@ -211,7 +235,7 @@
   await holder.renew()
   assert.not(other.isLeading())
   assert.ok(holder.isLeading())
-  assert.ok(holder.term() > other.term())
+  assert.ok(comparePositions(holder.heldPosition(), other.heldPosition()) > 0)
 })
 
 // Guards against two leaders: a restored lease may be missing, released, or of a host that has ended.
@@ -236,7 +260,7 @@
     clocks.monotonic = clocks.wall = 5000 + LeaseTiming.durationMs + LeaseTiming.claimMarginMs + 1
     assert.ok(third.mayClaim(), state)
     assert.ok(await third.claim(), state)
-    assert.ok(third.term() > second.term(), state)
+    assert.ok(comparePositions(third.heldPosition(), second.heldPosition()) > 0, state)
     assert.equal(third.previousGrants(), { kind: 'unknown', lastPossibleGrantAt: 5000 + LeaseTiming.durationMs })
   }
 })
@@ -296,13 +320,13 @@
   assert.not(other.isLeaseRestored())
 })
 
-test('isLeading() returns true for at most one host and terms rise, when writes fail or are late, hosts are suspended and the store is restored', async () => {
-  const step = fc.record({ host: fc.nat({ max: 2 }), behaviour: fc.constantFrom<CallBehaviour>('works', 'works', 'down', 'lost', 'late'), deliversLateWrites: fc.nat({ max: 7 }).map((number) => number === 0), restoredRevisions: fc.option(fc.nat({ max: 6 }), { freq: 8 }), elapsedMs: fc.integer({ min: 0, max: 2000 }), suspended: fc.boolean() })
-  await fc.assert(fc.asyncProperty(fc.array(step, { maxLength: 40 }), async (steps) => {
+test('isLeading() returns true for at most one host, at a later position than the last one, when writes fail or are late, hosts are suspended and the store is restored', async () => {
+  const step = fc.record({ host: fc.nat({ max: 2 }), behaviour: fc.constantFrom<CallBehaviour>('works', 'works', 'down', 'lost', 'late'), deliversLateWrites: fc.nat({ max: 7 }).map((number) => number === 0), restoredRevisions: fc.oneof({ weight: 9, arbitrary: fc.constant(null) }, { weight: 1, arbitrary: fc.nat({ max: 6 }) }), elapsedMs: fc.integer({ min: 0, max: 2000 }), suspended: fc.boolean() })
+  await fc.assert(fc.asyncProperty(fc.array(step, { maxLength: 40, size: 'max' }), async (steps) => {
     const table = createFakeTable()
     const clocks = [0, 1, 2].map(() => ({ monotonic: 0, wall: 0 }))
     const hosts = clocks.map((clock, index) => createHost(table, `h${index}`, clock))
-    const terms = new Map<number, number>()
+    let last: { readonly host: number, readonly position: StorePosition } | null = null
     for (const { host: index, behaviour, deliversLateWrites, restoredRevisions, elapsedMs, suspended } of steps) {
       table.writeBehaviour = behaviour
       if (deliversLateWrites) table.deliverLateWrites()
@@ -317,9 +341,10 @@
       if (host.mayClaim()) await host.claim()
       else await host.renew()
       assert.ok(hosts.filter((candidate) => candidate.isLeading()).length <= 1)
-      if (!host.isLeading() || terms.get(host.term()) === index) continue
-      assert.ok(host.term() > Math.max(0, ...terms.keys()), `host ${index} leads with term ${host.term()}, after ${[...terms.keys()].join()}`)
-      terms.set(host.term(), index)
+      if (!host.isLeading()) continue
+      const position = host.heldPosition()
+      if (last !== null && last.host !== index) assert.ok(comparePositions(position, last.position) > 0, `host ${index} leads at ${JSON.stringify(position)}, after host ${last.host} at ${JSON.stringify(last.position)}`)
+      last = { host: index, position }
     }
   }), propertyParameters(300))
 })
--- a/src/leadership/lease_record.ts
+++ b/src/leadership/lease_record.ts
@@ -11,8 +11,6 @@
   readonly released: boolean
   /** Era of the store in which the lease was written; an earlier one than that of the row shows that the row was restored from a copy. */
   readonly era: number
-  /** Number of the leadership; it rises with each claim. */
-  readonly term: number
   /** For a released lease, how long after the release each backend server may still hold keys, in milliseconds. */
   readonly holdsMs?: Readonly<Record<string, number>>
 }
@@ -25,10 +23,10 @@
  */
 export function parseLease (row: StorePosition & { readonly value: unknown }): LeaseRecord | null {
   if (typeof row.value !== 'object' || row.value === null) return null
-  const { holder, address, released, era, term, holdsMs } = row.value as Record<string, unknown>
+  const { holder, address, released, era, holdsMs } = row.value as Record<string, unknown>
   if (typeof holder !== 'string' || typeof address !== 'string' || typeof released !== 'boolean') return null
-  // Releases without eras and terms counted leaderships with the revision of the claim.
-  const lease = { holder, address, released, era: typeof era === 'number' ? era : row.era, term: typeof term === 'number' ? term : row.revision }
+  // Earlier releases of this program do not state the era.
+  const lease = { holder, address, released, era: typeof era === 'number' ? era : row.era }
   const remainingMs = parseRemainingMs(holdsMs)
   return remainingMs === null ? lease : { ...lease, holdsMs: remainingMs }
 }
