Log how many requests and first attempts each host serves, by second

Cause: lines of requests leave out those that are served at once, so the logs cannot show whether hosts without paths to servers serve fewer callers than others.

--- a/src/entry_host/create_entry_host.ts
+++ b/src/entry_host/create_entry_host.ts
@@ -24,6 +24,7 @@
 import { createStatePublisher } from './create_state_publisher.ts'
 import { applyPublishedUpdate } from './published_updates.ts'
 import { createRequestLog } from './request_log.ts'
+import { createRequestSummary } from './request_summary.ts'
 import { createRetryBudgets } from './retry_budgets.ts'
 import { createStoreReader, type PublishedState } from './store_reader.ts'
 import { decodeOwner, decodeViews } from './encode_updates.ts'
@@ -118,6 +119,7 @@
     table: options.table, logger, holder, address: `${settings.ip}:${settings.peerPort}`, now, wallClock: () => Date.now()
   })
   const requestLog = createRequestLog(logger, now)
+  const requestSummary = createRequestSummary(logger, now)
   let leaving = false
   let stopsAt = Infinity
   const stop = new AbortController()
@@ -220,6 +222,7 @@
     onKeyRequested: statePublisher.countKeyRequest,
     onRequestEnd (record) {
       requestLog.write(record, describeRoutingState())
+      requestSummary.record(record)
       options.onRequest(record)
     },
     isLeaving: () => leaving,
--- a/src/gateway/create_gateway.ts
+++ b/src/gateway/create_gateway.ts
@@ -145,6 +145,7 @@
       durationMs: now() - exchange.startedAt,
       attempts: exchange.attempts,
       isCallerConnected: !exchange.request.socket.destroyed,
+      isFirstAttempt: exchange.elapsedMs === 0,
       ...(retryAfterMs === undefined ? {} : { retryAfterMs })
     })
   }
--- a/src/gateway/request_record.ts
+++ b/src/gateway/request_record.ts
@@ -15,6 +15,8 @@
   readonly retryAfterMs?: number
   /** Whether the connection of the caller was still open when the request ended. */
   readonly isCallerConnected: boolean
+  /** Whether this is probably the caller's first attempt and not one after a refusal; absent for relayed requests. */
+  readonly isFirstAttempt?: boolean
   /** Whether this host relayed the request for another host. */
   readonly isRelayed?: boolean
 }
