What a host without paths to servers sees is no evidence on servers

What callers saw: while 12 of 20 hosts reached no server, hosts that did reach them refused half of their requests, most with owner-silent. Cause: a lost request counted against its server, at the host and with the leader, although it only shows that one path failed. All requests to a server go through one relay, so while that had no path no host had a response, and the leader declared the server unresponsive for all. The class: evidence on a path taken for evidence on a server. Change: a host reports a loss once another server has responded to it since. When several servers stop responding to a host at once it probes others with a connection; if none can be reached it counts as isolated, and its requests in flight, its losses and its refused connections are discarded, at the host and with the leader. Requests over a relay are discarded likewise. Ruled out: a longer time until a server counts as unresponsive (servers that are really silent must be left within a second).

--- a/src/entry_host/_task_timing.ts
+++ b/src/entry_host/_task_timing.ts
@@ -2,6 +2,10 @@
 
 /** Timing of an entry host's tasks, in milliseconds. */
 export const TaskTiming = {
+  /** Interval at which a host checks its paths to servers. */
+  reachabilityIntervalMs: 50,
+  /** Time without a connection after which a probed server counts as not reached: many round trips within a region. */
+  probeTimeoutMs: 200,
   /** Interval at which due grants and releases are started. */
   grantIntervalMs: 50,
   /** Minimum interval between load messages: about the duration of one request. */
--- a/src/entry_host/create_coordinator.ts
+++ b/src/entry_host/create_coordinator.ts
@@ -50,6 +50,8 @@
   onServersChanged (): void
   onReport (host: ReportingHost, report: Extract<Report, { readonly kind: 'report' }>): void
   onHostLeft (host: string): void
+  /** Records that a host reaches no server, so that its reports say nothing about servers. */
+  onHostIsolated (host: string): void
   views (): Map<string, ServerView>
   /** Updates that bring a newly connected host up to date. */
   initialUpdates (host: ConnectedHost): Update[]
@@ -274,6 +276,7 @@
       }
     },
     onHostLeft (host) { loads.removeHost(host) },
+    onHostIsolated (host) { loads.discardHost(host) },
     views: () => loads.views(now()),
     adjustShares () {
       loads.adjustShares((id) => {
--- a/src/entry_host/create_entry_host.ts
+++ b/src/entry_host/create_entry_host.ts
@@ -11,6 +11,7 @@
 import type { Logger } from '../logging/mod.ts'
 import type { ServerControl } from '../ownership/mod.ts'
 import type { TableService } from '../ports/mod.ts'
+import { createConnectProbe, createReachabilityMonitor, type Isolation } from '../reachability/mod.ts'
 import { createRelay, createRelayDirectory } from '../relay/mod.ts'
 import { createPeerServer, createLeaderConnection, type Update } from '../replication/mod.ts'
 import { listen, pause } from './_listen.ts'
@@ -105,7 +106,11 @@
   const { settings, logger } = options
   const now = (): number => performance.now()
   const routingState = createRoutingState()
-  const loads = createServerLoads(now, routingState.assumedWorkMs)
+  const reachability = createReachabilityMonitor({
+    zone: settings.zone, servers: routingState.servers, probe: createConnectProbe(TaskTiming.probeTimeoutMs), now, random: Math.random, onChange: onReachabilityChange
+  })
+  const isIsolated = (): boolean => reachability.isolation() !== null
+  const loads = createServerLoads(now, routingState.assumedWorkMs, reachability)
   const budgets = createRetryBudgets({ ratio: settings.retryRatio, slack: settings.retrySlack })
   const limits = createRequestLimits({ now, onChange: createLimitLog(logger) })
   const permits = createRequestPermits({ limits, hostCount: budgets.hostCount, now, random: Math.random })
@@ -149,6 +154,7 @@
       coordinator.onReport(reportingHost, report)
     },
     onHostDisconnected: coordinator.onHostLeft,
+    onHostIsolated: coordinator.onHostIsolated,
     onStoreReachable () { leadershipController.onStoreReachable().catch(reportFailure) },
     onLeaseClaimed (lease) { leadershipController.onLeaseClaimed(lease) }
   })
@@ -156,6 +162,7 @@
     host: settings.host,
     zone: settings.zone,
     relay: () => leaving ? null : { host: settings.host, zone: settings.zone, address: relayAddress, weight: settings.processorShare },
+    isIsolated,
     logger,
     now,
     cachedVersions: () => ({ version: routingState.configuration()?.version ?? 0, servers: routingState.serversDigest() }),
@@ -253,6 +260,13 @@
     response.writeHead(routingState.routes() !== null && !leaving ? 200 : 503, { 'Content-Length': '0' }).end()
   })
 
+  function onReachabilityChange (isolation: Isolation | null): void {
+    if (isolation === null) logger.info({ zone: settings.zone }, 'servers-reachable')
+    else logger.warn({ zone: settings.zone, silent: isolation.isSilent, leading: leadershipController.isLeading() }, 'servers-unreachable')
+    if (isolation !== null) loads.discardOwnRequests()
+    leaderConnection.send({ kind: 'reachability', isolated: isolation !== null })
+  }
+
   function applyConfiguration (): void {
     const configuration = routingState.configuration()
     if (configuration === null) return
@@ -303,6 +317,7 @@
 
   const timers = [
     setInterval(() => { coordinator.tick() }, TaskTiming.grantIntervalMs),
+    setInterval(() => { reachability.check().catch(reportFailure) }, TaskTiming.reachabilityIntervalMs),
     setInterval(() => { renewLease().catch(reportFailure) }, TaskTiming.loadIntervalMs),
     setInterval(() => {
       loopDelayMonitor.recordTick()
--- a/src/entry_host/load_aggregator.ts
+++ b/src/entry_host/load_aggregator.ts
@@ -17,6 +17,8 @@
   add (host: ReportingHost, samples: ReadonlyArray<readonly [server: string, sample: ServerSample]>, now: number): void
   /** Removes the requests in flight of a host that has left. */
   removeHost (host: string): void
+  /** Discards what a host has reported about servers, because it reaches none: its requests in flight, and the connections that it was refused. */
+  discardHost (host: string): void
   views (now: number): Map<string, ServerView>
   /**
    * Sets the share of requests that hosts admit to servers whose keys receive
@@ -196,6 +198,10 @@
       }
     },
     removeHost,
+    discardHost (host) {
+      removeHost(host)
+      for (const load of serverLoads.values()) load.refusedBy.delete(host)
+    },
     views (now) {
       const views = new Map<string, ServerView>()
       for (const [server, load] of serverLoads) {
--- a/src/gateway/create_gateway.ts
+++ b/src/gateway/create_gateway.ts
@@ -243,7 +243,7 @@
   async function attemptThroughRelay (exchange: Exchange, server: RoutedServer, relay: Relay): Promise<AttemptDecision> {
     const expectedMs = loads.expectedMs(server)
     const sentAt = now()
-    const completions = [relay.trackRequest(exchange.id, expectedMs), loads.trackRelayedRequest(server)]
+    const completions = [relay.trackRequest(exchange.id, expectedMs), loads.trackRelayedRequest(server, relay.host)]
     const outcome = await sendWithTimeout(exchange, {
       attempt: { ...createAttempt(exchange, server), relay: { address: relay.address, goalMs: exchange.route.latencyGoalMs, callerRemainingMs: callerRemainingMs(exchange), isLate: isLate(exchange, server) } },
       connections: { agent: options.relayAgent, names, limits: options.limits, connectTimeoutMs: RELAY_CONNECT_TIMEOUT_MS },
--- a/src/gateway/group_failure_detector.ts
+++ b/src/gateway/group_failure_detector.ts
@@ -9,16 +9,18 @@
   /**
    * Records that a request was sent.
    *
-   * @param member Group, and the member of it that the request counts for: a server, or the request itself.
+   * @param member Group, and the member of it that the request counts for: a server, or the request itself; `path` is what else the request depends on, such as a relay.
    * @param expectedMs Expected time until the response, in milliseconds.
    * @returns Function that ends the request; `responded` is whether there was any response.
    */
-  trackRequest (member: { readonly id: string, readonly group: string }, expectedMs: number): (responded: boolean) => void
+  trackRequest (member: { readonly id: string, readonly group: string, readonly path?: string }, expectedMs: number): (responded: boolean) => void
+  /** Discards the requests in flight over a path that turned out to be cut: they say nothing about their groups. */
+  discardPath (path: string): void
   /** Whether requests to a group would probably be lost now. */
   isUnresponsive (group: string): boolean
 }
 
-interface Pending { readonly member: string, readonly startedAt: number, readonly overdueAt: number }
+interface Pending { readonly member: string, readonly path: string | undefined, readonly startedAt: number, readonly overdueAt: number }
 interface Group { readonly pending: Set<Pending>, lastResponseAt: number, unresponsiveUntil: number, checkedAt: number }
 
 /** Multiple of the expected time after which a request is overdue: few requests take longer. */
@@ -67,7 +69,7 @@
     trackRequest (member, expectedMs) {
       const group = groupOf(member.group)
       const startedAt = now()
-      const pending = { member: member.id, startedAt, overdueAt: startedAt + Math.max(MINIMUM_OVERDUE_MS, expectedMs * OVERDUE_FACTOR) }
+      const pending = { member: member.id, path: member.path, startedAt, overdueAt: startedAt + Math.max(MINIMUM_OVERDUE_MS, expectedMs * OVERDUE_FACTOR) }
       group.pending.add(pending)
       return (responded) => {
         group.pending.delete(pending)
@@ -76,6 +78,15 @@
         group.unresponsiveUntil = -Infinity
       }
     },
+    discardPath (path) {
+      for (const group of groups.values()) {
+        const discarded = [...group.pending].filter((pending) => pending.path === path)
+        if (discarded.length === 0) continue
+        for (const pending of discarded) group.pending.delete(pending)
+        group.unresponsiveUntil = -Infinity
+        group.checkedAt = -Infinity
+      }
+    },
     isUnresponsive (name) {
       const group = groupOf(name)
       if (now() - group.checkedAt >= CHECK_INTERVAL_MS) {
--- a/src/gateway/group_failure_detector_test.ts
+++ b/src/gateway/group_failure_detector_test.ts
@@ -54,4 +54,18 @@
   assert.not(simulation.detector.isUnresponsive('b'))
 })
 
+test('isUnresponsive() returns false for a zone, when the requests without a response went through a relay that reaches no server', () => {
+  let now = 0
+  const detector = createGroupFailureDetector(() => now)
+  const ends = ['s1', 's2', 's3'].map((id) => detector.trackRequest({ id, group: 'a', path: 'relay-1' }, WORK_MS))
+  now = 400
+  assert.is(detector.isUnresponsive('a'), true)
+  detector.discardPath('relay-1')
+  assert.is(detector.isUnresponsive('a'), false)
+  now = 2000
+  assert.is(detector.isUnresponsive('a'), false)
+  for (const end of ends) end(false)
+  assert.is(detector.isUnresponsive('a'), false)
+})
+
 test.run()
--- a/src/gateway/outcomes.ts
+++ b/src/gateway/outcomes.ts
@@ -23,6 +23,6 @@
   if (outcome.kind === 'not-run') return { kind: outcome.misdirected ? 'other' : 'shed' }
   // A reset shows that the address responds; only timeouts and refused connections count as lost.
   if (outcome.kind === 'unsent' && outcome.wasConnected === true) return { kind: 'failed' }
-  if (outcome.kind === 'lost') return outcome.aborted ? { kind: 'abandoned', durationMs } : { kind: 'failed' }
+  if (outcome.kind === 'lost') return outcome.aborted ? { kind: 'abandoned', durationMs } : { kind: 'failed', isReset: outcome.isReset === true }
   return { kind: 'lost', refused: outcome.refused }
 }
--- a/src/gateway/send_attempt.ts
+++ b/src/gateway/send_attempt.ts
@@ -34,8 +34,8 @@
   | { readonly kind: 'not-run', readonly status: number, readonly misdirected: boolean, readonly roomAfterMs?: number, readonly isOverLimit?: boolean }
   /** The request has not been sent to the server. `atRelay` is set if the relay failed before the server was tried, `wasConnected` if the connection was closed after it had been established. */
   | { readonly kind: 'unsent', readonly detail: string, readonly refused: boolean, readonly atRelay?: boolean, readonly wasConnected?: boolean }
-  /** The request was sent and may have run. */
-  | { readonly kind: 'lost', readonly detail: string, readonly aborted: boolean }
+  /** The request was sent and may have run. `isReset` is whether its connection was reset, so that nothing shows that the server responds. */
+  | { readonly kind: 'lost', readonly detail: string, readonly aborted: boolean, readonly isReset?: boolean }
 
 /** Options of {@link sendAttempt}. */
 export interface SendAttemptOptions {
@@ -100,7 +100,7 @@
     }
 
     request.on('error', (error: NodeJS.ErrnoException) => {
-      settle(sent ? { kind: 'lost', detail: error.message, aborted: false } : { kind: 'unsent', detail: error.message, refused: error.code === 'ECONNREFUSED', wasConnected: connected, ...(relay === undefined ? {} : { atRelay: true }) })
+      settle(sent ? { kind: 'lost', detail: error.message, aborted: false, ...(isSystemError(error) ? { isReset: true } : {}) } : { kind: 'unsent', detail: error.message, refused: error.code === 'ECONNREFUSED', wasConnected: connected, ...(relay === undefined ? {} : { atRelay: true }) })
     })
     attempt.signal.addEventListener('abort', abort)
     if (attempt.signal.aborted) return abort()
@@ -175,6 +175,11 @@
   return body.contentLength === undefined ? ['Transfer-Encoding', 'chunked'] : ['Content-Length', body.contentLength]
 }
 
+/** Whether the operating system reported the error; others concern the content of a response. */
+function isSystemError (error: NodeJS.ErrnoException): boolean {
+  return error.syscall !== undefined || error.code === 'ECONNRESET'
+}
+
 /** Outcome of a request that a relay did not forward; `null` if the response is the server's. */
 function parseRelayRefusal (response: IncomingMessage): AttemptOutcome | null {
   const refusal = response.headers[RelayHeader.refusal]
--- a/src/gateway/server_loads.ts
+++ b/src/gateway/server_loads.ts
@@ -3,13 +3,14 @@
  * own requests, and from the totals that the leading host publishes.
  */
 import type { RoutedServer } from '../routing/mod.ts'
+import { PathResult, type ReachabilityMonitor } from '../reachability/mod.ts'
 import { createGroupFailureDetector } from './group_failure_detector.ts'
 
 /** Outcome of a request for the load of its server. */
 export type LoadOutcome =
   | { readonly kind: 'served', readonly durationMs: number }
-  /** The server responded with an error, or the connection was reset. */
-  | { readonly kind: 'failed' }
+  /** The server responded with an error, or the connection was reset (`isReset`). */
+  | { readonly kind: 'failed', readonly isReset?: boolean }
   /** The server refused the request because it was full. */
   | { readonly kind: 'shed' }
   /** The router or the caller aborted the request before the server responded. */
@@ -59,7 +60,11 @@
    * Records a request that a relay forwards and counts. This host uses it only to detect failures
    * of the server's zone. Returns a function that ends the request; `responded` is whether there was any response.
    */
-  trackRelayedRequest (server: RoutedServer): (responded: boolean) => void
+  trackRelayedRequest (server: RoutedServer, relay: string): (responded: boolean) => void
+  /** Discards what requests through a relay showed about servers, because the relay reaches none. */
+  discardRelay (relay: string): void
+  /** Discards what this host's own requests showed about servers, and those in flight, because the host reaches none. */
+  discardOwnRequests (): void
   /**
    * Applies the totals over all hosts, minus the requests in flight that this host last reported.
    * If the views are `complete`, other servers are removed.
@@ -104,6 +109,12 @@
 /** Weight of a new sample in this host's moving average. */
 const SAMPLE_WEIGHT = 0.15
 
+/** Path of the requests that this host sends itself, for the failure detector of zones. */
+const DIRECT_PATH = ''
+
+/** Reachability of a host that is not monitored. */
+const ALWAYS_REACHABLE: Pick<ReachabilityMonitor, 'trackRequest' | 'isTrusted'> = { trackRequest: () => () => {}, isTrusted: () => true }
+
 /** Number of consecutive lost requests after which a server counts as unresponsive. */
 const CONSECUTIVE_LOSS_LIMIT = 2
 
@@ -131,10 +142,13 @@
  *
  * @param now Monotonic time in milliseconds.
  * @param assumedWorkMs Assumed duration of a request to a service without measurements, in milliseconds. Default: 120 for every service.
+ * @param reachability Whether this host reaches servers. Default: always.
  * @returns The loads.
  */
-export function createServerLoads (now: () => number, assumedWorkMs: (service: string) => number = () => 120): ServerLoads {
+export function createServerLoads (now: () => number, assumedWorkMs: (service: string) => number = () => 120, reachability: Pick<ReachabilityMonitor, 'trackRequest' | 'isTrusted'> = ALWAYS_REACHABLE): ServerLoads {
   const states = new Map<string, ServerState>()
+  /** Losses that are not reported yet: only a later response of any server shows that this host reaches servers, and that the loss concerns the one. */
+  let unconfirmedLosses: Array<{ readonly state: ServerState, readonly refused: boolean }> = []
   const zoneDetector = createGroupFailureDetector(now)
 
   function stateOf (id: string): ServerState {
@@ -179,21 +193,28 @@
     if (workMs > expected * OVERDUE_FACTOR) recordLost(state)
   }
 
-  function recordLost (state: ServerState): void {
-    state.sample.lost++
+  function recordLost (state: ServerState, refused = false): void {
+    if (!reachability.isTrusted()) return
+    unconfirmedLosses.push({ state, refused })
     state.consecutiveLosses++
     if (state.consecutiveLosses >= CONSECUTIVE_LOSS_LIMIT) state.unresponsiveUntil = now() + UNRESPONSIVE_MS
   }
 
+  function confirmLosses (): void {
+    for (const { state: { sample }, refused } of unconfirmedLosses) {
+      sample.lost++
+      if (refused) sample.refused++
+    }
+    unconfirmedLosses = []
+  }
+
   function recordOutcome (state: ServerState, server: RoutedServer, { outcome, loadFactor }: { readonly outcome: LoadOutcome, readonly loadFactor: number }): void {
     const { sample } = state
     const divisor = Math.min(loadFactor, MAXIMUM_LOAD_FACTOR)
     if (outcome.kind === 'other') return
     if (outcome.kind === 'abandoned') return recordAbandoned(state, server, outcome.durationMs / divisor)
-    if (outcome.kind === 'lost') {
-      if (outcome.refused) sample.refused++
-      return recordLost(state)
-    }
+    if (outcome.kind === 'lost') return recordLost(state, outcome.refused)
+    if (!isReset(outcome)) confirmLosses()
     state.consecutiveLosses = 0
     state.unresponsiveUntil = 0
     if (outcome.kind === 'failed') sample.failed++
@@ -216,18 +237,32 @@
       state.ownInFlight++
       const pending = { startedAt: now(), loadFactor: Math.min(loadFactor, MAXIMUM_LOAD_FACTOR) }
       state.pending.add(pending)
-      const endZoneRequest = zoneDetector.trackRequest({ id: server.id, group: server.zone }, expectedMs(server))
+      const endZoneRequest = zoneDetector.trackRequest({ id: server.id, group: server.zone, path: DIRECT_PATH }, expectedMs(server))
+      const endPathRequest = reachability.trackRequest(server.id, expectedMs(server))
       let ended = false
       return (outcome) => {
         if (ended) return
         ended = true
+        endPathRequest(toPathResult(outcome))
+        // The request has been discarded.
+        if (!state.pending.delete(pending)) return
         state.ownInFlight--
-        state.pending.delete(pending)
         endZoneRequest(outcome.kind !== 'lost' && outcome.kind !== 'abandoned')
         recordOutcome(state, server, { outcome, loadFactor })
       }
     },
-    trackRelayedRequest: (server) => zoneDetector.trackRequest({ id: server.id, group: server.zone }, expectedMs(server)),
+    trackRelayedRequest: (server, relay) => zoneDetector.trackRequest({ id: server.id, group: server.zone, path: relay }, expectedMs(server)),
+    discardRelay: zoneDetector.discardPath,
+    discardOwnRequests () {
+      zoneDetector.discardPath(DIRECT_PATH)
+      unconfirmedLosses = []
+      for (const state of states.values()) {
+        state.ownInFlight -= state.pending.size
+        state.pending.clear()
+        state.consecutiveLosses = 0
+        state.unresponsiveUntil = 0
+      }
+    },
     applyViews (views, complete = true) {
       for (const [id, view] of views) {
         const state = stateOf(id)
@@ -271,6 +306,16 @@
   }
 }
 
+function isReset (outcome: LoadOutcome): boolean {
+  return outcome.kind === 'failed' && outcome.isReset === true
+}
+
+/** What the outcome shows about the path to the server. */
+function toPathResult (outcome: LoadOutcome): PathResult {
+  if (outcome.kind === 'abandoned') return PathResult.unanswered
+  return outcome.kind === 'lost' || isReset(outcome) ? PathResult.unreachable : PathResult.responded
+}
+
 function emptySample (): ServerState['sample'] {
   return { served: 0, workMs: 0, failed: 0, shed: 0, lost: 0, refused: 0, wanted: 0 }
 }
--- a/src/gateway/server_loads_test.ts
+++ b/src/gateway/server_loads_test.ts
@@ -90,4 +90,44 @@
   assert.ok(Math.abs(loads.workMs(server) - 300) < 30)
 })
 
+// A host without paths to servers must not make the leader take healthy servers for unresponsive.
+test('takeSamples() reports lost requests only when a server has responded since, which shows that this host reaches servers', () => {
+  const loads = createServerLoads(() => 0)
+  const other = { ...server, id: 's1' }
+  for (let request = 0; request < 3; request++) loads.trackRequest(server)({ kind: 'lost', refused: true })
+  loads.trackRequest(other)({ kind: 'failed', isReset: true })
+  assert.is(loads.takeSamples().get('s0')?.lost ?? 0, 0)
+  loads.trackRequest(other)({ kind: 'served', durationMs: 100 })
+  const sample = loads.takeSamples().get('s0')
+  assert.is(sample?.lost, 3)
+  assert.is(sample?.refused, 3)
+})
+
+test('discardOwnRequests() ends what this host\'s requests showed about servers, when it has lost its paths to them', () => {
+  let now = 0
+  const loads = createServerLoads(() => now)
+  const hanging = [server, { ...server, id: 's1' }].map((target) => loads.trackRequest(target))
+  for (let request = 0; request < 2; request++) loads.trackRequest(server)({ kind: 'lost', refused: false })
+  now = 600
+  assert.is(loads.isUnresponsive(server), true)
+  loads.discardOwnRequests()
+  assert.is(loads.isUnresponsive(server), false)
+  assert.is(loads.inFlight('s0'), 0)
+  assert.is(loads.takeSamples().size, 0)
+  for (const end of hanging) end({ kind: 'abandoned', durationMs: 1000 })
+  assert.is(loads.inFlight('s0'), 0)
+  loads.trackRequest(server)({ kind: 'served', durationMs: 100 })
+  assert.is(loads.takeSamples().get('s0')?.lost, 0)
+})
+
+test('isUnresponsive() returns false for the servers of a zone, when the relay that did not respond reaches no server', () => {
+  let now = 0
+  const loads = createServerLoads(() => now, () => 100)
+  for (const id of ['s0', 's1', 's2']) loads.trackRelayedRequest({ ...server, id }, 'relay-1')
+  now = 500
+  assert.is(loads.isUnresponsive(server), true)
+  loads.discardRelay('relay-1')
+  assert.is(loads.isUnresponsive(server), false)
+})
+
 test.run()
--- /dev/null
+++ b/src/reachability/mod.ts
@@ -0,0 +1,3 @@
+/** Whether this host reaches backend servers directly. */
+export * from './connect_probe.ts'
+export * from './reachability_monitor.ts'
--- a/src/replication/leader_connection.ts
+++ b/src/replication/leader_connection.ts
@@ -10,6 +10,8 @@
   readonly zone: string
   /** Returns this host's relay address and weight, or `null` if it is about to stop. */
   readonly relay: () => RelayHost | null
+  /** Whether this host reaches no server. */
+  readonly isIsolated: () => boolean
   readonly logger: Logger
   readonly now: () => number
   /** Returns the version of the cached configuration and the digest of the cached list of servers. */
@@ -59,7 +61,7 @@
     opened.setTimeout(CONNECT_TIMEOUT_MS, () => { opened.destroy(new Error('No message from the leader within the timeout')) })
     opened.on('connect', () => {
       opened.setTimeout(INACTIVITY_TIMEOUT_MS)
-      writeMessage(opened, { kind: 'hello', host: options.host, zone: options.zone, relay: options.relay(), ...options.cachedVersions() })
+      writeMessage(opened, { kind: 'hello', host: options.host, zone: options.zone, relay: options.relay(), isolated: options.isIsolated(), ...options.cachedVersions() })
     })
     opened.on('error', (error: NodeJS.ErrnoException) => {
       if (error.code === 'ECONNREFUSED') options.onConnectionRefused(target)
--- a/src/replication/messages.ts
+++ b/src/replication/messages.ts
@@ -35,8 +35,10 @@
 
 /** Message to the leading host. */
 export type Report =
-  /** First message. `version` is the version of the host's configuration and `servers` the digest of its list of servers, so that data it already has is not sent; `relay` is its relay address and weight. */
-  | { readonly kind: 'hello', readonly host: string, readonly zone: string, readonly version: number, readonly servers: string, readonly relay: RelayHost | null }
+  /** First message. `version` is the version of the host's configuration and `servers` the digest of its list of servers, so that data it already has is not sent; `relay` is its relay address and weight, `isolated` whether it reaches no server. */
+  | { readonly kind: 'hello', readonly host: string, readonly zone: string, readonly version: number, readonly servers: string, readonly relay: RelayHost | null, readonly isolated?: boolean }
+  /** The host no longer reaches any server, or does so again. */
+  | { readonly kind: 'reachability', readonly isolated: boolean }
   /** The host has read the store while the leader's own data from it is out of date. */
   | { readonly kind: 'store-reachable' }
   /** The host has claimed the lease of the leader that it reports to. */
--- a/src/replication/peer_server.ts
+++ b/src/replication/peer_server.ts
@@ -15,6 +15,8 @@
   readonly servers: string
   /** Its relay address and weight; `null` if it is about to stop. */
   readonly relay: RelayHost | null
+  /** Whether it reaches no server. */
+  readonly isIsolated: boolean
 }
 
 /** Options of {@link createPeerServer}. */
@@ -24,6 +26,8 @@
   readonly initialUpdates: (host: ConnectedHost) => readonly Update[]
   readonly onReport: (host: ConnectedHost, report: Extract<Report, { readonly kind: 'report' }>) => void
   readonly onHostDisconnected: (host: string) => void
+  /** Called when a host no longer reaches any server. */
+  readonly onHostIsolated: (host: string) => void
   /** Called when a host has read the store while this host's data from it is out of date. */
   readonly onStoreReachable: () => void
   /** Called when a host has claimed the lease that this host held. */
@@ -77,7 +81,7 @@
     readMessages(socket, (message) => {
       const report = message as Report
       if (report.kind === 'hello') {
-        const host = { name: report.host, zone: report.zone, version: report.version, servers: report.servers, relay: report.relay }
+        const host = { name: report.host, zone: report.zone, version: report.version, servers: report.servers, relay: report.relay, isIsolated: report.isolated === true }
         peers.set(socket, host)
         for (const update of options.initialUpdates(host)) if (!socket.destroyed) socket.write(encodeLine(update))
         return
@@ -85,7 +89,10 @@
       const host = peers.get(socket)
       if (host === undefined) return
       if (report.kind === 'leaving') peers.set(socket, { ...host, relay: null })
-      else if (report.kind === 'store-reachable') options.onStoreReachable()
+      else if (report.kind === 'reachability') {
+        peers.set(socket, { ...host, isIsolated: report.isolated })
+        if (report.isolated) options.onHostIsolated(host.name)
+      } else if (report.kind === 'store-reachable') options.onStoreReachable()
       else if (report.kind === 'claimed') options.onLeaseClaimed(report.lease)
       else options.onReport(host, report)
     })
