Hosts that reach no server send requests through hosts that do

Cause: a request knew two ways, directly and through its server's relay, and a host without paths stayed the relay of its servers: requests of all other hosts hung there until they timed out. The class: the way was chosen without asking which hosts reach servers. Change: one place, the relay directory, selects the way. A host that reaches no server reports it to the leader, which publishes only relays that do; such a relay refuses at once, unrun, and the other host goes another way. The requests of an isolated host go through the server's relay, or else another host of its zone, or of any, at most three; long bodies, too. If no host can be asked, it refuses at once; while only new connections fail, open ones are still used. Ruled out: processor time (0.06 of a core in the mean before).

--- a/src/entry_host/create_entry_host.ts
+++ b/src/entry_host/create_entry_host.ts
@@ -118,7 +118,7 @@
   const agent = createServerAgent()
   const relayAgent = new Agent({ keepAlive: true, maxFreeSockets: RELAY_IDLE_CONNECTIONS, scheduling: 'lifo' })
   const relayAddress = `${settings.ip}:${settings.peerPort + 1}`
-  const relays = createRelayDirectory({ host: settings.host, now })
+  const relays = createRelayDirectory({ host: settings.host, now, isolation: reachability.isolation, onRelayLost: loads.discardRelay })
   const holder = `${settings.host}/${process.pid}-${Date.now().toString(36)}-${Math.random().toString(36).slice(2, 8)}`
   const leadership = createLeadership({
     table: options.table, logger, holder, address: `${settings.ip}:${settings.peerPort}`, now, wallClock: () => Date.now()
@@ -236,7 +236,7 @@
     stopsAt: () => stopsAt
   })
   const relay = createRelay({
-    routingState, loads, limits, admission, isRelay: relays.isRelay, agent, names: options.names, now, onEnd (record) { requestLog.write(record, describeRoutingState()) }, stopsAt: () => stopsAt
+    routingState, loads, limits, admission, isRelay: relays.isRelay, isIsolated, agent, names: options.names, now, onEnd (record) { requestLog.write(record, describeRoutingState()) }, stopsAt: () => stopsAt
   })
   const relayServer = createCallerServer({
     limits: RELAY_LIMITS, maximumConnections: settings.sockets, handle: relay.handle, onError: reportConnectionError
--- a/src/gateway/_exchange.ts
+++ b/src/gateway/_exchange.ts
@@ -28,8 +28,8 @@
   mayHaveRun: boolean
   /** Whether the caller has closed its connection. */
   hasCallerLeft: boolean
-  /** Whether all further attempts go to servers directly. */
-  bypassesRelays: boolean
+  /** Relays that did not forward the request. */
+  readonly triedRelays: Set<string>
 }
 
 /** What to do after an attempt. */
--- a/src/gateway/create_gateway.ts
+++ b/src/gateway/create_gateway.ts
@@ -19,7 +19,7 @@
 import type { RequestPermits } from './request_permits.ts'
 import type { RoutingState } from './routing_state.ts'
 import { outcomeLabel, parseKey, toLoadOutcome } from './outcomes.ts'
-import { MAXIMUM_RELAYED_BODY_BYTES, type Relay, type RelaySelector } from './relay_selector.ts'
+import type { PathSelector, Relay } from './relay_selector.ts'
 import type { AttemptRecord, RequestRecord } from './request_record.ts'
 import { sendAttempt, type Attempt, type AttemptOutcome, type SendAttemptOptions } from './send_attempt.ts'
 import type { ServerAdmission, ServerAdmissionQuery } from './server_admission.ts'
@@ -39,8 +39,8 @@
   /** Admission control for requests that this host sends to servers itself. */
   readonly admission: ServerAdmission
   readonly agent: Agent
-  /** Selects the hosts that relay requests to servers. */
-  readonly relays: RelaySelector
+  /** Selects the way of each request to its server. */
+  readonly relays: PathSelector
   /** Agent for the connections to relays. */
   readonly relayAgent: Agent
   readonly names: HeaderNames
@@ -190,10 +190,9 @@
   async function makeAttempt (exchange: Exchange): Promise<AttemptDecision> {
     const server = await findServer(exchange)
     if ('kind' in server) return server
-    // Only its relay knows what a server with a limit gets from all hosts.
-    const isRelayed = !exchange.bypassesRelays && (bodyBytes(exchange.body) <= MAXIMUM_RELAYED_BODY_BYTES || options.limits.limitOf(server) !== null)
-    const relay = isRelayed ? options.relays.select(server) : null
-    return relay === null ? await attemptDirectly(exchange, server) : await attemptThroughRelay(exchange, server, relay)
+    const path = options.relays.select(server, { bodyBytes: bodyBytes(exchange.body), isLimited: options.limits.limitOf(server) !== null, triedRelays: exchange.triedRelays })
+    if (path.kind === 'none') return { kind: 'refuse', reason: 'no-path', retryAfterMs: jitteredRetryAfterMs(exchange, DEFAULT_RETRY_AFTER_MS) }
+    return path.kind === 'direct' ? await attemptDirectly(exchange, server) : await attemptThroughRelay(exchange, server, path.relay)
   }
 
   function admissionQuery (exchange: Exchange, server: RoutedServer): ServerAdmissionQuery {
@@ -252,7 +251,8 @@
     for (const complete of completions) complete(!(outcome.kind === 'lost' || (outcome.kind === 'unsent' && outcome.atRelay === true)))
     recordAttempt(exchange, { server: server.id, outcome, durationMs: now() - sentAt, inFlight: loads.inFlight(server.id), expectedMs, relay: relay.host })
     if (outcome.kind === 'unsent' && outcome.atRelay === true) {
-      exchange.bypassesRelays = true
+      exchange.triedRelays.add(relay.host)
+      if (outcome.isRelayIsolated === true) options.relays.recordIsolated(relay.host)
       return exchange.abort.signal.aborted ? decideOnTimeout(exchange) : { kind: 'retry' }
     }
     return decideNext(exchange, server, outcome)
@@ -362,7 +362,7 @@
     const key = parseKey(request.headers[names.key])
     const abort = new AbortController()
     const exchange: Exchange = {
-      request, response, id, route, service, key, startedAt, deadlineAt: startedAt + timeoutMs, callerDeadlineAt: startedAt + (statedMs ?? timeoutMs), elapsedMs: statedMs === null ? 0 : callerDeadlines.elapsedMs(route.name, statedMs), abort, attempts: [], triedServers: new Set(), body: null, mayHaveRun: false, bypassesRelays: false, hasCallerLeft: false
+      request, response, id, route, service, key, startedAt, deadlineAt: startedAt + timeoutMs, callerDeadlineAt: startedAt + (statedMs ?? timeoutMs), elapsedMs: statedMs === null ? 0 : callerDeadlines.elapsedMs(route.name, statedMs), abort, attempts: [], triedServers: new Set(), body: null, mayHaveRun: false, triedRelays: new Set(), hasCallerLeft: false
     }
     const timer = setTimeout(() => { abort.abort() }, timeoutMs)
     const endWatch = watchDisconnect(request, () => {
--- a/src/gateway/relay_selector.ts
+++ b/src/gateway/relay_selector.ts
@@ -1,4 +1,4 @@
-/** Types and header values that gateways and relays share. */
+/** The ways that a request can take to its server, and header values that gateways and relays share. */
 import type { RoutedServer } from '../routing/mod.ts'
 
 /** A host that forwards requests of other hosts to some servers. */
@@ -12,12 +12,30 @@
   trackRequest (request: string, expectedMs: number): (responded: boolean) => void
 }
 
-/** Selects relays for servers. */
-export interface RelaySelector {
-  /** Returns the relay for a server, or `null` if requests go to the server directly. */
-  select (server: RoutedServer): Relay | null
+/** Way of a request to its server. */
+export type ServerPath =
+  | { readonly kind: 'direct' }
+  | { readonly kind: 'relay', readonly relay: Relay }
+  /** This host reaches no server, and no other host can be asked any more. */
+  | { readonly kind: 'none' }
+
+/** Properties of a request that its way depends on. */
+export interface ServerPathQuery {
+  /** Length of the body, in bytes. */
+  readonly bodyBytes: number
+  /** Whether the server has named a limit: only its relay knows what it gets from all hosts. */
+  readonly isLimited: boolean
+  /** Relays that did not forward the request. */
+  readonly triedRelays: ReadonlySet<string>
+}
+
+/** Selects the way of each request to its server. */
+export interface PathSelector {
+  select (server: RoutedServer, query: ServerPathQuery): ServerPath
   /** Whether this host itself is the server's relay. */
   isRelay (server: RoutedServer): boolean
+  /** Records that a relay reaches no server; it is not selected for some time. */
+  recordIsolated (relay: string): void
 }
 
 /** Headers between a host and its relay. */
@@ -49,6 +67,8 @@
   leaving: 'leaving',
   /** The relay is shutting down, and the request may still be in progress when it stops. */
   stopping: 'stopping',
+  /** The relay reaches no server. */
+  isolated: 'isolated',
   /** The relay does not know the server. */
   unknownServer: 'unknown-server'
 } as const
--- a/src/relay/create_relay.ts
+++ b/src/relay/create_relay.ts
@@ -21,6 +21,8 @@
   readonly admission: ServerAdmission
   /** Whether this host is the server's relay; a host whose list of relays is out of date may ask another one. */
   readonly isRelay: (server: RoutedServer) => boolean
+  /** Whether this host reaches no server. */
+  readonly isIsolated: () => boolean
   /** Connections to servers. */
   readonly agent: Agent
   readonly names: HeaderNames
@@ -131,7 +133,7 @@
     if (outcome.kind === 'answer' || outcome.kind === 'stream') {
       await forwardResponse(response, outcome, { method, closesConnection: false, signal })
     } else if (outcome.kind === 'unsent') {
-      refuse(response, RelayRefusal.unreachable)
+      refuse(response, options.isIsolated() ? RelayRefusal.isolated : RelayRefusal.unreachable)
     } else if (outcome.kind === 'lost') {
       // The other host must not mistake this for a response of the server: the request may have run.
       response.destroy()
@@ -162,6 +164,7 @@
   return {
     async handle (request, response) {
       const server = routingState.server(String(request.headers[names.targetServer]))
+      if (options.isIsolated()) return refuse(response, RelayRefusal.isolated)
       if (server === undefined) return refuse(response, RelayRefusal.unknownServer)
       if (server.leaving) return refuse(response, RelayRefusal.leaving)
       if (now() + Number(request.headers[names.deadlineMs]) > options.stopsAt()) return refuse(response, RelayRefusal.stopping)
--- a/src/relay/create_relay_test.ts
+++ b/src/relay/create_relay_test.ts
@@ -49,7 +49,7 @@
   const limits = createRequestLimits({ now, onChange: () => {} })
   const permits = createRequestPermits({ limits, hostCount: () => 1, now, random: () => 0 })
   const agents = [createServerAgent(), createServerAgent(), new Agent({ keepAlive: true })] as const
-  const relay = createRelay({ routingState: relayState, loads, limits, admission: createServerAdmission({ loads, limits, permits, now }), isRelay: () => true, agent: agents[0], names: TEST_HEADER_NAMES, now, onEnd: () => {}, stopsAt: relayStopsAt })
+  const relay = createRelay({ routingState: relayState, loads, limits, admission: createServerAdmission({ loads, limits, permits, now }), isRelay: () => true, isIsolated: () => false, agent: agents[0], names: TEST_HEADER_NAMES, now, onEnd: () => {}, stopsAt: relayStopsAt })
   const relayServer = createCallerServer({ limits: configuration.limits, maximumConnections: 100, handle: relay.handle, onError: () => {} })
   const relayPort = await listen(relayServer)
   const address = `127.0.0.1:${relayPort}`
@@ -61,7 +61,7 @@
     permits,
     admission: createServerAdmission({ loads: originLoads, limits, permits, now }),
     agent: agents[1],
-    relays: { select: () => ({ host: 'h2', address, trackRequest: () => () => {} }), isRelay: () => false },
+    relays: { select: (_server, { triedRelays }) => triedRelays.size > 0 ? { kind: 'direct' } : { kind: 'relay', relay: { host: 'h2', address, trackRequest: () => () => {} } }, isRelay: () => false, recordIsolated: () => {} },
     relayAgent: agents[2],
     names: TEST_HEADER_NAMES,
     host: 'h1',
--- a/src/relay/relay_directory.ts
+++ b/src/relay/relay_directory.ts
@@ -1,12 +1,17 @@
 /**
- * Chooses the host that relays requests to a server.
+ * Selects the way of each request to its server: directly, or through the host
+ * that relays requests to it.
  *
  * Hosts do not know what other hosts have just sent, and in a large deployment
  * a host sends to a given server so rarely that every request would need a new
  * connection. One relay for each server, in the server's availability zone,
  * reuses its connections and knows all requests in flight at the server.
+ *
+ * A host that reaches no server itself sends everything through other hosts, in
+ * the same order of precedence, so that a server keeps one relay.
  */
-import { createGroupFailureDetector, type Relay, type RelaySelector } from '../gateway/mod.ts'
+import { createGroupFailureDetector, MAXIMUM_RELAYED_BODY_BYTES, type PathSelector, type Relay } from '../gateway/mod.ts'
+import type { Isolation } from '../reachability/mod.ts'
 import { rendezvousRank, type RoutedServer } from '../routing/mod.ts'
 
 /** A host that can relay requests. */
@@ -25,10 +30,20 @@
   readonly host: string
   /** Monotonic time in milliseconds. */
   readonly now: () => number
+  /** Isolation of this host from the servers; `null` if it reaches them. */
+  readonly isolation: () => Isolation | null
+  /** Called when requests through a relay can no longer be expected to get responses. */
+  readonly onRelayLost: (host: string) => void
 }
 
+/** Maximum number of relays that a request of an isolated host is sent to. */
+const MAXIMUM_RELAYS_TRIED = 3
+
+/** Time for which a relay that has refused for want of a path is not selected, in milliseconds: by then the leader has published the hosts that relay. */
+const ISOLATED_RELAY_MS = 1000
+
 /** Relay directory of one host. */
-export interface RelayDirectory extends RelaySelector {
+export interface RelayDirectory extends PathSelector {
   /** Replaces the hosts that can relay requests. */
   setHosts (hosts: readonly RelayHost[]): void
   /** Hosts of an availability zone that can relay requests. */
@@ -46,16 +61,26 @@
   const failureDetector = createGroupFailureDetector(now)
   let byZone = new Map<string, RelayHost[]>()
   let relays = new Map<string, RelayHost | null>()
+  /** Until when a relay counts as reaching no server. */
+  const isolatedUntil = new Map<string, number>()
+
+  /** Lower scores come first: weighted rendezvous hashing, so that a host that joins or leaves changes the relays of few servers. */
+  function score (host: RelayHost, server: RoutedServer): number {
+    return -Math.log(rendezvousRank(host.host, server.id)) / host.weight
+  }
+
+  function isIsolated (host: RelayHost): boolean {
+    return (isolatedUntil.get(host.host) ?? -Infinity) > now()
+  }
 
-  /** Chooses a host by weighted rendezvous hashing, so that a host that joins or leaves changes the relays of few servers. */
-  function selectHost (server: RoutedServer): RelayHost | null {
+  function first (hosts: readonly RelayHost[], server: RoutedServer): RelayHost | null {
     let best: RelayHost | null = null
     let lowestScore = Infinity
-    for (const host of byZone.get(server.zone) ?? []) {
-      const score = -Math.log(rendezvousRank(host.host, server.id)) / host.weight
-      if (score < lowestScore) {
+    for (const host of hosts) {
+      const hostScore = score(host, server)
+      if (hostScore < lowestScore) {
         best = host
-        lowestScore = score
+        lowestScore = hostScore
       }
     }
     return best
@@ -63,28 +88,54 @@
 
   function relayOf (server: RoutedServer): RelayHost | null {
     const cached = relays.get(server.id)
-    if (cached !== undefined) return cached
-    const host = selectHost(server)
+    if (cached !== undefined && (cached === null || !isIsolated(cached))) return cached
+    const host = first((byZone.get(server.zone) ?? []).filter((candidate) => !isIsolated(candidate)), server)
     relays.set(server.id, host)
     return host
   }
 
+  /** The host that relays for an isolated host: the server's relay, or else another host in the server's zone, or else one of any zone. */
+  function helperOf (server: RoutedServer, tried: ReadonlySet<string>): RelayHost | null {
+    if (tried.size >= MAXIMUM_RELAYS_TRIED) return null
+    const isUsable = (host: RelayHost): boolean => host.host !== options.host && !tried.has(host.host) && !isIsolated(host) && !failureDetector.isUnresponsive(host.host)
+    return first((byZone.get(server.zone) ?? []).filter(isUsable), server) ?? first([...byZone.values()].flat().filter(isUsable), server)
+  }
+
+  function toRelay (host: RelayHost): Relay {
+    return {
+      host: host.host,
+      address: host.address,
+      trackRequest: (request, expectedMs) => failureDetector.trackRequest({ id: request, group: host.host }, expectedMs)
+    }
+  }
+
   return {
     setHosts (hosts) {
+      const present = new Set(hosts.map(({ host }) => host))
+      for (const { host } of [...byZone.values()].flat()) if (!present.has(host)) options.onRelayLost(host)
       byZone = new Map()
       relays = new Map()
       for (const host of hosts) byZone.set(host.zone, [...byZone.get(host.zone) ?? [], host])
     },
     hostsIn: (zone) => byZone.get(zone) ?? [],
+    recordIsolated (host) {
+      isolatedUntil.set(host, now() + ISOLATED_RELAY_MS)
+      relays = new Map()
+      options.onRelayLost(host)
+    },
     isRelay: (server) => relayOf(server)?.host === options.host,
-    select (server): Relay | null {
-      const host = relayOf(server)
-      if (host === null || host.host === options.host || failureDetector.isUnresponsive(host.host)) return null
-      return {
-        host: host.host,
-        address: host.address,
-        trackRequest: (request, expectedMs) => failureDetector.trackRequest({ id: request, group: host.host }, expectedMs)
+    select (server, { bodyBytes, isLimited, triedRelays }) {
+      const isolation = options.isolation()
+      if (isolation !== null) {
+        const helper = helperOf(server, triedRelays)
+        if (helper !== null) return { kind: 'relay', relay: toRelay(helper) }
+        // While only new connections fail, those that are open may still carry requests.
+        return { kind: isolation.isSilent ? 'none' : 'direct' }
       }
+      if (triedRelays.size > 0 || (bodyBytes > MAXIMUM_RELAYED_BODY_BYTES && !isLimited)) return { kind: 'direct' }
+      const host = relayOf(server)
+      if (host === null || host.host === options.host || failureDetector.isUnresponsive(host.host)) return { kind: 'direct' }
+      return { kind: 'relay', relay: toRelay(host) }
     }
   }
 }
--- a/src/relay/request_limit_test.ts
+++ b/src/relay/request_limit_test.ts
@@ -13,7 +13,7 @@
 import { TEST_CONFIGURATION } from '../../testing/with_gateway.ts'
 import { createRetryBudget } from '../dispatch/retry_budget.ts'
 import {
-  createCallerServer, createGateway, createRequestLimits, createRequestPermits, createRoutingState, createServerAdmission, createServerAgent, createServerLoads, type RelaySelector
+  createCallerServer, createGateway, createRequestLimits, createRequestPermits, createRoutingState, createServerAdmission, createServerAgent, createServerLoads, type PathSelector
 } from '../gateway/mod.ts'
 import type { RoutedServer } from '../routing/mod.ts'
 import { createRelay } from './create_relay.ts'
@@ -45,7 +45,7 @@
 interface TestHost { readonly callerPort: number, readonly relayAddress: string, close (): void }
 
 /** Starts a host with a listener for callers and one for other hosts. */
-async function startHost (name: string, { server, relays }: { readonly server: RoutedServer, readonly relays: RelaySelector }): Promise<TestHost> {
+async function startHost (name: string, { server, relays }: { readonly server: RoutedServer, readonly relays: PathSelector }): Promise<TestHost> {
   const routingState = createRoutingState()
   routingState.applyConfiguration({ ...TEST_CONFIGURATION, services: TEST_CONFIGURATION.services.map((service) => ({ ...service, keyed: true })) })
   routingState.setServers([server])
@@ -56,7 +56,7 @@
   const admission = createServerAdmission({ loads, limits, permits, now })
   const [agent, relayAgent] = [createServerAgent(), new Agent({ keepAlive: true })]
   const budget = createRetryBudget({ share: 0, maximum: 5 })
-  const shared = { routingState, loads, limits, permits, admission, isRelay: relays.isRelay, agent, names: TEST_HEADER_NAMES, now }
+  const shared = { routingState, loads, limits, permits, admission, isRelay: relays.isRelay, isIsolated: () => false, agent, names: TEST_HEADER_NAMES, now }
   const gateway = createGateway({ ...shared, relays, relayAgent, host: name, zone: 'a', retryBudgetOf: () => budget, random: Math.random, onKeyRequested: () => {}, onRequestEnd: () => {}, isLeaving: () => false, stopsAt: () => Infinity })
   const relay = createRelay({ ...shared, onEnd: () => {}, stopsAt: () => Infinity })
   const [callerServer, relayServer] = [gateway, relay].map(({ handle }) => createCallerServer({ limits: TEST_CONFIGURATION.limits, maximumConnections: 1000, handle, onError: () => {} }))
@@ -95,10 +95,10 @@
   }
   const backend = await createFakeBackend('s0', respond)
   const server = { ...backend.server, slots: 100 }
-  const relay = await startHost('relay', { server, relays: { select: () => null, isRelay: () => true } })
-  const viaRelay: RelaySelector = { select: () => ({ host: 'relay', address: relay.relayAddress, trackRequest: () => () => {} }), isRelay: () => false }
+  const relay = await startHost('relay', { server, relays: { select: () => ({ kind: 'direct' }), isRelay: () => true, recordIsolated: () => {} } })
+  const viaRelay: PathSelector = { select: (_server, { triedRelays }) => triedRelays.size > 0 ? { kind: 'direct' } : { kind: 'relay', relay: { host: 'relay', address: relay.relayAddress, trackRequest: () => () => {} } }, isRelay: () => false, recordIsolated: () => {} }
   const hosts = [relay, ...await Promise.all(['h1', 'h2'].map(async (name) => await startHost(name, { server, relays: viaRelay })))]
-  for (let direct = 0; direct < directHosts; direct++) hosts.push(await startHost(`direct${direct}`, { server, relays: { select: () => null, isRelay: () => false } }))
+  for (let direct = 0; direct < directHosts; direct++) hosts.push(await startHost(`direct${direct}`, { server, relays: { select: () => ({ kind: 'direct' }), isRelay: () => false, recordIsolated: () => {} } }))
   try {
     const served = await sendLoad(hosts.map((host) => host.callerPort), { perSecond: 120, forMs: WINDOW_MS + LIMIT_DELAY_MS + 500, ...(body === undefined ? {} : { body }) })
     const limitedFrom = (arrivals[0] ?? 0) + LIMIT_DELAY_MS
--- a/src/replication/peer_server.ts
+++ b/src/replication/peer_server.ts
@@ -42,7 +42,7 @@
   /** Closes all connections; the hosts then look for the leader again. */
   disconnect (): void
   hosts (): string[]
-  /** Connected hosts that relay requests. */
+  /** Connected hosts that relay requests: they reach servers and are not about to stop. */
   relays (): RelayHost[]
 }
 
@@ -109,6 +109,6 @@
     },
     disconnect () { for (const [socket] of [...peers]) closeConnection(socket) },
     hosts: () => [...peers.values()].map((host) => host.name),
-    relays: () => [...peers.values()].flatMap((host) => host.relay ?? [])
+    relays: () => [...peers.values()].flatMap((host) => host.isIsolated ? [] : host.relay ?? [])
   }
 }
--- a/testing/with_gateway.ts
+++ b/testing/with_gateway.ts
@@ -4,7 +4,7 @@
 import { createRetryBudget } from '../src/dispatch/retry_budget.ts'
 import { createCallerServer } from '../src/gateway/caller_server.ts'
 import { createGateway } from '../src/gateway/create_gateway.ts'
-import type { RelaySelector } from '../src/gateway/relay_selector.ts'
+import type { PathSelector } from '../src/gateway/relay_selector.ts'
 import type { RequestRecord } from '../src/gateway/request_record.ts'
 import { createRequestLimits } from '../src/gateway/request_limits.ts'
 import { createRequestPermits } from '../src/gateway/request_permits.ts'
@@ -46,7 +46,7 @@
   /** Retries that the budget holds. Default: 5. */
   readonly retries?: number
   /** Default: no relays. */
-  readonly relays?: RelaySelector
+  readonly relays?: PathSelector
   /** When the host stops. Default: never. */
   readonly stopsAt?: () => number
 }
@@ -71,7 +71,7 @@
   const permits = createRequestPermits({ limits, hostCount: () => 1, now, random: () => 0 })
   const budget = createRetryBudget({ share: 0, maximum: options.retries ?? 5 })
   const gateway = createGateway({
-    routingState, loads, limits, permits, admission: createServerAdmission({ loads, limits, permits, now }), agent, relays: options.relays ?? { select: () => null, isRelay: () => true }, relayAgent: agent, names: TEST_HEADER_NAMES, host: 'h1', zone: 'a', retryBudgetOf: () => budget, now, random: () => 0, onKeyRequested: () => {}, onRequestEnd: (record) => { records.push(record) }, isLeaving: () => false, stopsAt: () => options.stopsAt?.() ?? Infinity
+    routingState, loads, limits, permits, admission: createServerAdmission({ loads, limits, permits, now }), agent, relays: options.relays ?? { select: () => ({ kind: 'direct' }), isRelay: () => true, recordIsolated: () => {} }, relayAgent: agent, names: TEST_HEADER_NAMES, host: 'h1', zone: 'a', retryBudgetOf: () => budget, now, random: () => 0, onKeyRequested: () => {}, onRequestEnd: (record) => { records.push(record) }, isLeaving: () => false, stopsAt: () => options.stopsAt?.() ?? Infinity
   })
   const server: Server = createCallerServer({ limits: TEST_CONFIGURATION.limits, maximumConnections: 100, handle: gateway.handle, onError: () => {} })
   await new Promise<void>((resolve) => { server.listen(0, '127.0.0.1', resolve) })
