A leader that reaches no server hands leadership over

What callers saw: with the leader among the hosts that were cut, keys lost their owners. Cause: grants are sent by the leader alone, and it gave up its lease only for the store's sake. What it could not reach it took for unresponsive servers, and planned their keys elsewhere. Change: an isolated leader that has a connected host which reaches servers releases its lease, as in a planned stop; isolated hosts claim a free lease only if no other host does; outcomes of grants count as evidence on paths, and no server is suspected while the leader may be isolated, nor at once when it is no longer. If all hosts are isolated the leader stays: no flapping. Ruled out: sending grants through other hosts (a second sender of grants, and a way for late ones).

--- a/src/entry_host/create_coordinator.ts
+++ b/src/entry_host/create_coordinator.ts
@@ -30,6 +30,8 @@
   readonly maximumGrantDurationMs: number
   /** Whether most of the hosts that reported before the store stopped responding still report. If not, the cause is a network partition and not the store. */
   readonly isMajorityReporting: () => boolean
+  /** Since when this host certainly reaches servers; monotonic time in milliseconds, `Infinity` while it may not. Default: always. */
+  readonly reachesServersSince?: () => number
   readonly publish: (update: Update) => void
   /** Applies changes of owners to this host's own routing state. */
   readonly onOwnerChanges: (service: string, changes: readonly OwnerChange[]) => void
@@ -122,6 +124,7 @@
       maximumGrantDurationMs: options.maximumGrantDurationMs,
       previousGrants: leadership.previousGrants(),
       unlistedGrantsMadeUntil: unlistedGrantsMadeUntil(recorded, isStored),
+      reachesServersSince: options.reachesServersSince,
       nextToken,
       publish (changes) {
         if (!active) return
--- a/src/entry_host/create_entry_host.ts
+++ b/src/entry_host/create_entry_host.ts
@@ -16,6 +16,7 @@
 import { createPeerServer, createLeaderConnection, type Update } from '../replication/mod.ts'
 import { listen, pause } from './_listen.ts'
 import { TaskTiming } from './_task_timing.ts'
+import { trackControl } from './_tracked_control.ts'
 import { createCoordinator } from './create_coordinator.ts'
 import { createHostReportTracker } from './host_report_tracker.ts'
 import { createLeadershipController } from './create_leadership_controller.ts'
@@ -110,6 +111,7 @@
     zone: settings.zone, servers: routingState.servers, probe: createConnectProbe(TaskTiming.probeTimeoutMs), now, random: Math.random, onChange: onReachabilityChange
   })
   const isIsolated = (): boolean => reachability.isolation() !== null
+  const reachesServersSince = (): number => reachability.isTrusted() ? reachability.trustedSince() : Infinity
   const loads = createServerLoads(now, routingState.assumedWorkMs, reachability)
   const budgets = createRetryBudgets({ ratio: settings.retryRatio, slack: settings.retrySlack })
   const limits = createRequestLimits({ now, onChange: createLimitLog(logger) })
@@ -135,9 +137,10 @@
     routingState,
     leadership,
     table: options.table,
-    control: options.control,
+    control: trackControl(options.control, reachability),
     logger,
     now,
+    reachesServersSince,
     maximumGrantDurationMs: Math.min(settings.maximumGrantDurationMs, OUTAGE_GRANT_DURATION_MS),
     isMajorityReporting: hostReportTracker.isMajorityReporting,
     publish: (update) => { peerServer.publish(update) },
@@ -208,6 +211,7 @@
     leaderMonitor,
     logger,
     isLeaving: () => leaving,
+    isIsolated,
     now
   })
 
@@ -318,6 +322,7 @@
   const timers = [
     setInterval(() => { coordinator.tick() }, TaskTiming.grantIntervalMs),
     setInterval(() => { reachability.check().catch(reportFailure) }, TaskTiming.reachabilityIntervalMs),
+    setInterval(() => { leadershipController.releaseIfIsolated().catch(reportFailure) }, TaskTiming.isolatedLeaderIntervalMs),
     setInterval(() => { renewLease().catch(reportFailure) }, TaskTiming.loadIntervalMs),
     setInterval(() => {
       loopDelayMonitor.recordTick()
--- a/src/entry_host/create_leadership_controller.ts
+++ b/src/entry_host/create_leadership_controller.ts
@@ -30,7 +30,7 @@
   readonly leadership: Leadership
   readonly coordinator: Coordinator
   readonly statePublisher: StatePublisher
-  readonly peerServer: Pick<PeerServer, 'disconnect' | 'publish'>
+  readonly peerServer: Pick<PeerServer, 'disconnect' | 'publish' | 'relays'>
   readonly leaderConnection: Pick<LeaderConnection, 'follow' | 'send'>
   /** Name and availability zone of this host. */
   readonly host: string
@@ -40,6 +40,8 @@
   readonly leaderMonitor: LeaderMonitor
   readonly logger: Logger
   readonly isLeaving: () => boolean
+  /** Whether this host reaches no server; it then leads only if no other host claims the lease. */
+  readonly isIsolated: () => boolean
   /** Monotonic time in milliseconds. */
   readonly now: () => number
 }
@@ -62,11 +64,16 @@
   run (signal: AbortSignal): Promise<void>
   /** Gives up leadership and releases the lease, if this host leads. */
   release (): Promise<void>
+  /** Gives up leadership if this host reaches no server and another host does: only the leader sends grants. */
+  releaseIfIsolated (): Promise<void>
 }
 
 /** Delay before a small host claims the lease, in milliseconds: larger hosts have claimed it by then. */
 const SMALL_HOST_CLAIM_DELAY_MS = 1200
 
+/** Delay before a host that reaches no server claims the lease, in milliseconds: hosts that reach servers, small ones included, have claimed it by then. */
+const ISOLATED_HOST_CLAIM_DELAY_MS = 1800
+
 /** Factor by which the pause grows after each failed read. */
 const BACKOFF_FACTOR = 1.6
 
@@ -106,6 +113,19 @@
     if (!leading && successor !== null && successor.holder !== holder && !successor.released) leaderConnection.follow(successor.address)
   }
 
+  /** Time for which this host lets others claim a free lease first, in milliseconds. */
+  function claimPrecedenceMs (): number {
+    if (options.isIsolated()) return ISOLATED_HOST_CLAIM_DELAY_MS
+    return options.isSmall ? SMALL_HOST_CLAIM_DELAY_MS : 0
+  }
+
+  async function release (): Promise<void> {
+    if (!leading) return
+    handOver()
+    await leadership.release(coordinator.remainingGrantDurationsMs())
+    peerServer.publish({ kind: 'resigned', holder })
+  }
+
   async function tryToClaim (): Promise<void> {
     // A restored lease may name an earlier holder than the one whose heartbeats arrive.
     const isHolderResponding = leadership.isLeaseRestored() ? leaderMonitor.isReceiving() : leaderMonitor.isRespondingAt(leadership.lease()?.address)
@@ -114,7 +134,7 @@
       return
     }
     claimableSince ??= now()
-    if (options.isSmall && now() - claimableSince < SMALL_HOST_CLAIM_DELAY_MS) return
+    if (now() - claimableSince < claimPrecedenceMs()) return
     if (!await leadership.claim()) return
     // The last leader may have resigned; it then still has connections to all hosts.
     const lease = leadership.observedLease()
@@ -162,6 +182,7 @@
   function leavesReadingToOthers (): boolean {
     const holder = leadership.lease()?.holder
     if (holder === undefined || !leaderMonitor.isReceiving() || leaderMonitor.staleMs() > TaskTiming.readerPrecedenceMs) return false
+    if (options.isIsolated()) return true
     return !isStoreReader(options.host, { candidates: options.relays.hostsIn(options.zone).map((relay) => relay.host), subject: holder })
   }
 
@@ -229,11 +250,11 @@
         }
       }
     },
-    async release () {
-      if (!leading) return
-      handOver()
-      await leadership.release(coordinator.remainingGrantDurationsMs())
-      peerServer.publish({ kind: 'resigned', holder })
+    release,
+    async releaseIfIsolated () {
+      if (!leading || !options.isIsolated() || leadership.isStoreUnavailable() || peerServer.relays().length === 0) return
+      logger.warn({ reachable: peerServer.relays().length }, 'leader-isolated')
+      await release()
     }
   }
 }
--- a/src/entry_host/create_leadership_controller_test.ts
+++ b/src/entry_host/create_leadership_controller_test.ts
@@ -24,6 +24,8 @@
   /** Kinds of the messages that were sent to the leader, and published as the leader. */
   readonly sent: string[]
   readonly published: string[]
+  /** Sets whether this host reaches no server. */
+  setIsolated (isIsolated: boolean): void
   /** Makes the store refuse the writes of this host from now on. */
   failWrites (): void
   /** Sets the age of what this host has read from the store, in milliseconds. */
@@ -45,7 +47,8 @@
   }
 }
 
-function createHost (rows: Map<string, TableRow>, options: { readonly isSmall?: boolean, readonly isFirstStart?: boolean, readonly hostsInZone?: readonly string[], readonly storeAgeMs?: number } = {}): Host {
+function createHost (rows: Map<string, TableRow>, options: { readonly isSmall?: boolean, readonly isFirstStart?: boolean, readonly hostsInZone?: readonly string[], readonly storeAgeMs?: number, readonly reachableHosts?: readonly string[] } = {}): Host {
+  let isIsolated = false
   let failsWrites = false
   let storeAgeMs = options.storeAgeMs ?? 0
   const table = createTable(rows, () => failsWrites)
@@ -82,7 +85,7 @@
     leadership,
     coordinator,
     statePublisher,
-    peerServer: { disconnect: () => {}, publish (update) { published.push(update.kind) } },
+    peerServer: { disconnect: () => {}, publish (update) { published.push(update.kind) }, relays: () => (options.reachableHosts ?? []).map((name) => ({ host: name, zone: 'a', address: `${name}:2`, weight: 1 })) },
     leaderConnection: {
       follow (address) {
         followed.push(address)
@@ -97,9 +100,10 @@
     relays: { hostsIn: () => (options.hostsInZone ?? []).map((host) => ({ host, zone: 'a', address: `${host}:2`, weight: 1 })) },
     logger,
     isLeaving: () => false,
+    isIsolated: () => isIsolated,
     now
   })
-  return { leadershipController, leaderMonitor, reads, followed, sent, published, failWrites () { failsWrites = true }, setStoreAge (ageMs) { storeAgeMs = ageMs } }
+  return { leadershipController, leaderMonitor, reads, followed, sent, published, failWrites () { failsWrites = true }, setIsolated (value) { isIsolated = value }, setStoreAge (ageMs) { storeAgeMs = ageMs } }
 }
 
 async function runFor (host: Host, lengthMs: number): Promise<void> {
@@ -280,6 +284,37 @@
   assert.is(host.followed.at(-1), 'h2:1')
 })
 
+// Guards against a leader that goes on leading although its grants reach no server: keys lose their owners.
+test('releaseIfIsolated() hands leadership over at once, when this host reaches no server and another one does', async () => {
+  const rows = new Map<string, TableRow>()
+  const host = createHost(rows, { reachableHosts: ['h2'] })
+  await runFor(host, 50)
+  await host.leadershipController.releaseIfIsolated()
+  assert.ok(host.leadershipController.isLeading())
+  host.setIsolated(true)
+  await host.leadershipController.releaseIfIsolated()
+  assert.not(host.leadershipController.isLeading())
+  assert.equal(host.published, ['resigned'])
+  assert.equal(rows.get(LEASE_KEY)?.value, { holder: 'h1/1', address: 'h1:1', released: true, holdsMs: { 'i-1': 900 }, era: 1 })
+})
+
+test('releaseIfIsolated() leads on, when no other host reaches servers either', async () => {
+  const host = createHost(new Map())
+  await runFor(host, 50)
+  host.setIsolated(true)
+  await host.leadershipController.releaseIfIsolated()
+  assert.ok(host.leadershipController.isLeading())
+})
+
+test('run() claims a free lease only when no other host has claimed it for some time, when this host reaches no server', async () => {
+  const host = createHost(new Map([[LEASE_KEY, { key: LEASE_KEY, era: 1, revision: 3, value: { ...LEASE_OF_H2, released: true } }]]))
+  host.setIsolated(true)
+  await runFor(host, 1000)
+  assert.not(host.leadershipController.isLeading())
+  await runFor(host, 2000)
+  assert.ok(host.leadershipController.isLeading())
+})
+
 test('isStoreReader() chooses two hosts of each zone, and others for another leader', () => {
   const readers = (subject: string): string[] => HOSTS_IN_ZONE.filter((host) => isStoreReader(host, { candidates: HOSTS_IN_ZONE, subject }))
   const chosen = new Set<string>()
--- a/src/ownership/_unresponsive_servers.ts
+++ b/src/ownership/_unresponsive_servers.ts
@@ -13,6 +13,8 @@
   readonly now: () => number
   /** Time between two probes of a server, in milliseconds. */
   readonly probeIntervalMs: number
+  /** Since when this host certainly reaches servers; monotonic time in milliseconds, `Infinity` while it may not. */
+  readonly reachesServersSince: () => number
 }
 
 /** Servers that do not respond. */
@@ -40,7 +42,8 @@
 
   function isSuspect (id: string): boolean {
     const entry = unresponsive.get(id)
-    return entry !== undefined && now() - entry.since >= SUSPECT_TIMEOUT_MS
+    // A host without paths to servers gets no response from any of them.
+    return entry !== undefined && now() - Math.max(entry.since, options.reachesServersSince()) >= SUSPECT_TIMEOUT_MS
   }
 
   return {
--- a/src/ownership/range_controller.ts
+++ b/src/ownership/range_controller.ts
@@ -48,6 +48,8 @@
   readonly mayGrant: () => boolean
   /** Whether the store does not respond, so that grants should outlast this host's lease. */
   readonly isStoreUnavailable: () => boolean
+  /** Since when this host certainly reaches servers; monotonic time in milliseconds, `Infinity` while it may not. Default: always. */
+  readonly reachesServersSince?: () => number
   /** Returns a fencing token above all that were used before. */
   readonly nextToken: () => number
   /** Publishes changed owners to the hosts. */
@@ -102,7 +104,7 @@
   const { control, logger, now, service } = options
   const servers = new Map<string, RoutedServer>()
   const departed = new Map<string, RoutedServer>()
-  const unresponsive = createUnresponsiveServers({ service, logger, now, probeIntervalMs: GrantTiming.retryDelayMs })
+  const unresponsive = createUnresponsiveServers({ service, logger, now, probeIntervalMs: GrantTiming.retryDelayMs, reachesServersSince: options.reachesServersSince ?? (() => -Infinity) })
   const calls = createServerCalls(unresponsive.has)
   const earlierGrants = createEarlierGrants(options)
   let ranges: Range[] = recorded.map((range) => restoreRange(range, { grantExpiry: earlierGrants.expiryOf, unknownGrantsUntil: isComplete() ? 0 : earlierGrants.unlistedUntil }))
