A response of a server that says it is leaving counts like its entry

Cause: only the store's list could make a server leaving; the header Server-Leaving was read nowhere. Change: one record of the runs that are leaving, fed by the list and by valid responses of any status, direct or relayed; server() and availableServers() ask it, so every way does: first attempts, retries, waiting for an owner, and requests relayed for other hosts. The host notifies the leader at once, and again when it connects; the leader changes its list, moves the keys with their handover and publishes. A key whose owner has been leaving for 2 s is refused at once. Responses that are not valid for their attempt, and those with status 421, which come from another server, count for nothing.

--- a/soak/backend.ts
+++ b/soak/backend.ts
@@ -21,6 +21,8 @@
   readonly server: Server
   /** Monotonic time after which the server must get no new requests, in milliseconds; Infinity while the server is listed as ready. */
   drainDeadline: number
+  /** Whether it says in its responses that it is leaving. */
+  saysLeaving: boolean
   /** How it spoils some of its responses; `null` if it does not. */
   responseFault: ResponseFault | null
   /** Requests per second that it names as its limit; `null` if it names none. */
@@ -138,8 +140,8 @@
     const attempt = String(request.headers['gooseberryfold-attempt-id'])
     const key = Number(request.headers['gooseberryfold-shard-key'])
     backend.arrivals.push(now())
-    const limit: Readonly<Record<string, string>> = backend.limitPerSecond === null ? {} : { 'Server-Limit': String(backend.limitPerSecond) }
-    const notRun = { 'Gooseberryfold-Attempt-Id': attempt, 'Gooseberryfold-Not-Executed': '1', ...limit }
+    const stated: Readonly<Record<string, string>> = { ...backend.limitPerSecond === null ? {} : { 'Server-Limit': String(backend.limitPerSecond) }, ...backend.saysLeaving ? { 'Server-Leaving': '1' } : {} }
+    const notRun = { 'Gooseberryfold-Attempt-Id': attempt, 'Gooseberryfold-Not-Executed': '1', ...stated }
     if (backend.checksCallersLeft && checker.leftSinceMs(attempt) > CALLER_LEFT_BOUND_MS) checker.reportViolation(Guarantees.callersLeft, `${id} gets ${attempt} ${Math.round(checker.leftSinceMs(attempt))} ms after its caller left`)
     if (request.headers['gooseberryfold-target-instance'] !== id || (options.keyed && !isKeyGranted(key))) {
       response.writeHead(421, notRun).end()
@@ -157,7 +159,7 @@
       const workMs = backend.longWorkShare > 0 && options.random() < backend.longWorkShare ? LONG_WORK_MS : WORK_MS.minimum + options.random() * (WORK_MS.maximum - WORK_MS.minimum)
       await new Promise((resolve) => { setTimeout(resolve, workMs) })
       runningRequests.set(key, (runningRequests.get(key) ?? 1) - 1)
-      const headers = { 'Gooseberryfold-Attempt-Id': attempt, 'Gooseberryfold-Backend-Signature': `signed-${id}`, ...limit }
+      const headers = { 'Gooseberryfold-Attempt-Id': attempt, 'Gooseberryfold-Backend-Signature': `signed-${id}`, ...stated }
       if (backend.responseFault !== null && options.spoilRandom() < SPOILED_SHARE) sendSpoiledResponse(response, backend.responseFault, { headers, body: `done ${attempt}` })
       else response.writeHead(200, headers).end(`done ${attempt}`)
     } finally {
@@ -180,6 +182,7 @@
     id,
     keyed: options.keyed,
     drainDeadline: Infinity,
+    saysLeaving: false,
     responseFault: null,
     limitPerSecond: null,
     arrivals: [],
--- a/soak/recovery_checks.ts
+++ b/soak/recovery_checks.ts
@@ -10,6 +10,9 @@
 /** Time after which a draining server must get no new requests, in milliseconds: the platform's bound plus the store's response time. */
 const DRAIN_MS = 2200
 
+/** Time after which a server that says in its responses that it is leaving must get no new requests, in milliseconds: the platform's bound after the first response, which comes within a second. */
+const SAID_LEAVING_MS = 3000
+
 /** Time between the stop signals to two hosts, in milliseconds: short enough that their shutdowns overlap. */
 const STOP_INTERVAL_MS = 400
 
@@ -50,6 +53,7 @@
   if (share < MINIMUM_SERVED_SHARE) environment.checker.reportViolation(Guarantees.served, `${Math.round(share * 100)} % of ${sent} requests are served ${RECOVERY_MS} ms after the last fault`)
   await checkCallersLeft(environment)
   await checkLimit(environment)
+  await checkSaidLeaving(environment)
   await checkDraining(environment)
   await checkGracefulShutdown(environment)
 }
@@ -96,6 +100,21 @@
   }))
 }
 
+/** Checks without other faults that a server gets no new requests some time after it has said in its responses that it is leaving, while its entry says that it is ready. */
+async function checkSaidLeaving (environment: Environment): Promise<void> {
+  const backend = pickRandom(environment, environment.backends)
+  backend.saysLeaving = true
+  // Each host sends a request within this time, or learns it from the leader.
+  await pause(SAID_LEAVING_MS)
+  backend.drainDeadline = performance.now()
+  await pause(DRAIN_MS)
+  backend.drainDeadline = Infinity
+  backend.saysLeaving = false
+  // Another run of the server.
+  writeServerEntry(environment, backend, { state: 'draining' })
+  writeServerEntry(environment, backend, { state: 'ready' })
+}
+
 /** Checks without other faults that a draining server gets no new requests after its drain deadline. */
 async function checkDraining (environment: Environment): Promise<void> {
   const backend = pickRandom(environment, environment.backends)
--- a/src/entry_host/create_entry_host.ts
+++ b/src/entry_host/create_entry_host.ts
@@ -11,6 +11,7 @@
 import type { Logger } from '../logging/mod.ts'
 import type { ServerControl } from '../ownership/mod.ts'
 import type { TableService } from '../ports/mod.ts'
+import type { RoutedServer } from '../routing/mod.ts'
 import { createConnectProbe, createReachabilityMonitor, type Isolation } from '../reachability/mod.ts'
 import { createRelay, createRelayDirectory } from '../relay/mod.ts'
 import { createPeerServer, createLeaderConnection, type Update } from '../replication/mod.ts'
@@ -106,7 +107,7 @@
 export async function createEntryHost (options: EntryHostOptions): Promise<EntryHost> {
   const { settings, logger } = options
   const now = (): number => performance.now()
-  const routingState = createRoutingState()
+  const routingState = createRoutingState({ now, onLeaving: onServerLeaving })
   const reachability = createReachabilityMonitor({
     zone: settings.zone, servers: routingState.servers, probe: createConnectProbe(TaskTiming.probeTimeoutMs), now, random: Math.random, onChange: onReachabilityChange
   })
@@ -158,6 +159,7 @@
     },
     onHostDisconnected: coordinator.onHostLeft,
     onHostIsolated: coordinator.onHostIsolated,
+    onServerLeaving: routingState.recordLeaving,
     onStoreReachable () { leadershipController.onStoreReachable().catch(reportFailure) },
     onLeaseClaimed (lease) { leadershipController.onLeaseClaimed(lease) }
   })
@@ -168,7 +170,7 @@
     isIsolated,
     logger,
     now,
-    cachedVersions: () => ({ version: routingState.configuration()?.version ?? 0, servers: routingState.serversDigest() }),
+    cachedVersions: () => ({ version: routingState.configuration()?.version ?? 0, servers: routingState.serversDigest(), leaving: routingState.unlistedLeaving() }),
     onUpdate,
     onConnectionRefused (address) { leadershipController.recordProcessAt(address, null) }
   })
@@ -180,13 +182,9 @@
     leadership,
     logger,
     now,
+    isLeading: () => leadershipController.isLeading(),
     onConfigurationChanged: applyConfiguration,
-    onServersChanged () {
-      if (!leadershipController.isLeading()) return
-      coordinator.onServersChanged()
-      statePublisher.publishChanges()
-      coordinator.plan().catch(reportFailure)
-    }
+    onServersChanged
   })
 
   const statePublisher = createStatePublisher({
@@ -264,6 +262,23 @@
     response.writeHead(routingState.routes() !== null && !leaving ? 200 : 503, { 'Content-Length': '0' }).end()
   })
 
+  /** As the leader, plans for the changed list of servers and publishes it. */
+  function onServersChanged (): void {
+    if (!leadershipController.isLeading()) return
+    coordinator.onServersChanged()
+    statePublisher.publishChanges()
+    coordinator.plan().catch(reportFailure)
+  }
+
+  /** A response, here or at another host, has shown that a server is leaving: the leader moves its keys and notifies all hosts. */
+  function onServerLeaving (server: RoutedServer): void {
+    logger.info({ server: server.id, service: server.service, bornAt: server.bornAt, listed: false }, 'server-leaving')
+    if (!leadershipController.isLeading()) return leaderConnection.send({ kind: 'server-leaving', server: { id: server.id, bornAt: server.bornAt } })
+    if (!routingState.adoptLeaving()) return
+    reader.recordServers()
+    onServersChanged()
+  }
+
   function onReachabilityChange (isolation: Isolation | null): void {
     if (isolation === null) logger.info({ zone: settings.zone }, 'servers-reachable')
     else logger.warn({ zone: settings.zone, silent: isolation.isSilent, leading: leadershipController.isLeading() }, 'servers-unreachable')
--- a/src/entry_host/create_leadership_controller.ts
+++ b/src/entry_host/create_leadership_controller.ts
@@ -148,6 +148,8 @@
     claimableSince = null
     statePublisher.reset()
     await reader.readPublished()
+    // This host may know of servers that are leaving from their responses alone.
+    if (routingState.adoptLeaving()) reader.recordServers()
     coordinator.onServersChanged()
     statePublisher.publishChanges()
     for (const update of coordinator.ownersUpdates()) peerServer.publish(update)
--- a/src/entry_host/store_reader.ts
+++ b/src/entry_host/store_reader.ts
@@ -34,6 +34,8 @@
   readonly leadership: Leadership
   readonly logger: Logger
   readonly now: () => number
+  /** Whether this host leads; its list of servers then also says what their responses have shown. */
+  readonly isLeading: () => boolean
   readonly onConfigurationChanged: () => void
   readonly onServersChanged: () => void
 }
@@ -44,7 +46,7 @@
   readPublished (): Promise<boolean>
   /** Reads the lease and, if `withPlans`, the plans. */
   readLease (withPlans: boolean): Promise<boolean>
-  /** Records the servers of the routing state, after the leader has changed them. */
+  /** Records the servers of the routing state, after the leader has changed them, or responses have shown that one is leaving. */
   recordServers (): void
   /** Age of the last complete read of configuration and servers, in milliseconds. */
   ageMs (): number
@@ -76,6 +78,7 @@
     const before = new Map(routingState.servers().map((server) => [server.id, server]))
     const digest = routingState.serversDigest()
     routingState.setServers(present)
+    if (options.isLeading() && routingState.adoptLeaving()) serverList.record(routingState.servers(), now())
     if (routingState.serversDigest() === digest) return
     for (const server of present) {
       if (before.get(server.id)?.leaving !== server.leaving) logger.info({ server: server.id, service: server.service, address: server.address, leaving: server.leaving, bornAt: server.bornAt }, 'server-listed')
--- a/src/gateway/create_gateway.ts
+++ b/src/gateway/create_gateway.ts
@@ -68,6 +68,9 @@
 /** Maximum wait for the owner of a key, as a share of the latency goal. */
 const OWNER_WAIT_SHARE = 0.6
 
+/** Time within which the keys of a leaving server get another owner, in milliseconds: a server may stop about two seconds after it has said that it leaves. */
+const HANDOVER_MS = 2000
+
 /** Retry delay for callers of a host that stops, in milliseconds: they come to another host over a new connection. */
 const STOPPING_RETRY_AFTER_MS = 20
 
@@ -158,6 +161,8 @@
       if (owner.kind === 'owned') {
         const server = routingState.server(owner.server)
         if (server !== undefined && !server.leaving && !exchange.triedServers.has(server.id)) return server
+        // The key should have another owner by now; without a leader it gets none before one is found.
+        if (server?.leaving === true && routingState.leavingForMs(server) > HANDOVER_MS) return { kind: 'refuse', reason: 'owner-leaving', retryAfterMs: jitteredRetryAfterMs(exchange, DEFAULT_RETRY_AFTER_MS) }
       }
       if (owner.kind === 'unserved') {
         return { kind: 'refuse', reason: 'key-unserved', retryAfterMs: clampRetryAfterMs(owner.until - now(), callerRemainingMs(exchange)) }
@@ -230,7 +235,7 @@
     const inFlight = loads.inFlight(server.id)
     const sentAt = now()
     const complete = loads.trackRequest(server)
-    const outcome = await sendWithTimeout(exchange, { attempt: createAttempt(exchange, server), connections: { agent: options.agent, names, limits: options.limits }, expectedMs })
+    const outcome = await sendWithTimeout(exchange, { attempt: createAttempt(exchange, server), connections: { agent: options.agent, names, limits: options.limits, onLeaving: routingState.recordLeaving }, expectedMs })
     const durationMs = now() - sentAt
     complete(toLoadOutcome(outcome, durationMs))
     admission.end()
@@ -245,7 +250,7 @@
     const completions = [relay.trackRequest(exchange.id, expectedMs), loads.trackRelayedRequest(server, relay.host)]
     const outcome = await sendWithTimeout(exchange, {
       attempt: { ...createAttempt(exchange, server), relay: { address: relay.address, goalMs: exchange.route.latencyGoalMs, callerRemainingMs: callerRemainingMs(exchange), isLate: isLate(exchange, server) } },
-      connections: { agent: options.relayAgent, names, limits: options.limits, connectTimeoutMs: RELAY_CONNECT_TIMEOUT_MS },
+      connections: { agent: options.relayAgent, names, limits: options.limits, onLeaving: routingState.recordLeaving, connectTimeoutMs: RELAY_CONNECT_TIMEOUT_MS },
       expectedMs
     })
     for (const complete of completions) complete(!(outcome.kind === 'lost' || (outcome.kind === 'unsent' && outcome.atRelay === true)))
--- a/src/gateway/create_gateway_test.ts
+++ b/src/gateway/create_gateway_test.ts
@@ -69,6 +69,60 @@
   }
 })
 
+const LEAVING = { [TEST_HEADER_NAMES.leaving]: '1' }
+const respondLeaving: BackendHandler = (request, response) => { response.writeHead(200, { [TEST_HEADER_NAMES.attemptId]: request.id, [TEST_HEADER_NAMES.signature]: 'signed', ...LEAVING }).end(request.path) }
+const refuseLeaving: BackendHandler = (request, response) => { response.writeHead(503, { [TEST_HEADER_NAMES.attemptId]: request.id, [TEST_HEADER_NAMES.notRun]: '1', ...LEAVING }).end() }
+const failLeaving: BackendHandler = (request, response) => { response.writeHead(500, { [TEST_HEADER_NAMES.attemptId]: request.id, [TEST_HEADER_NAMES.signature]: 'signed', ...LEAVING }).end() }
+
+// Guards against requests to a server after a response of its own has said that it is leaving, while the list does not say so.
+for (const [says, handler] of [['responds', respondLeaving], ['refuses', refuseLeaving], ['fails', failLeaving]] as const) {
+  test(`handle() sends a server no further request, when it ${says} and says that it is leaving`, async () => {
+    await withGateway([handler, respondWithPath, handler], async ({ call, backends, routingState }) => {
+      for (let request = 0; request < 30; request++) await call('/once/x', { id: `r${request}`, body: 'b' })
+      assert.ok((backends[0]?.requests.length ?? 0) <= 1)
+      assert.ok((backends[2]?.requests.length ?? 0) <= 1)
+      // The list still says that it is ready.
+      routingState.setServers(backends.map((backend) => backend.server))
+      for (let request = 30; request < 60; request++) assert.is((await call('/once/x', { id: `r${request}`, body: 'b' })).status, 200)
+      assert.ok((backends[0]?.requests.length ?? 0) <= 1)
+    })
+  })
+}
+
+test('handle() refuses the requests for a key with a retry delay, when its owner has said that it is leaving, and sends them to the next owner', async () => {
+  await withGateway([respondLeaving, respondWithPath], async ({ call, backends, routingState }) => {
+    routingState.setOwners('orders', [{ from: 0, to: 65535, owner: { kind: 'owned', server: 's0' } }])
+    assert.is((await call('/once/x', { key: 7, body: 'b' })).status, 200)
+    const response = await call('/once/x', { id: 'r2', key: 7, body: 'b' })
+    assert.is(response.status, 503)
+    assert.ok(Number(response.headers['retry-after']) > 0)
+    const waiting = call('/once/x', { id: 'r3', key: 7, body: 'b' })
+    setTimeout(() => { routingState.setOwners('orders', [{ from: 0, to: 65535, owner: { kind: 'owned', server: 's1' } }]) }, 50)
+    assert.is((await waiting).status, 200)
+    assert.equal(backends.map((backend) => backend.requests.length), [1, 1])
+  }, { keyed: true })
+})
+
+test('handle() goes on using a server, when a response that is not valid for its request, or comes from another server, says that it is leaving', async () => {
+  const responses: Array<Readonly<Record<string, string>>> = [
+    { [TEST_HEADER_NAMES.attemptId]: 'another', [TEST_HEADER_NAMES.signature]: 'signed' },
+    { [TEST_HEADER_NAMES.signature]: 'signed' },
+    {}
+  ]
+  const respondInvalid: BackendHandler = (request, response) => {
+    const headers = responses.shift()
+    if (headers !== undefined) response.writeHead(200, { ...headers, ...LEAVING }).end('x')
+    else if (request.path === '/once/moved') response.writeHead(421, { [TEST_HEADER_NAMES.attemptId]: request.id, [TEST_HEADER_NAMES.notRun]: '1', ...LEAVING }).end()
+    else response.writeHead(200, { [TEST_HEADER_NAMES.attemptId]: request.id, [TEST_HEADER_NAMES.signature]: 'signed', [TEST_HEADER_NAMES.leaving]: '0' }).end('x')
+  }
+  await withGateway([respondInvalid], async ({ call, routingState }) => {
+    for (let request = 0; request < 3; request++) assert.is((await call('/once/x', { id: `r${request}`, body: 'b' })).status, 502)
+    assert.is.not((await call('/once/moved', { id: 'r4', body: 'b' })).status, 200)
+    assert.is((await call('/once/x', { id: 'r5', body: 'b' })).status, 200)
+    assert.is(routingState.server('s0')?.leaving, false)
+  })
+})
+
 test('handle() responds with 503 and a retry delay, when every server refuses', async () => {
   await withGateway([respondNotRun, respondNotRun], async ({ call }) => {
     const response = await call('/once/x', { body: 'b' })
--- a/src/gateway/header_names.ts
+++ b/src/gateway/header_names.ts
@@ -16,6 +16,8 @@
   readonly signature: string
   /** Identifier of the server that responded. */
   readonly respondingServer: string
+  /** Set to `1` on every response of a server that is leaving. */
+  readonly leaving: string
   /** Requests per second that a server takes from all hosts together; set on responses for as long as that holds. */
   readonly requestLimit: string
 }
--- a/src/gateway/routing_state.ts
+++ b/src/gateway/routing_state.ts
@@ -1,5 +1,6 @@
 /** Configuration, backend servers and key owners that this host has cached. */
 import { createHash } from 'node:crypto'
+import { createLeavingServers, type ServerRun } from './leaving_servers.ts'
 import { createOwnerMap, type KeyOwner, type OwnerChange } from '../ownership/mod.ts'
 import { createRouteTable, type RouteTable, type RoutedServer, type RoutedService, type RoutingConfiguration } from '../routing/mod.ts'
 
@@ -10,9 +11,11 @@
   service (name: string): RoutedService | undefined
   /** Assumed duration of a request to the service while there are no measurements, in milliseconds. */
   assumedWorkMs (service: string): number
+  /** A listed server; it is leaving if the list or a response of its own says so. */
   server (id: string): RoutedServer | undefined
   /** Servers of a service that accept new requests. */
   availableServers (service: string): readonly RoutedServer[]
+  /** The list of servers as it was set, or last adopted. */
   servers (): readonly RoutedServer[]
   /** Digest of the server list, for comparing lists. */
   serversDigest (): string
@@ -23,6 +26,14 @@
   applyConfiguration (configuration: RoutingConfiguration): boolean
   /** Replaces the list of servers. */
   setServers (servers: readonly RoutedServer[]): void
+  /** Records that a run of a server is leaving, because a response of its own says so. */
+  recordLeaving (server: ServerRun): void
+  /** Time since the server was found to be leaving, in milliseconds; 0 if it is not. */
+  leavingForMs (server: ServerRun): number
+  /** Listed servers that are leaving though the list does not say so. */
+  unlistedLeaving (): readonly ServerRun[]
+  /** Changes the list of servers to say which of them are leaving; returns whether it has changed. */
+  adoptLeaving (): boolean
   setOwners (service: string, changes: readonly OwnerChange[]): void
   /** Resolves after the next change of owners, or after `timeoutMs`. */
   waitForOwnerChange (timeoutMs: number): Promise<void>
@@ -43,12 +54,23 @@
   return work
 }
 
+/** Options of {@link createRoutingState}. */
+export interface RoutingStateOptions {
+  /** Monotonic time in milliseconds. Default: the time of the runtime. */
+  readonly now?: () => number
+  /** Called when a response has shown that a listed server is leaving. Default: no callback. */
+  readonly onLeaving?: (server: RoutedServer) => void
+}
+
 /**
  * Creates an empty routing state.
  *
+ * @param options Clock and callback.
  * @returns The routing state.
  */
-export function createRoutingState (): RoutingState {
+export function createRoutingState (options: RoutingStateOptions = {}): RoutingState {
+  const leavingServers = createLeavingServers(options.now ?? (() => performance.now()))
+  let listed: readonly RoutedServer[] = []
   const owners = createOwnerMap()
   let configuration: RoutingConfiguration | null = null
   let routes: RouteTable | null = null
@@ -59,6 +81,29 @@
   let digest = ''
   const waiters = new Set<() => void>()
 
+  function withLeaving (server: RoutedServer): RoutedServer {
+    return !server.leaving && leavingServers.has(server) ? { ...server, leaving: true } : server
+  }
+
+  function listServers (updated: readonly RoutedServer[]): void {
+    listed = updated
+    const text = updated.map((server) => `${server.id}/${server.bornAt}/${server.address}/${String(server.leaving)}`).sort().join()
+    digest = createHash('sha256').update(text).digest('base64')
+    leavingServers.onListed(updated)
+    indexServers()
+  }
+
+  function indexServers (): void {
+    servers = new Map(listed.map((server) => [server.id, withLeaving(server)]))
+    available = new Map()
+    for (const server of servers.values()) {
+      if (server.leaving) continue
+      const group = available.get(server.service)
+      if (group === undefined) available.set(server.service, [server])
+      else group.push(server)
+    }
+  }
+
   return {
     configuration: () => configuration,
     routes: () => routes,
@@ -66,7 +111,7 @@
     assumedWorkMs: (service) => assumedWork.get(service) ?? DEFAULT_WORK_MS,
     server: (id) => servers.get(id),
     availableServers: (service) => available.get(service) ?? [],
-    servers: () => [...servers.values()],
+    servers: () => listed,
     serversDigest: () => digest,
     ownerOf: owners.ownerOf,
     hasOwners: owners.has,
@@ -79,16 +124,23 @@
       return true
     },
     setServers (updated) {
-      const text = updated.map((server) => `${server.id}/${server.bornAt}/${server.address}/${String(server.leaving)}`).sort().join()
-      digest = createHash('sha256').update(text).digest('base64')
-      servers = new Map(updated.map((server) => [server.id, server]))
-      available = new Map()
-      for (const server of updated) {
-        if (server.leaving) continue
-        const group = available.get(server.service)
-        if (group === undefined) available.set(server.service, [server])
-        else group.push(server)
-      }
+      // The first sight of a run that is leaving counts, whichever source it comes from.
+      for (const server of updated) if (server.leaving && server.bornAt !== 0) leavingServers.record(server)
+      listServers(updated)
+    },
+    recordLeaving (server) {
+      if (!leavingServers.record(server)) return
+      indexServers()
+      const current = servers.get(server.id)
+      if (current?.bornAt === server.bornAt) options.onLeaving?.(current)
+    },
+    leavingForMs: leavingServers.sinceMs,
+    unlistedLeaving: () => listed.filter((server) => !server.leaving && leavingServers.has(server)).map(({ id, bornAt }) => ({ id, bornAt })),
+    adoptLeaving () {
+      const updated = listed.map(withLeaving)
+      if (updated.every((server, index) => server === listed[index])) return false
+      listServers(updated)
+      return true
     },
     setOwners (service, changes) {
       owners.apply(service, changes)
--- a/src/gateway/send_attempt.ts
+++ b/src/gateway/send_attempt.ts
@@ -43,6 +43,8 @@
   readonly names: HeaderNames
   /** Records the limits that servers state in their responses. */
   readonly limits: Pick<RequestLimits, 'record'>
+  /** Called when a response shows that the server is leaving. Default: no callback. */
+  readonly onLeaving?: (server: RoutedServer) => void
   /** Timeout for connecting, in milliseconds. Default: 400, many round trips within a region. */
   readonly connectTimeoutMs?: number
 }
@@ -156,6 +158,8 @@
         request.destroy()
         return
       }
+      // A response with status 421 comes from another server at the address.
+      if (response.headers[names.leaving] === '1' && response.statusCode !== 421) options.onLeaving?.(attempt.server)
       const limit = response.headers[names.requestLimit]
       const isNotRun = response.headers[names.notRun] !== undefined || response.statusCode === 421
       // The end of a limit shows in responses to requests that have run; others may be created before a server knows its load.
--- a/src/relay/create_relay.ts
+++ b/src/relay/create_relay.ts
@@ -120,7 +120,7 @@
       body,
       deadlineMs: deadlineAt - sentAt,
       signal
-    }, { agent: options.agent, names, limits: options.limits })
+    }, { agent: options.agent, names, limits: options.limits, onLeaving: routingState.recordLeaving })
     const durationMs = now() - sentAt
     end(toLoadOutcome(outcome, durationMs))
     admission.end()
@@ -140,7 +140,7 @@
     } else if (!outcome.misdirected && loads.isFull(server.id)) {
       refuse(response, RelayRefusal.full, options.admission.returnAfterMs(server, query))
     } else {
-      response.writeHead(outcome.status, { 'Content-Length': '0', [names.attemptId]: attemptIdOf(response.req), [names.notRun]: 'true' }).end()
+      response.writeHead(outcome.status, { 'Content-Length': '0', [names.attemptId]: attemptIdOf(response.req), [names.notRun]: 'true', ...(routingState.server(server.id)?.leaving === true ? { [names.leaving]: '1' } : {}) }).end()
     }
   }
 
--- a/src/relay/create_relay_test.ts
+++ b/src/relay/create_relay_test.ts
@@ -17,6 +17,7 @@
   /** Server loads as the relay counts them. */
   readonly loads: ServerLoads
   readonly relayState: RoutingState
+  readonly originState: RoutingState
   readonly relayPort: number
   closeRelay (): Promise<void>
   call (path: string, options?: CallPortOptions): Promise<CallerResponse>
@@ -85,6 +86,7 @@
       backend,
       loads,
       relayState,
+      originState,
       relayPort,
       closeRelay,
       call: (path, call = {}) => callPort({ port, path }, { ...call, key: 7 })
@@ -125,6 +127,23 @@
   })
 })
 
+// Guards against requests that a relay forwards to a server whose response to another host has said that it is leaving.
+for (const status of [200, 500, 503]) {
+  test(`handle() forwards no further request to a server, when its response with status ${status} has said that it is leaving`, async () => {
+    const respond: BackendHandler = (request, response) => {
+      response.writeHead(status, { [TEST_HEADER_NAMES.attemptId]: request.id, [status === 503 ? TEST_HEADER_NAMES.notRun : TEST_HEADER_NAMES.signature]: '1', [TEST_HEADER_NAMES.leaving]: '1' }).end()
+    }
+    await withRelay(respond, async ({ call, backend, relayState, originState }) => {
+      await call('/once/x', { id: 'r1', body: 'b' })
+      assert.is(relayState.server('s0')?.leaving, true)
+      // The host that accepted the request got the response, too.
+      assert.is(originState.server('s0')?.leaving, true)
+      for (let request = 0; request < 5; request++) assert.is((await call('/once/x', { id: `s${request}`, body: 'b' })).status, 503)
+      assert.is(backend.requests.length, 1)
+    })
+  })
+}
+
 test('handle() is bypassed and the request goes directly to the server, when the relay has stopped', async () => {
   await withRelay(respondWithPath, async ({ call, backend, closeRelay }) => {
     await closeRelay()
--- a/src/replication/leader_connection.ts
+++ b/src/replication/leader_connection.ts
@@ -1,5 +1,6 @@
 /** A host's connection to the leading host. */
 import { connect, type Socket } from 'node:net'
+import type { ServerRun } from '../gateway/leaving_servers.ts'
 import type { Logger } from '../logging/mod.ts'
 import type { RelayHost } from '../relay/mod.ts'
 import { readMessages, writeMessage, type Report, type Update } from './messages.ts'
@@ -14,8 +15,8 @@
   readonly isIsolated: () => boolean
   readonly logger: Logger
   readonly now: () => number
-  /** Returns the version of the cached configuration and the digest of the cached list of servers. */
-  readonly cachedVersions: () => { readonly version: number, readonly servers: string }
+  /** Returns the version of the cached configuration, the digest of the cached list of servers, and the servers that are leaving though that list does not say so. */
+  readonly cachedVersions: () => { readonly version: number, readonly servers: string, readonly leaving: readonly ServerRun[] }
   readonly onUpdate: (update: Update, address: string) => void
   /** Called when the leader's address refuses a connection: its process has ended, or a network partition causes the refusal. */
   readonly onConnectionRefused: (address: string) => void
--- a/src/replication/messages.ts
+++ b/src/replication/messages.ts
@@ -1,6 +1,7 @@
 /** Messages between the leading host and the other hosts: one message per line over TCP. */
 import type { Socket } from 'node:net'
 import split from 'split2'
+import type { ServerRun } from '../gateway/leaving_servers.ts'
 import type { ServerSample } from '../gateway/server_loads.ts'
 import type { ObservedLease } from '../leadership/mod.ts'
 import type { ListChange } from '../list_change/mod.ts'
@@ -35,8 +36,10 @@
 
 /** Message to the leading host. */
 export type Report =
-  /** First message. `version` is the version of the host's configuration and `servers` the digest of its list of servers, so that data it already has is not sent; `relay` is its relay address and weight, `isolated` whether it reaches no server. */
-  | { readonly kind: 'hello', readonly host: string, readonly zone: string, readonly version: number, readonly servers: string, readonly relay: RelayHost | null, readonly isolated?: boolean }
+  /** First message. `version` is the version of the host's configuration and `servers` the digest of its list of servers, so that data it already has is not sent; `relay` is its relay address and weight, `isolated` whether it reaches no server, `leaving` lists servers whose responses show that they are leaving. */
+  | { readonly kind: 'hello', readonly host: string, readonly zone: string, readonly version: number, readonly servers: string, readonly relay: RelayHost | null, readonly isolated?: boolean, readonly leaving?: readonly ServerRun[] }
+  /** A response of the server has shown that it is leaving. */
+  | { readonly kind: 'server-leaving', readonly server: ServerRun }
   /** The host no longer reaches any server, or does so again. */
   | { readonly kind: 'reachability', readonly isolated: boolean }
   /** The host has read the store while the leader's own data from it is out of date. */
--- a/src/replication/peer_server.ts
+++ b/src/replication/peer_server.ts
@@ -1,5 +1,6 @@
 /** Server for connections between hosts: the leading host sends updates to the other hosts and receives their reports. */
 import { createServer, type Server, type Socket } from 'node:net'
+import type { ServerRun } from '../gateway/leaving_servers.ts'
 import type { Logger } from '../logging/mod.ts'
 import type { RelayHost } from '../relay/mod.ts'
 import { encodeMessage } from './encode_message.ts'
@@ -28,6 +29,8 @@
   readonly onHostDisconnected: (host: string) => void
   /** Called when a host no longer reaches any server. */
   readonly onHostIsolated: (host: string) => void
+  /** Called when a host has found out from a response that a server is leaving. */
+  readonly onServerLeaving: (server: ServerRun) => void
   /** Called when a host has read the store while this host's data from it is out of date. */
   readonly onStoreReachable: () => void
   /** Called when a host has claimed the lease that this host held. */
@@ -83,6 +86,7 @@
       if (report.kind === 'hello') {
         const host = { name: report.host, zone: report.zone, version: report.version, servers: report.servers, relay: report.relay, isIsolated: report.isolated === true }
         peers.set(socket, host)
+        for (const leaving of report.leaving ?? []) options.onServerLeaving(leaving)
         for (const update of options.initialUpdates(host)) if (!socket.destroyed) socket.write(encodeLine(update))
         return
       }
@@ -92,7 +96,8 @@
       else if (report.kind === 'reachability') {
         peers.set(socket, { ...host, isIsolated: report.isolated })
         if (report.isolated) options.onHostIsolated(host.name)
-      } else if (report.kind === 'store-reachable') options.onStoreReachable()
+      } else if (report.kind === 'server-leaving') options.onServerLeaving(report.server)
+      else if (report.kind === 'store-reachable') options.onStoreReachable()
       else if (report.kind === 'claimed') options.onLeaseClaimed(report.lease)
       else options.onReport(host, report)
     })
