A request that could not be sent for want of a path does not rule out its server

Cause: a direct attempt of an isolated host that failed put the server among those tried, as if it were down; the only owner of a key then never came back into question. Change: such an attempt rules out the direct way and not the server; the request goes on through another host, or is refused at once. Test: handle() refuses a request for a key at once, when no host reaches servers (fails with the change taken out).

--- a/src/gateway/_exchange.ts
+++ b/src/gateway/_exchange.ts
@@ -30,6 +30,8 @@
   hasCallerLeft: boolean
   /** Relays that did not forward the request. */
   readonly triedRelays: Set<string>
+  /** Whether the request could not be sent directly because this host reaches no server. */
+  triedDirectly: boolean
 }
 
 /** What to do after an attempt. */
--- a/src/gateway/create_gateway.ts
+++ b/src/gateway/create_gateway.ts
@@ -195,7 +195,7 @@
   async function makeAttempt (exchange: Exchange): Promise<AttemptDecision> {
     const server = await findServer(exchange)
     if ('kind' in server) return server
-    const path = options.relays.select(server, { bodyBytes: bodyBytes(exchange.body), isLimited: options.limits.limitOf(server) !== null, triedRelays: exchange.triedRelays })
+    const path = options.relays.select(server, { bodyBytes: bodyBytes(exchange.body), isLimited: options.limits.limitOf(server) !== null, triedRelays: exchange.triedRelays, triedDirectly: exchange.triedDirectly })
     if (path.kind === 'none') return { kind: 'refuse', reason: 'no-path', retryAfterMs: jitteredRetryAfterMs(exchange, DEFAULT_RETRY_AFTER_MS) }
     return path.kind === 'direct' ? await attemptDirectly(exchange, server) : await attemptThroughRelay(exchange, server, path.relay)
   }
@@ -240,6 +240,10 @@
     complete(toLoadOutcome(outcome, durationMs))
     admission.end()
     recordAttempt(exchange, { server: server.id, outcome, durationMs, inFlight, expectedMs })
+    if (outcome.kind === 'unsent' && options.relays.isIsolated()) {
+      exchange.triedDirectly = true
+      return exchange.abort.signal.aborted ? decideOnTimeout(exchange) : { kind: 'retry' }
+    }
     return decideNext(exchange, server, outcome)
   }
 
@@ -367,7 +371,7 @@
     const key = parseKey(request.headers[names.key])
     const abort = new AbortController()
     const exchange: Exchange = {
-      request, response, id, route, service, key, startedAt, deadlineAt: startedAt + timeoutMs, callerDeadlineAt: startedAt + (statedMs ?? timeoutMs), elapsedMs: statedMs === null ? 0 : callerDeadlines.elapsedMs(route.name, statedMs), abort, attempts: [], triedServers: new Set(), body: null, mayHaveRun: false, triedRelays: new Set(), hasCallerLeft: false
+      request, response, id, route, service, key, startedAt, deadlineAt: startedAt + timeoutMs, callerDeadlineAt: startedAt + (statedMs ?? timeoutMs), elapsedMs: statedMs === null ? 0 : callerDeadlines.elapsedMs(route.name, statedMs), abort, attempts: [], triedServers: new Set(), body: null, mayHaveRun: false, triedRelays: new Set(), triedDirectly: false, hasCallerLeft: false
     }
     const timer = setTimeout(() => { abort.abort() }, timeoutMs)
     const endWatch = watchDisconnect(request, () => {
--- a/src/gateway/relay_selector.ts
+++ b/src/gateway/relay_selector.ts
@@ -27,6 +27,8 @@
   readonly isLimited: boolean
   /** Relays that did not forward the request. */
   readonly triedRelays: ReadonlySet<string>
+  /** Whether the request could not be sent directly because this host reaches no server. */
+  readonly triedDirectly: boolean
 }
 
 /** Selects the way of each request to its server. */
@@ -34,6 +36,8 @@
   select (server: RoutedServer, query: ServerPathQuery): ServerPath
   /** Whether this host itself is the server's relay. */
   isRelay (server: RoutedServer): boolean
+  /** Whether this host reaches no server, so that a request that could not be sent directly shows nothing about its server. */
+  isIsolated (): boolean
   /** Records that a relay reaches no server; it is not selected for some time. */
   recordIsolated (relay: string): void
 }
--- a/src/relay/isolated_host_test.ts
+++ b/src/relay/isolated_host_test.ts
@@ -10,7 +10,7 @@
 import {
   createCallerServer, createGateway, createRequestLimits, createRequestPermits, createRoutingState, createServerAdmission, createServerAgent, createServerLoads, type RequestRecord
 } from '../gateway/mod.ts'
-import { createConnectProbe, createReachabilityMonitor } from '../reachability/mod.ts'
+import { createConnectProbe, createReachabilityMonitor, type Isolation } from '../reachability/mod.ts'
 import type { RoutedServer } from '../routing/mod.ts'
 import { createRelay } from './create_relay.ts'
 import { createRelayDirectory, type RelayHost } from './relay_directory.ts'
@@ -35,18 +35,22 @@
   setServers (servers: readonly RoutedServer[]): void
   setRelays (hosts: readonly RelayHost[]): void
   isIsolated (): boolean
+  /** Makes this host count as isolated, its connections being refused. */
+  markIsolated (): void
   close (): void
 }
 
-async function startHost (name: string): Promise<TestHost> {
+async function startHost (name: string, keyed: boolean): Promise<TestHost> {
   const routingState = createRoutingState()
-  routingState.applyConfiguration(TEST_CONFIGURATION)
+  routingState.applyConfiguration({ ...TEST_CONFIGURATION, services: TEST_CONFIGURATION.services.map((service) => ({ ...service, keyed })) })
+  routingState.setOwners('orders', [{ from: 0, to: 65535, owner: { kind: 'owned', server: 's0' } }])
+  let marked: Isolation | null = null
   const reachability = createReachabilityMonitor({ zone: 'a', servers: routingState.servers, probe: createConnectProbe(100), now, random: Math.random, onChange (isolation) { if (isolation !== null) loads.discardOwnRequests() } })
   const loads = createServerLoads(now, () => 20, reachability)
   const limits = createRequestLimits({ now, onChange: () => {} })
   const permits = createRequestPermits({ limits, hostCount: () => 3, now, random: Math.random })
   const admission = createServerAdmission({ loads, limits, permits, now })
-  const directory = createRelayDirectory({ host: name, now, isolation: reachability.isolation, onRelayLost: loads.discardRelay })
+  const directory = createRelayDirectory({ host: name, now, isolation: () => marked ?? reachability.isolation(), onRelayLost: loads.discardRelay })
   const [agent, relayAgent] = [createServerAgent(), new Agent({ keepAlive: true })]
   const budget = createRetryBudget({ share: 0, maximum: 5 })
   const records: RequestRecord[] = []
@@ -64,6 +68,7 @@
     setServers: routingState.setServers,
     setRelays: directory.setHosts,
     isIsolated,
+    markIsolated () { marked = { isSilent: false } },
     close () {
       clearInterval(timer)
       for (const listener of listeners) {
@@ -85,9 +90,9 @@
   return `127.0.0.1:${port}`
 }
 
-async function withHosts (run: (hosts: readonly TestHost[], backends: readonly FakeBackend[], cutOff: () => Promise<RoutedServer[]>) => Promise<void>): Promise<void> {
+async function withHosts (run: (hosts: readonly TestHost[], backends: readonly FakeBackend[], cutOff: () => Promise<RoutedServer[]>) => Promise<void>, keyed = false): Promise<void> {
   const backends = await Promise.all(['s0', 's1', 's2', 's3'].map(async (id) => await createFakeBackend(id, respondWithPath)))
-  const hosts = await Promise.all(['h1', 'h2', 'h3'].map(startHost))
+  const hosts = await Promise.all(['h1', 'h2', 'h3'].map(async (name) => await startHost(name, keyed)))
   const servers = backends.map((backend) => backend.server)
   for (const host of hosts) {
     host.setServers(servers)
@@ -168,4 +173,21 @@
   })
 })
 
+// Guards against a host that takes the owner of a key for unreachable because its own path is cut, and waits for another owner.
+test('handle() refuses a request for a key at once, when no host reaches servers', async () => {
+  await withHosts(async ([host], _backends, cutOff) => {
+    if (host === undefined) return assert.unreachable()
+    // No other host relays.
+    host.setRelays([])
+    host.setServers(await cutOff())
+    // Requests for keys all go to their owner, which by itself would not show that the host is cut.
+    host.markIsolated()
+    const startedAt = now()
+    const response = await callPort({ port: host.callerPort, path: '/once/x' }, { id: 'k1', key: 7, body: 'b' })
+    assert.is(response.status, 503)
+    assert.ok(now() - startedAt < 120, `${Math.round(now() - startedAt)} ms`)
+    assert.is(host.records.at(-1)?.reason, 'no-path')
+  }, true)
+})
+
 test.run()
--- a/src/relay/relay_directory.ts
+++ b/src/relay/relay_directory.ts
@@ -123,14 +123,15 @@
       relays = new Map()
       options.onRelayLost(host)
     },
+    isIsolated: () => options.isolation() !== null,
     isRelay: (server) => relayOf(server)?.host === options.host,
-    select (server, { bodyBytes, isLimited, triedRelays }) {
+    select (server, { bodyBytes, isLimited, triedRelays, triedDirectly }) {
       const isolation = options.isolation()
       if (isolation !== null) {
         const helper = helperOf(server, triedRelays)
         if (helper !== null) return { kind: 'relay', relay: toRelay(helper) }
         // While only new connections fail, those that are open may still carry requests.
-        return { kind: isolation.isSilent ? 'none' : 'direct' }
+        return { kind: isolation.isSilent || triedDirectly ? 'none' : 'direct' }
       }
       if (triedRelays.size > 0 || (bodyBytes > MAXIMUM_RELAYED_BODY_BYTES && !isLimited)) return { kind: 'direct' }
       const host = relayOf(server)
--- a/src/relay/relay_directory_test.ts
+++ b/src/relay/relay_directory_test.ts
@@ -12,7 +12,7 @@
 
 /** The relay of a server; `null` if requests go to it directly. */
 function relayOf (directory: RelayDirectory, server: RoutedServer): Relay | null {
-  const path = directory.select(server, { bodyBytes: 0, isLimited: false, triedRelays: new Set() })
+  const path = directory.select(server, { bodyBytes: 0, isLimited: false, triedRelays: new Set(), triedDirectly: false })
   assert.is.not(path.kind, 'none')
   return path.kind === 'relay' ? path.relay : null
 }
@@ -85,20 +85,20 @@
     const triedRelays = new Set<string>()
     for (let attempt = 0; attempt < 3; attempt++) {
       // A long body takes the same way: there is no other.
-      const path = directory.select(server, { bodyBytes: 60_000, isLimited: false, triedRelays })
+      const path = directory.select(server, { bodyBytes: 60_000, isLimited: false, triedRelays, triedDirectly: false })
       if (path.kind !== 'relay') return assert.unreachable()
       if (attempt === 0) assert.is(path.relay.host, relayOf(other, server)?.host)
       assert.is(triedRelays.has(path.relay.host), false)
       triedRelays.add(path.relay.host)
     }
-    assert.is(directory.select(server, { bodyBytes: 0, isLimited: false, triedRelays }).kind, 'none')
+    assert.is(directory.select(server, { bodyBytes: 0, isLimited: false, triedRelays, triedDirectly: false }).kind, 'none')
   }
 })
 
 test('select() sends the requests of a host that reaches no server through other zones, when no host of the server\'s zone can relay', () => {
   const directory = createRelayDirectory({ host: 'x', now: () => 0, isolation: () => ({ isSilent: true }), onRelayLost: () => {} })
   directory.setHosts(hosts.filter(({ zone }) => zone === 'b'))
-  for (const server of servers) assert.is(directory.select(server, { bodyBytes: 0, isLimited: false, triedRelays: new Set() }).kind, 'relay')
+  for (const server of servers) assert.is(directory.select(server, { bodyBytes: 0, isLimited: false, triedRelays: new Set(), triedDirectly: false }).kind, 'relay')
 })
 
 test('select() returns no path, or the direct one while only new connections fail, when no host relays for one that reaches no server', () => {
@@ -106,9 +106,10 @@
   const directory = createRelayDirectory({ host: 'x', now: () => 0, isolation: () => ({ isSilent }), onRelayLost: () => {} })
   const [server] = servers
   if (server === undefined) return assert.unreachable()
-  assert.is(directory.select(server, { bodyBytes: 0, isLimited: false, triedRelays: new Set() }).kind, 'none')
+  assert.is(directory.select(server, { bodyBytes: 0, isLimited: false, triedRelays: new Set(), triedDirectly: false }).kind, 'none')
   isSilent = false
-  assert.is(directory.select(server, { bodyBytes: 0, isLimited: false, triedRelays: new Set() }).kind, 'direct')
+  assert.is(directory.select(server, { bodyBytes: 0, isLimited: false, triedRelays: new Set(), triedDirectly: false }).kind, 'direct')
+  assert.is(directory.select(server, { bodyBytes: 0, isLimited: false, triedRelays: new Set(), triedDirectly: true }).kind, 'none')
 })
 
 test('select() uses another host of the zone for a while, when a relay reaches no server', () => {
--- a/src/relay/request_limit_test.ts
+++ b/src/relay/request_limit_test.ts
@@ -95,10 +95,10 @@
   }
   const backend = await createFakeBackend('s0', respond)
   const server = { ...backend.server, slots: 100 }
-  const relay = await startHost('relay', { server, relays: { select: () => ({ kind: 'direct' }), isRelay: () => true, recordIsolated: () => {} } })
-  const viaRelay: PathSelector = { select: (_server, { triedRelays }) => triedRelays.size > 0 ? { kind: 'direct' } : { kind: 'relay', relay: { host: 'relay', address: relay.relayAddress, trackRequest: () => () => {} } }, isRelay: () => false, recordIsolated: () => {} }
+  const relay = await startHost('relay', { server, relays: { select: () => ({ kind: 'direct' }), isRelay: () => true, isIsolated: () => false, recordIsolated: () => {} } })
+  const viaRelay: PathSelector = { select: (_server, { triedRelays }) => triedRelays.size > 0 ? { kind: 'direct' } : { kind: 'relay', relay: { host: 'relay', address: relay.relayAddress, trackRequest: () => () => {} } }, isRelay: () => false, isIsolated: () => false, recordIsolated: () => {} }
   const hosts = [relay, ...await Promise.all(['h1', 'h2'].map(async (name) => await startHost(name, { server, relays: viaRelay })))]
-  for (let direct = 0; direct < directHosts; direct++) hosts.push(await startHost(`direct${direct}`, { server, relays: { select: () => ({ kind: 'direct' }), isRelay: () => false, recordIsolated: () => {} } }))
+  for (let direct = 0; direct < directHosts; direct++) hosts.push(await startHost(`direct${direct}`, { server, relays: { select: () => ({ kind: 'direct' }), isRelay: () => false, isIsolated: () => false, recordIsolated: () => {} } }))
   try {
     const served = await sendLoad(hosts.map((host) => host.callerPort), { perSecond: 120, forMs: WINDOW_MS + LIMIT_DELAY_MS + 500, ...(body === undefined ? {} : { body }) })
     const limitedFrom = (arrivals[0] ?? 0) + LIMIT_DELAY_MS
