An odd entry of another writer leaves requests and tasks whole

But an entry with a port out of range was accepted, and two functions that promise not to throw did (sendAttempt and the HTTP client's call): the caller's connection was closed without a response, its load stayed counted, and a grant ended half done. Deep nesting (24,000 levels, what a row holds) does no harm. Cause and class: input was checked for its shape, not for what is done with it. Ruled out: a crash by depth or by 1e400 (the schema refuses it).

--- a/src/gateway/send_attempt.ts
+++ b/src/gateway/send_attempt.ts
@@ -1,6 +1,7 @@
 /** Sends a request to one backend server and reports whether it has run, has not run, or may have run. */
 import { request as startRequest, type Agent, type ClientRequest, type IncomingMessage } from 'node:http'
 import { pipeline } from 'node:stream'
+import { tryStart } from '../http_call/mod.ts'
 import type { RoutedServer } from '../routing/mod.ts'
 import type { RequestBody, StreamedBody } from './body_reader.ts'
 import type { HeaderNames } from './header_names.ts'
@@ -84,7 +85,9 @@
     let sentAt = 0
     let settled = false
     let interimResponses = 0
-    const request = startRequest({ agent, host, port, method: attempt.method, path: attempt.path, headers: headers as unknown as Record<string, string>, setHost: false })
+    const started = tryStart(() => startRequest({ agent, host, port, method: attempt.method, path: attempt.path, headers: headers as unknown as Record<string, string>, setHost: false }))
+    if (started instanceof Error) return resolve({ kind: 'unsent', detail: started.message, refused: false })
+    const request = started
     const connectTimer = setTimeout(() => { if (!connected) request.destroy(new Error('Connection timed out')) }, options.connectTimeoutMs ?? 400)
 
     function settle (outcome: AttemptOutcome | null): void {
--- a/src/gateway/send_attempt_test.ts
+++ b/src/gateway/send_attempt_test.ts
@@ -71,6 +71,18 @@
   })
 }
 
+// Guards against a caller that gets no response, and load that is counted for ever, because a server's entry names a port that does not exist.
+test('sendAttempt() returns unsent, when the runtime rejects the address or the identifier of the server', async () => {
+  const agent = createServerAgent()
+  for (const [id, address] of [['s1', '127.0.0.1:99999'], ['s1', '127.0.0.1:65536'], ['s\n1', '127.0.0.1:1']] as const) {
+    const outcome = await sendAttempt({
+      server: { id, bornAt: 1, service: 'orders', address, zone: 'a', slots: 4, leaving: false, warmUpLeftMs: 0 }, id: 'a1', method: 'GET', path: '/orders/1', headers: [], body: null, deadlineMs: 100, signal: AbortSignal.timeout(100)
+    }, { agent, names, limits: { record () {} } })
+    assert.is(outcome.kind, 'unsent')
+  }
+  agent.destroy()
+})
+
 test('sendAttempt() returns the whole response, when the server responds', async () => {
   await withServer((socket) => { socket.write(responseText('a1', 'whole')) }, async (send) => {
     const outcome = await send()
--- a/src/http_call/create_http_client.ts
+++ b/src/http_call/create_http_client.ts
@@ -1,5 +1,6 @@
 /** HTTP/1.1 client for short calls whose responses are read completely. */
 import { Agent, request as startRequest } from 'node:http'
+import { tryStart } from './try_start.ts'
 
 /** An HTTP call. */
 export interface HttpCall {
@@ -54,14 +55,17 @@
   return {
     call: (call) => new Promise((resolve) => {
       const [host, port] = call.address.split(':')
-      const request = startRequest({
+      const started = tryStart(() => startRequest({
         agent,
         host,
         port,
         method: call.method,
         path: call.path,
         headers: call.body === undefined ? call.headers : { ...call.headers, 'content-length': Buffer.byteLength(call.body) }
-      })
+      }))
+      // Nothing was sent to the address.
+      if (started instanceof Error) return resolve({ kind: 'lost', detail: started.message })
+      const request = started
       function abort (cause: string): void {
         // Without a reset, data delayed by a network partition would still be delivered after the partition ends.
         if (request.socket?.connecting === false) request.socket.resetAndDestroy()
--- a/src/http_call/create_http_client_test.ts
+++ b/src/http_call/create_http_client_test.ts
@@ -31,6 +31,14 @@
   return outcome === 'never ended' ? outcome : outcome.kind
 }
 
+// Guards against a task that ends half done because a server's entry names a port that does not exist.
+test('call() returns lost, when the runtime rejects the address or a header', async () => {
+  const client = createHttpClient()
+  for (const address of ['127.0.0.1:99999', '127.0.0.1:65536', '127.0.0.1:-1']) assert.is(kindOf(await client.call({ address, method: 'GET', path: '/', timeoutMs: 50 })), 'lost')
+  assert.is(kindOf(await client.call({ address: '127.0.0.1:1', method: 'GET', path: '/', headers: { 'x-target': 'i\nodd' }, timeoutMs: 50 })), 'lost')
+  client.close()
+})
+
 test('call() returns the complete response', async () => {
   const outcome = await callServer((socket) => { socket.write('HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok') })
   assert.is(outcome !== 'never ended' && outcome.kind === 'answered' && outcome.text, 'ok')
--- a/src/http_call/mod.ts
+++ b/src/http_call/mod.ts
@@ -1,2 +1,3 @@
 /** HTTP/1.1 client for short calls. */
 export * from './create_http_client.ts'
+export * from './try_start.ts'
--- a/src/reachability/connect_probe.ts
+++ b/src/reachability/connect_probe.ts
@@ -13,6 +13,13 @@
 /** Opens a connection to an address and closes it again; never rejects. */
 export type ConnectProbe = (address: string) => Promise<ProbeResult>
 
+/** Highest number of a port. */
+const MAXIMUM_PORT = 65_535
+
+function isPort (port: number): boolean {
+  return Number.isInteger(port) && port > 0 && port <= MAXIMUM_PORT
+}
+
 /**
  * Creates a probe.
  *
@@ -21,7 +28,9 @@
  */
 export function createConnectProbe (timeoutMs: number): ConnectProbe {
   return (address) => new Promise((resolve) => {
-    const [host, port] = address.split(':')
+    const [host = '', port] = address.split(':')
+    // The runtime throws for a port that is out of range.
+    if (!isPort(Number(port))) return resolve(ProbeResult.refused)
     const socket = connect({ host, port: Number(port) })
     const timer = setTimeout(() => { end(ProbeResult.timedOut) }, timeoutMs)
     function end (result: ProbeResult): void {
--- a/src/reachability/connect_probe_test.ts
+++ b/src/reachability/connect_probe_test.ts
@@ -18,4 +18,8 @@
   assert.is(received, 0)
 })
 
+test('createConnectProbe() counts an address as refused, when its port is out of range', async () => {
+  for (const address of ['127.0.0.1:99999', '127.0.0.1:0', '127.0.0.1:x', '127.0.0.1']) assert.is(await createConnectProbe(100)(address), ProbeResult.refused)
+})
+
 test.run()
