A host verifies that it reaches servers before it claims the lease

Cause: only missing responses made a host probe its paths. Change: before a claim, and when a relay refuses because it is isolated, a host that has had no response for 250 ms probes servers. A probe that timed out in a process without processor time counts once the process has polled.

--- a/src/entry_host/create_entry_host.ts
+++ b/src/entry_host/create_entry_host.ts
@@ -121,7 +121,7 @@
   const agent = createServerAgent()
   const relayAgent = new Agent({ keepAlive: true, maxFreeSockets: RELAY_IDLE_CONNECTIONS, scheduling: 'lifo' })
   const relayAddress = `${settings.ip}:${settings.peerPort + 1}`
-  const relays = createRelayDirectory({ host: settings.host, now, isolation: reachability.isolation, onRelayLost: loads.discardRelay })
+  const relays = createRelayDirectory({ host: settings.host, now, isolation: reachability.isolation, onRelayLost })
   const holder = `${settings.host}/${process.pid}-${Date.now().toString(36)}-${Math.random().toString(36).slice(2, 8)}`
   const leadership = createLeadership({
     table: options.table, logger, holder, address: `${settings.ip}:${settings.peerPort}`, now, wallClock: () => Date.now()
@@ -210,6 +210,7 @@
     logger,
     isLeaving: () => leaving,
     isIsolated,
+    verifyReachability: reachability.verify,
     now
   })
 
@@ -279,6 +280,12 @@
     onServersChanged()
   }
 
+  function onRelayLost (host: string, isIsolatedRelay: boolean): void {
+    loads.discardRelay(host)
+    // What has cut the relay off may have cut this host off, too.
+    if (isIsolatedRelay) reachability.verify().catch(reportFailure)
+  }
+
   function onReachabilityChange (isolation: Isolation | null): void {
     if (isolation === null) logger.info({ zone: settings.zone }, 'servers-reachable')
     else logger.warn({ zone: settings.zone, silent: isolation.isSilent, leading: leadershipController.isLeading() }, 'servers-unreachable')
--- a/src/entry_host/create_leadership_controller.ts
+++ b/src/entry_host/create_leadership_controller.ts
@@ -42,6 +42,8 @@
   readonly isLeaving: () => boolean
   /** Whether this host reaches no server; it then leads only if no other host claims the lease. */
   readonly isIsolated: () => boolean
+  /** Finds out whether this host reaches servers. */
+  readonly verifyReachability: () => Promise<boolean>
   /** Monotonic time in milliseconds. */
   readonly now: () => number
 }
@@ -135,6 +137,8 @@
     }
     claimableSince ??= now()
     if (now() - claimableSince < claimPrecedenceMs()) return
+    // A host with little traffic may not have noticed yet that it is isolated, like the leader that has resigned.
+    if (!options.isIsolated() && !await options.verifyReachability()) return
     if (!await leadership.claim()) return
     // The last leader may have resigned; it then still has connections to all hosts.
     const lease = leadership.observedLease()
--- a/src/entry_host/create_leadership_controller_test.ts
+++ b/src/entry_host/create_leadership_controller_test.ts
@@ -47,7 +47,7 @@
   }
 }
 
-function createHost (rows: Map<string, TableRow>, options: { readonly isSmall?: boolean, readonly isFirstStart?: boolean, readonly hostsInZone?: readonly string[], readonly storeAgeMs?: number, readonly reachableHosts?: readonly string[] } = {}): Host {
+function createHost (rows: Map<string, TableRow>, options: { readonly isSmall?: boolean, readonly isFirstStart?: boolean, readonly hostsInZone?: readonly string[], readonly storeAgeMs?: number, readonly reachableHosts?: readonly string[], readonly isCut?: boolean } = {}): Host {
   let isIsolated = false
   let failsWrites = false
   let storeAgeMs = options.storeAgeMs ?? 0
@@ -101,6 +101,10 @@
     logger,
     isLeaving: () => false,
     isIsolated: () => isIsolated,
+    async verifyReachability () {
+      if (options.isCut === true) isIsolated = true
+      return !isIsolated
+    },
     now
   })
   return { leadershipController, leaderMonitor, reads, followed, sent, published, failWrites () { failsWrites = true }, setIsolated (value) { isIsolated = value }, setStoreAge (ageMs) { storeAgeMs = ageMs } }
@@ -306,14 +310,16 @@
   assert.ok(host.leadershipController.isLeading())
 })
 
-test('run() claims a free lease only when no other host has claimed it for some time, when this host reaches no server', async () => {
-  const host = createHost(new Map([[LEASE_KEY, { key: LEASE_KEY, era: 1, revision: 3, value: { ...LEASE_OF_H2, released: true } }]]))
-  host.setIsolated(true)
-  await runFor(host, 1000)
-  assert.not(host.leadershipController.isLeading())
-  await runFor(host, 2000)
-  assert.ok(host.leadershipController.isLeading())
-})
+for (const [knows, isCut] of [['knows that it', false], ['finds out only now that it', true]] as const) {
+  test(`run() claims a free lease only when no other host has claimed it for some time, when this host ${knows} reaches no server`, async () => {
+    const host = createHost(new Map([[LEASE_KEY, { key: LEASE_KEY, era: 1, revision: 3, value: { ...LEASE_OF_H2, released: true } }]]), { isCut })
+    host.setIsolated(!isCut)
+    await runFor(host, 1000)
+    assert.not(host.leadershipController.isLeading())
+    await runFor(host, 2000)
+    assert.ok(host.leadershipController.isLeading())
+  })
+}
 
 test('isStoreReader() chooses two hosts of each zone, and others for another leader', () => {
   const readers = (subject: string): string[] => HOSTS_IN_ZONE.filter((host) => isStoreReader(host, { candidates: HOSTS_IN_ZONE, subject }))
--- a/src/reachability/connect_probe.ts
+++ b/src/reachability/connect_probe.ts
@@ -32,7 +32,8 @@
     // The runtime throws for a port that is out of range.
     if (!isPort(Number(port))) return resolve(ProbeResult.refused)
     const socket = connect({ host, port: Number(port) })
-    const timer = setTimeout(() => { end(ProbeResult.timedOut) }, timeoutMs)
+    // A process without processor time runs the timer before it learns of the connection.
+    const timer = setTimeout(() => { setImmediate(() => { setImmediate(() => { end(ProbeResult.timedOut) }) }) }, timeoutMs)
     function end (result: ProbeResult): void {
       clearTimeout(timer)
       socket.destroy()
--- a/src/reachability/connect_probe_test.ts
+++ b/src/reachability/connect_probe_test.ts
@@ -18,6 +18,15 @@
   assert.is(received, 0)
 })
 
+test('createConnectProbe() counts a connection that was established in time, when this process had no processor time meanwhile', async () => {
+  const server = createServer()
+  await new Promise<void>((resolve) => { server.listen(0, '127.0.0.1', resolve) })
+  const result = createConnectProbe(50)(`127.0.0.1:${(server.address() as AddressInfo).port}`)
+  for (const until = performance.now() + 150; performance.now() < until;);
+  assert.is(await result, ProbeResult.connected)
+  server.close()
+})
+
 test('createConnectProbe() counts an address as refused, when its port is out of range', async () => {
   for (const address of ['127.0.0.1:99999', '127.0.0.1:0', '127.0.0.1:x', '127.0.0.1']) assert.is(await createConnectProbe(100)(address), ProbeResult.refused)
 })
--- a/src/reachability/reachability_monitor.ts
+++ b/src/reachability/reachability_monitor.ts
@@ -58,6 +58,8 @@
   isTrusted (): boolean
   /** Since when it has been so; monotonic time in milliseconds. */
   trustedSince (): number
+  /** Probes servers unless one has just responded; resolves with whether this host reaches servers. */
+  verify (): Promise<boolean>
   /** Looks at the requests in flight and starts the probes that are due; called regularly. Resolves when the probes have ended. */
   check (): Promise<void>
 }
@@ -74,6 +76,9 @@
 /** Time for which a connection that could not be made counts, in milliseconds. */
 const UNREACHABLE_WINDOW_MS = 1000
 
+/** Time since the last response within which a host reaches servers without a probe, in milliseconds. */
+const RECENT_RESPONSE_MS = 250
+
 /** Number of servers that are probed at once: a single one may be down. */
 const PROBED_SERVERS = 3
 
@@ -171,6 +176,16 @@
     isolation: () => isolation,
     isTrusted: () => state === Reachability.reachable,
     trustedSince: () => trustedSince,
+    async verify () {
+      if (state === Reachability.reachable && !isProbing && now() - lastResponseAt > RECENT_RESPONSE_MS && now() >= nextProbeAt) {
+        const targets = selectTargets(failedServers())
+        if (targets.length > 0) {
+          state = Reachability.suspected
+          await probe(targets)
+        }
+      }
+      return isolation === null
+    },
     async check () {
       if (isProbing || now() < nextProbeAt) return
       const failed = failedServers()
--- a/src/reachability/reachability_monitor_test.ts
+++ b/src/reachability/reachability_monitor_test.ts
@@ -105,6 +105,24 @@
   assert.is(simulation.changes.length, 1)
 })
 
+test('verify() probes servers only when none has responded just now, and shows at once that this host is cut', async () => {
+  const simulation = createSimulation()
+  await play(simulation, 1000)
+  assert.is(await simulation.monitor.verify(), true)
+  assert.equal(simulation.probed, [])
+  simulation.now += 500
+  assert.is(await simulation.monitor.verify(), true)
+  assert.is(simulation.probed.length, 3)
+  simulation.now += 2000
+  simulation.pathTo = () => ProbeResult.timedOut
+  assert.is(await simulation.monitor.verify(), false)
+  assert.equal(simulation.changes, [{ isSilent: true }])
+})
+
+test('verify() returns true without a probe, when no servers are known', async () => {
+  assert.is(await createSimulation(0).monitor.verify(), true)
+})
+
 test('check() keeps at most one round of probes in progress, when probes take long', async () => {
   const waiting: Array<(result: ProbeResult) => void> = []
   let now = 0
--- a/src/relay/relay_directory.ts
+++ b/src/relay/relay_directory.ts
@@ -32,8 +32,8 @@
   readonly now: () => number
   /** Isolation of this host from the servers; `null` if it reaches them. */
   readonly isolation: () => Isolation | null
-  /** Called when requests through a relay can no longer be expected to get responses. */
-  readonly onRelayLost: (host: string) => void
+  /** Called when requests through a relay can no longer be expected to get responses; `isIsolated` is whether it has refused one because it reaches no server. */
+  readonly onRelayLost: (host: string, isIsolated: boolean) => void
 }
 
 /** Maximum number of relays that a request of an isolated host is sent to. */
@@ -112,7 +112,7 @@
   return {
     setHosts (hosts) {
       const present = new Set(hosts.map(({ host }) => host))
-      for (const { host } of [...byZone.values()].flat()) if (!present.has(host)) options.onRelayLost(host)
+      for (const { host } of [...byZone.values()].flat()) if (!present.has(host)) options.onRelayLost(host, false)
       byZone = new Map()
       relays = new Map()
       for (const host of hosts) byZone.set(host.zone, [...byZone.get(host.zone) ?? [], host])
@@ -121,7 +121,7 @@
     recordIsolated (host) {
       isolatedUntil.set(host, now() + ISOLATED_RELAY_MS)
       relays = new Map()
-      options.onRelayLost(host)
+      options.onRelayLost(host, true)
     },
     isIsolated: () => options.isolation() !== null,
     isRelay: (server) => relayOf(server)?.host === options.host,
