Keys of a restarted server are released before others get them

What could happen: two owners of a key. Cause: a server that restarts under its identifier accepts the renewals that reach its new run before the list shows it. The leader then forgot that the server may hold its ranges; if it was leaving by then, they went to others at once. Change: after a restart the server counts as a holder until it has been granted the range again or has released it. Ruled out: the soak's stand-in (the same on the simulated servers, which follow the published protocol).

--- a/src/ownership/_range_state.ts
+++ b/src/ownership/_range_state.ts
@@ -16,6 +16,8 @@
   token: number
   /** Whether the owner has acknowledged a grant that has not expired. */
   granted: boolean
+  /** Whether the owner has restarted since its last grant: it may hold the range by a renewal that reached its new run, or not. */
+  hasOwnerRestarted: boolean
   /** Servers that may hold the range. */
   holders: Map<string, Holder>
   handover: string | null
@@ -50,7 +52,7 @@
   // The previous holder may have released the range already. It is sent a release and gets no further grant.
   if (recorded.previous !== null) holders.set(recorded.previous, { expiresAt: grantExpiry(recorded.previous), unansweredUntil: 0 })
   if (unknownGrantsUntil > 0) holders.set(UNKNOWN_HOLDER, { expiresAt: unknownGrantsUntil, unansweredUntil: 0 })
-  return { from: recorded.from, to: recorded.to, owner: recorded.owner, token: 0, granted: false, holders, handover: null, movedAt: -Infinity, nextCallAt: 0, callInProgress: null, isPlanPending: false, publishedOwner: '' }
+  return { from: recorded.from, to: recorded.to, owner: recorded.owner, token: 0, granted: false, hasOwnerRestarted: false, holders, handover: null, movedAt: -Infinity, nextCallAt: 0, callInProgress: null, isPlanPending: false, publishedOwner: '' }
 }
 
 /** Returns the range that contains a key; the ranges cover the key space in ascending order. */
--- a/src/ownership/range_controller.ts
+++ b/src/ownership/range_controller.ts
@@ -114,7 +114,7 @@
   }
 
   function ownerOf (range: Range): KeyOwner {
-    if (range.owner !== null && range.holders.has(range.owner) && (range.granted || range.holders.size === 1)) return { kind: 'owned', server: range.owner }
+    if (range.owner !== null && range.holders.has(range.owner) && !range.hasOwnerRestarted && (range.granted || range.holders.size === 1)) return { kind: 'owned', server: range.owner }
     const otherHolders = [...range.holders].filter(([id]) => id !== range.owner)
     // A server that only this host cannot reach keeps serving until its grant expires.
     const respondingHolder = otherHolders.find(([id]) => unresponsive.has(id) && options.isResponding(id))
@@ -158,6 +158,15 @@
     if (heldRanges.length > 0) logger.info({ service, server: id, ranges: heldRanges.length, cause }, 'server-ended')
   }
 
+  /** A restarted server holds nothing of before, but renewals may have reached its new run: its ranges are granted again, or released before others get them. */
+  function recordRestart (id: string): void {
+    unresponsive.forget(id)
+    for (const range of ranges.filter(({ holders }) => holders.has(id))) {
+      range.nextCallAt = 0
+      if (range.owner === id) Object.assign(range, { granted: false, hasOwnerRestarted: true })
+    }
+  }
+
   async function call (id: string, range: Range, run: () => Promise<ControlOutcome>): Promise<ControlOutcome> {
     const callId = Symbol(id)
     range.callInProgress = callId
@@ -186,6 +195,7 @@
       // The response proves that the call has arrived, so no grant is in transit.
       range.holders.set(server.id, { expiresAt: Math.max(previousState?.expiresAt ?? 0, acknowledgedExpiry), unansweredUntil: 0 })
       range.granted = range.owner === server.id
+      range.hasOwnerRestarted = false
       range.handover = null
       range.nextCallAt = now() + GrantTiming.renewIntervalMs
       if (isFirstGrant) logger.info({ service, from, to, token, server: server.id, holdMs: durationMs }, 'range-granted')
@@ -330,6 +340,7 @@
         if (updated.owner !== plannedRange.owner) {
           updated.owner = plannedRange.owner
           updated.granted = false
+          updated.hasOwnerRestarted = false
           updated.movedAt = now()
           updated.nextCallAt = now() + RELEASE_DELAY_MS
         }
@@ -343,7 +354,7 @@
         const previous = serverOf(server.id)
         if (previous !== undefined && previous.bornAt !== server.bornAt) {
           logger.info({ service, server: server.id, bornAt: server.bornAt, previousBornAt: previous.bornAt }, 'server-restarted')
-          for (const range of ranges) removeHolder(range, server.id, 'the server has restarted')
+          recordRestart(server.id)
         }
         departed.delete(server.id)
       }
--- a/src/ownership/range_controller_test.ts
+++ b/src/ownership/range_controller_test.ts
@@ -214,6 +214,23 @@
   assert.equal(simulation.servers.violations, [])
 })
 
+// Guards against two owners of a key: renewals reach the new run of a server before the list shows that it has restarted.
+test('tick() takes the keys of a restarted server back before it grants them to others, when that server is leaving by the time its new start is listed', async () => {
+  const simulation = createSimulation()
+  await run(simulation, 2000)
+  simulation.servers.restart('s1')
+  for (let at = 0; at < 1200; at += 25) {
+    simulation.controller.tick()
+    simulation.queue.advance(25)
+    await new Promise((resolve) => { setImmediate(resolve) })
+  }
+  simulation.servers.setLeaving('s1')
+  await run(simulation, 1500)
+  assert.equal(simulation.servers.violations, [])
+  assert.not(currentOwners(simulation).includes(''))
+  assert.not(currentOwners(simulation).some((owners) => owners.includes('s1')))
+})
+
 test('tick() grants the keys of an ended server to others within a second, when a new leader has just taken over', async () => {
   for (const proof of ['address', 'refused']) {
     const simulation = createSimulation()
--- a/src/reachability/connect_probe_test.ts
+++ b/src/reachability/connect_probe_test.ts
@@ -23,8 +23,9 @@
   await new Promise<void>((resolve) => { server.listen(0, '127.0.0.1', resolve) })
   const result = createConnectProbe(50)(`127.0.0.1:${(server.address() as AddressInfo).port}`)
   for (const until = performance.now() + 150; performance.now() < until;);
-  assert.is(await result, ProbeResult.connected)
+  const outcome = await result
   server.close()
+  assert.is(outcome, ProbeResult.connected)
 })
 
 test('createConnectProbe() counts an address as refused, when its port is out of range', async () => {
