--- a/src/entry_host/create_entry_host.ts
+++ b/src/entry_host/create_entry_host.ts
@@ -19,6 +19,7 @@
 import { TaskTiming } from './_task_timing.ts'
 import { trackControl } from './_tracked_control.ts'
 import { createCoordinator } from './create_coordinator.ts'
+import type { EntryHostSettings } from './entry_host_settings.ts'
 import { createHostReportTracker } from './host_report_tracker.ts'
 import { createLeadershipController } from './create_leadership_controller.ts'
 import { createLeaderMonitor } from './leader_monitor.ts'
@@ -32,26 +33,6 @@
 import { createStoreReader, type PublishedState } from './store_reader.ts'
 import { decodeOwner, decodeViews } from './encode_updates.ts'
 
-/** Settings of an entry host. */
-export interface EntryHostSettings {
-  readonly host: string
-  readonly ip: string
-  readonly zone: string
-  readonly processorShare: number
-  /** Speed of this host's network link, in megabits per second. */
-  readonly linkMegabits: number
-  readonly sockets: number
-  readonly callerAddress: string
-  readonly readinessAddress: string
-  readonly peerPort: number
-  readonly graceMs: number
-  /** Whether the whole deployment starts for the first time. */
-  readonly isFirstStart: boolean
-  readonly retryRatio: number
-  readonly retrySlack: number
-  readonly maximumGrantDurationMs: number
-}
-
 /** Options of {@link createEntryHost}. */
 export interface EntryHostOptions {
   readonly settings: EntryHostSettings
--- a/src/gateway/create_gateway.ts
+++ b/src/gateway/create_gateway.ts
@@ -5,8 +5,7 @@
  * certainly not run or is idempotent. Retries draw on the retry budget, except
  * after attempts that did not reach a server.
  */
-import type { Agent, IncomingMessage, ServerResponse } from 'node:http'
-import type { RetryBudget } from '../dispatch/retry_budget.ts'
+import type { IncomingMessage, ServerResponse } from 'node:http'
 import { pickTarget, RequestKind, type RoutedServer } from '../routing/mod.ts'
 import { clampRetryAfterMs } from './admission.ts'
 import { bodyBytes, createBodyReader, discardBody } from './body_reader.ts'
@@ -14,50 +13,16 @@
 import { createCallerDeadlines } from './caller_deadlines.ts'
 import { requestHeaders } from './forwarded_headers.ts'
 import { chooseServer } from './choose_server.ts'
-import type { HeaderNames } from './header_names.ts'
-import type { RequestLimits } from './request_limits.ts'
-import type { RequestPermits } from './request_permits.ts'
-import type { RoutingState } from './routing_state.ts'
+import type { GatewayOptions } from './gateway_options.ts'
 import { outcomeLabel, parseKey, toLoadOutcome } from './outcomes.ts'
-import type { PathSelector, Relay } from './relay_selector.ts'
-import type { AttemptRecord, RequestRecord } from './request_record.ts'
+import type { Relay } from './relay_selector.ts'
+import type { AttemptRecord } from './request_record.ts'
 import { sendAttempt, type Attempt, type AttemptOutcome, type SendAttemptOptions } from './send_attempt.ts'
-import type { ServerAdmission, ServerAdmissionQuery } from './server_admission.ts'
-import type { ServerLoads } from './server_loads.ts'
+import type { ServerAdmissionQuery } from './server_admission.ts'
 import { forwardResponse, waitUntilSent } from './forward_response.ts'
 import { pollConnections } from './poll_connections.ts'
 import { watchDisconnect } from './watch_disconnect.ts'
 
-/** Options of {@link createGateway}. */
-export interface GatewayOptions {
-  readonly routingState: RoutingState
-  readonly loads: ServerLoads
-  /** Limits that servers name; updated from their responses. */
-  readonly limits: RequestLimits
-  /** Permits for servers that have named a limit. */
-  readonly permits: RequestPermits
-  /** Admission control for requests that this host sends to servers itself. */
-  readonly admission: ServerAdmission
-  readonly agent: Agent
-  /** Selects the way of each request to its server. */
-  readonly relays: PathSelector
-  /** Agent for the connections to relays. */
-  readonly relayAgent: Agent
-  readonly names: HeaderNames
-  readonly host: string
-  readonly zone: string
-  readonly retryBudgetOf: (service: string) => RetryBudget
-  readonly now: () => number
-  readonly random: () => number
-  /** Called for each request with a key to a keyed service. */
-  readonly onKeyRequested: (service: string, key: number) => void
-  readonly onRequestEnd: (record: RequestRecord) => void
-  /** Whether this host is shutting down, so that connections are closed after their request. */
-  readonly isLeaving: () => boolean
-  /** When this host stops, which ends all requests in progress; monotonic time in milliseconds, `Infinity` if it is not shutting down. */
-  readonly stopsAt: () => number
-}
-
 /** Gateway of one host. */
 export interface Gateway {
   handle (request: IncomingMessage, response: ServerResponse): Promise<void>
--- /dev/null
+++ b/src/gateway/gateway_options.ts
@@ -0,0 +1,41 @@
+/** Options of a host's gateway. */
+import type { Agent } from 'node:http'
+import type { RetryBudget } from '../dispatch/retry_budget.ts'
+import type { HeaderNames } from './header_names.ts'
+import type { PathSelector } from './relay_selector.ts'
+import type { RequestLimits } from './request_limits.ts'
+import type { RequestPermits } from './request_permits.ts'
+import type { RequestRecord } from './request_record.ts'
+import type { RoutingState } from './routing_state.ts'
+import type { ServerAdmission } from './server_admission.ts'
+import type { ServerLoads } from './server_loads.ts'
+
+/** Options of `createGateway()`. */
+export interface GatewayOptions {
+  readonly routingState: RoutingState
+  readonly loads: ServerLoads
+  /** Limits that servers name; updated from their responses. */
+  readonly limits: RequestLimits
+  /** Permits for servers that have named a limit. */
+  readonly permits: RequestPermits
+  /** Admission control for requests that this host sends to servers itself. */
+  readonly admission: ServerAdmission
+  readonly agent: Agent
+  /** Selects the way of each request to its server. */
+  readonly relays: PathSelector
+  /** Agent for the connections to relays. */
+  readonly relayAgent: Agent
+  readonly names: HeaderNames
+  readonly host: string
+  readonly zone: string
+  readonly retryBudgetOf: (service: string) => RetryBudget
+  readonly now: () => number
+  readonly random: () => number
+  /** Called for each request with a key to a keyed service. */
+  readonly onKeyRequested: (service: string, key: number) => void
+  readonly onRequestEnd: (record: RequestRecord) => void
+  /** Whether this host is shutting down, so that connections are closed after their request. */
+  readonly isLeaving: () => boolean
+  /** When this host stops, which ends all requests in progress; monotonic time in milliseconds, `Infinity` if it is not shutting down. */
+  readonly stopsAt: () => number
+}
--- a/src/relay/isolated_host_test.ts
+++ b/src/relay/isolated_host_test.ts
@@ -31,6 +31,8 @@
   readonly callerPort: number
   readonly relay: RelayHost
   readonly records: RequestRecord[]
+  /** Requests that this host tried to forward for others. */
+  readonly relayed: RequestRecord[]
   /** Replaces the addresses at which this host finds the servers. */
   setServers (servers: readonly RoutedServer[]): void
   setRelays (hosts: readonly RelayHost[]): void
@@ -54,10 +56,11 @@
   const [agent, relayAgent] = [createServerAgent(), new Agent({ keepAlive: true })]
   const budget = createRetryBudget({ share: 0, maximum: 5 })
   const records: RequestRecord[] = []
+  const relayed: RequestRecord[] = []
   const isIsolated = (): boolean => reachability.isolation() !== null
   const shared = { routingState, loads, limits, permits, admission, isRelay: directory.isRelay, isIsolated, agent, names: TEST_HEADER_NAMES, now, stopsAt: () => Infinity }
   const gateway = createGateway({ ...shared, relays: directory, relayAgent, host: name, zone: 'a', retryBudgetOf: () => budget, random: Math.random, onKeyRequested: () => {}, onRequestEnd (record) { records.push(record) }, isLeaving: () => false })
-  const relay = createRelay({ ...shared, onEnd: () => {} })
+  const relay = createRelay({ ...shared, onEnd (record) { relayed.push(record) } })
   const listeners = [gateway.handle, relay.handle].map((handle) => createCallerServer({ limits: TEST_CONFIGURATION.limits, maximumConnections: 1000, handle, onError: () => {} }))
   const [callerPort = 0, relayPort = 0] = await Promise.all(listeners.map(listen))
   const timer = setInterval(() => { reachability.check().catch(() => {}) }, 20)
@@ -65,6 +68,7 @@
     callerPort,
     relay: { host: name, zone: 'a', address: `127.0.0.1:${relayPort}`, weight: 1 },
     records,
+    relayed,
     setServers: routingState.setServers,
     setRelays: directory.setHosts,
     isIsolated,
@@ -153,9 +157,12 @@
   await withHosts(async ([first, second, third], backends, cutOff) => {
     if (first === undefined || second === undefined || third === undefined) return assert.unreachable()
     for (const host of [first, second]) await isolate(host, await cutOff())
+    const relayedBefore = second.relayed.length
     assert.is(await sendRequests(first, { path: '/once/x', count: 30, body: 'b' }), 30)
     assert.is(await sendRequests(third, { path: '/once/x', count: 30, body: 'b' }), 30)
     assert.ok(first.records.slice(-30).every((record) => record.attempts.at(-1)?.relay === 'h3'))
+    // A relay that knows that it is isolated does not try.
+    assert.is(second.relayed.length, relayedBefore)
   })
 })
 
--- a/tools/_mutation_list.ts
+++ b/tools/_mutation_list.ts
@@ -20,6 +20,10 @@
 const PERMITS = 'src/gateway/request_permits_test.ts'
 const LIMITS = 'src/gateway/request_limits_test.ts'
 const LOADS = 'src/entry_host/load_aggregator_test.ts'
+const SERVER_LOADS = 'src/gateway/server_loads_test.ts'
+const ISOLATED = 'src/relay/isolated_host_test.ts'
+const REACHABILITY = 'src/reachability/reachability_monitor_test.ts'
+const RANGES = 'src/ownership/range_controller_test.ts'
 const GRANTS = 'src/dispatch/server_grant_test.ts'
 const PROMISES = 'src/cell/promise_tracker_test.ts'
 const TRACES = 'src/host/trace_replay_test.ts'
@@ -62,5 +66,12 @@
   { name: 'a new relay starts with all permits', file: 'src/gateway/request_permits.ts', find: 'tokens: isRelay ? 0 : options.random()', replace: 'tokens: isRelay ? 100 : options.random()', test: PERMITS },
   { name: 'idle hosts keep a whole permit', file: 'src/gateway/request_permits.ts', find: '(isRelay || now() - bucket.updatedAt <= DIRECT_IDLE_MS)', replace: 'true', test: PERMITS },
   { name: 'an earlier response ends a limit', file: 'src/gateway/request_limits.ts', find: '&& sentAt >= state.observedAt', replace: '', test: LIMITS },
-  { name: 'an older report of a limit replaces a newer one', file: 'src/entry_host/load_aggregator.ts', find: 'if (now - ageMs < load.limitObservedAt) return', replace: '', test: LOADS }
+  { name: 'an older report of a limit replaces a newer one', file: 'src/entry_host/load_aggregator.ts', find: 'if (now - ageMs < load.limitObservedAt) return', replace: '', test: LOADS },
+  { name: 'a loss counts before another server has responded', file: 'src/gateway/server_loads.ts', find: 'unconfirmedLosses.push({ state, refused })', replace: 'state.sample.lost++', test: SERVER_LOADS },
+  { name: 'an isolated relay forwards requests', file: 'src/relay/create_relay.ts', find: 'if (options.isIsolated()) return refuse(response, RelayRefusal.isolated)', replace: '', test: ISOLATED },
+  { name: 'a failed direct way of an isolated host rules out the server', file: 'src/gateway/create_gateway.ts', find: "if (outcome.kind === 'unsent' && options.relays.isIsolated()) {", replace: "if (outcome.kind === 'unsent' && exchange.triedRelays.size > 9) {", test: ISOLATED },
+  { name: 'one server without a response isolates a host', file: 'src/reachability/reachability_monitor.ts', find: 'const FAILED_SERVER_THRESHOLD = 2', replace: 'const FAILED_SERVER_THRESHOLD = 1', test: REACHABILITY },
+  { name: 'a leader that reaches no server leads on', file: 'src/entry_host/create_leadership_controller.ts', find: 'if (!leading || !options.isIsolated() ||', replace: 'if (!leading || options.isIsolated() ||', test: LEADERSHIP },
+  { name: 'a response that says that its server leaves is ignored', file: 'src/gateway/send_attempt.ts', find: "if (response.headers[names.leaving] === '1' && response.statusCode !== 421)", replace: "if (response.headers[names.leaving] === '2')", test: GATEWAY },
+  { name: 'a restarted server counts as holding nothing', file: 'src/ownership/range_controller.ts', find: 'recordRestart(server.id)', replace: "for (const range of ranges) removeHolder(range, server.id, 'restarted')", test: RANGES }
 ]
