Bound what a host remembers of losses and of servers that did not respond

Cause: found by reading: with a single server that is down, and so no response of any other, losses that are not reported yet were kept one by one; servers that had ended stayed in the records of the reachability monitor and relays in that of the directory. Change: losses are counted by server; records that no longer count are dropped. No change of behaviour; the same tests hold, one mutation follows.

--- a/src/gateway/server_loads.ts
+++ b/src/gateway/server_loads.ts
@@ -148,7 +148,7 @@
 export function createServerLoads (now: () => number, assumedWorkMs: (service: string) => number = () => 120, reachability: Pick<ReachabilityMonitor, 'trackRequest' | 'isTrusted'> = ALWAYS_REACHABLE): ServerLoads {
   const states = new Map<string, ServerState>()
   /** Losses that are not reported yet: only a later response of any server shows that this host reaches servers, and that the loss concerns the one. */
-  let unconfirmedLosses: Array<{ readonly state: ServerState, readonly refused: boolean }> = []
+  const unconfirmedLosses = new Map<ServerState, { lost: number, refused: number }>()
   const zoneDetector = createGroupFailureDetector(now)
 
   function stateOf (id: string): ServerState {
@@ -195,17 +195,20 @@
 
   function recordLost (state: ServerState, refused = false): void {
     if (!reachability.isTrusted()) return
-    unconfirmedLosses.push({ state, refused })
+    const losses = unconfirmedLosses.get(state) ?? { lost: 0, refused: 0 }
+    unconfirmedLosses.set(state, losses)
+    losses.lost++
+    if (refused) losses.refused++
     state.consecutiveLosses++
     if (state.consecutiveLosses >= CONSECUTIVE_LOSS_LIMIT) state.unresponsiveUntil = now() + UNRESPONSIVE_MS
   }
 
   function confirmLosses (): void {
-    for (const { state: { sample }, refused } of unconfirmedLosses) {
-      sample.lost++
-      if (refused) sample.refused++
+    for (const [{ sample }, { lost, refused }] of unconfirmedLosses) {
+      sample.lost += lost
+      sample.refused += refused
     }
-    unconfirmedLosses = []
+    unconfirmedLosses.clear()
   }
 
   function recordOutcome (state: ServerState, server: RoutedServer, { outcome, loadFactor }: { readonly outcome: LoadOutcome, readonly loadFactor: number }): void {
@@ -255,7 +258,7 @@
     discardRelay: zoneDetector.discardPath,
     discardOwnRequests () {
       zoneDetector.discardPath(DIRECT_PATH)
-      unconfirmedLosses = []
+      unconfirmedLosses.clear()
       for (const state of states.values()) {
         state.ownInFlight -= state.pending.size
         state.pending.clear()
--- a/src/reachability/reachability_monitor.ts
+++ b/src/reachability/reachability_monitor.ts
@@ -116,8 +116,14 @@
   function failedServers (): Set<string> {
     const failed = new Set<string>()
     for (const { server, startedAt, overdueAt } of pending) if (startedAt > lastResponseAt && overdueAt <= now()) failed.add(server)
-    for (const [server, sentAt] of unanswered) if (sentAt > lastResponseAt) failed.add(server)
-    for (const [server, at] of unreachable) if (now() - at <= UNREACHABLE_WINDOW_MS) failed.add(server)
+    for (const [server, sentAt] of unanswered) {
+      if (sentAt > lastResponseAt) failed.add(server)
+      else unanswered.delete(server)
+    }
+    for (const [server, at] of unreachable) {
+      if (now() - at <= UNREACHABLE_WINDOW_MS) failed.add(server)
+      else unreachable.delete(server)
+    }
     return failed
   }
 
--- a/src/relay/relay_directory.ts
+++ b/src/relay/relay_directory.ts
@@ -119,6 +119,7 @@
     },
     hostsIn: (zone) => byZone.get(zone) ?? [],
     recordIsolated (host) {
+      for (const [known, until] of isolatedUntil) if (until <= now()) isolatedUntil.delete(known)
       isolatedUntil.set(host, now() + ISOLATED_RELAY_MS)
       relays = new Map()
       options.onRelayLost(host, true)
--- a/tools/_mutation_list.ts
+++ b/tools/_mutation_list.ts
@@ -67,7 +67,7 @@
   { name: 'idle hosts keep a whole permit', file: 'src/gateway/request_permits.ts', find: '(isRelay || now() - bucket.updatedAt <= DIRECT_IDLE_MS)', replace: 'true', test: PERMITS },
   { name: 'an earlier response ends a limit', file: 'src/gateway/request_limits.ts', find: '&& sentAt >= state.observedAt', replace: '', test: LIMITS },
   { name: 'an older report of a limit replaces a newer one', file: 'src/entry_host/load_aggregator.ts', find: 'if (now - ageMs < load.limitObservedAt) return', replace: '', test: LOADS },
-  { name: 'a loss counts before another server has responded', file: 'src/gateway/server_loads.ts', find: 'unconfirmedLosses.push({ state, refused })', replace: 'state.sample.lost++', test: SERVER_LOADS },
+  { name: 'a loss counts before another server has responded', file: 'src/gateway/server_loads.ts', find: 'losses.lost++', replace: 'state.sample.lost++', test: SERVER_LOADS },
   { name: 'an isolated relay forwards requests', file: 'src/relay/create_relay.ts', find: 'if (options.isIsolated()) return refuse(response, RelayRefusal.isolated)', replace: '', test: ISOLATED },
   { name: 'a failed direct way of an isolated host rules out the server', file: 'src/gateway/create_gateway.ts', find: "if (outcome.kind === 'unsent' && options.relays.isIsolated()) {", replace: "if (outcome.kind === 'unsent' && exchange.triedRelays.size > 9) {", test: ISOLATED },
   { name: 'one server without a response isolates a host', file: 'src/reachability/reachability_monitor.ts', find: 'const FAILED_SERVER_THRESHOLD = 2', replace: 'const FAILED_SERVER_THRESHOLD = 1', test: REACHABILITY },
