Relays that reach servers again are selected by all hosts again

Cause: found by reading. A host that had been refused by an isolated relay selected another one for a second, and kept it until the next list of relays; other hosts did not, so a server could have two relays that do not know each other's requests. Change: when the second is over, relays are selected anew.

--- a/src/relay/relay_directory.ts
+++ b/src/relay/relay_directory.ts
@@ -63,6 +63,8 @@
   let relays = new Map<string, RelayHost | null>()
   /** Until when a relay counts as reaching no server. */
   const isolatedUntil = new Map<string, number>()
+  /** When the next of these times is over, so that relays are selected anew; all hosts then select the same ones again. */
+  let selectAgainAt = Infinity
 
   /** Lower scores come first: weighted rendezvous hashing, so that a host that joins or leaves changes the relays of few servers. */
   function score (host: RelayHost, server: RoutedServer): number {
@@ -73,7 +75,7 @@
     return (isolatedUntil.get(host.host) ?? -Infinity) > now()
   }
 
-  function first (hosts: readonly RelayHost[], server: RoutedServer): RelayHost | null {
+  function selectFirst (hosts: readonly RelayHost[], server: RoutedServer): RelayHost | null {
     let best: RelayHost | null = null
     let lowestScore = Infinity
     for (const host of hosts) {
@@ -86,19 +88,27 @@
     return best
   }
 
+  /** Discards the selected relays, and the hosts that may reach servers again. */
+  function resetSelection (): void {
+    relays = new Map()
+    for (const [host, until] of isolatedUntil) if (until <= now()) isolatedUntil.delete(host)
+    selectAgainAt = Math.min(...isolatedUntil.values())
+  }
+
   function relayOf (server: RoutedServer): RelayHost | null {
+    if (now() >= selectAgainAt) resetSelection()
     const cached = relays.get(server.id)
-    if (cached !== undefined && (cached === null || !isIsolated(cached))) return cached
-    const host = first((byZone.get(server.zone) ?? []).filter((candidate) => !isIsolated(candidate)), server)
+    if (cached !== undefined) return cached
+    const host = selectFirst((byZone.get(server.zone) ?? []).filter((candidate) => !isIsolated(candidate)), server)
     relays.set(server.id, host)
     return host
   }
 
   /** The host that relays for an isolated host: the server's relay, or else another host in the server's zone, or else one of any zone. */
-  function helperOf (server: RoutedServer, tried: ReadonlySet<string>): RelayHost | null {
+  function selectOtherHost (server: RoutedServer, tried: ReadonlySet<string>): RelayHost | null {
     if (tried.size >= MAXIMUM_RELAYS_TRIED) return null
     const isUsable = (host: RelayHost): boolean => host.host !== options.host && !tried.has(host.host) && !isIsolated(host) && !failureDetector.isUnresponsive(host.host)
-    return first((byZone.get(server.zone) ?? []).filter(isUsable), server) ?? first([...byZone.values()].flat().filter(isUsable), server)
+    return selectFirst((byZone.get(server.zone) ?? []).filter(isUsable), server) ?? selectFirst([...byZone.values()].flat().filter(isUsable), server)
   }
 
   function toRelay (host: RelayHost): Relay {
@@ -119,9 +129,8 @@
     },
     hostsIn: (zone) => byZone.get(zone) ?? [],
     recordIsolated (host) {
-      for (const [known, until] of isolatedUntil) if (until <= now()) isolatedUntil.delete(known)
       isolatedUntil.set(host, now() + ISOLATED_RELAY_MS)
-      relays = new Map()
+      resetSelection()
       options.onRelayLost(host, true)
     },
     isIsolated: () => options.isolation() !== null,
@@ -129,8 +138,8 @@
     select (server, { bodyBytes, isLimited, triedRelays, triedDirectly }) {
       const isolation = options.isolation()
       if (isolation !== null) {
-        const helper = helperOf(server, triedRelays)
-        if (helper !== null) return { kind: 'relay', relay: toRelay(helper) }
+        const other = selectOtherHost(server, triedRelays)
+        if (other !== null) return { kind: 'relay', relay: toRelay(other) }
         // While only new connections fail, those that are open may still carry requests.
         return { kind: isolation.isSilent || triedDirectly ? 'none' : 'direct' }
       }
--- a/src/relay/relay_directory_test.ts
+++ b/src/relay/relay_directory_test.ts
@@ -126,7 +126,6 @@
   assert.is.not(next, relay)
   assert.is(hosts.find(({ host }) => host === next)?.zone, server.zone)
   now = 1500
-  directory.setHosts(hosts)
   assert.is(relayOf(directory, server)?.host, relay)
 })
 
