--- a/src/gateway/leaving_servers_test.ts
+++ b/src/gateway/leaving_servers_test.ts
@@ -57,7 +57,7 @@
   assert.is(routingState.serversDigest(), listed.serversDigest())
 })
 
-test('recordLeaving() notifies nobody, when the response is of a run that is not listed', () => {
+test('recordLeaving() does not call onLeaving, when the response is of a run that is not listed', () => {
   const notified: string[] = []
   const routingState = createRoutingState({ onLeaving (server) { notified.push(server.id) } })
   routingState.setServers([serverOf('s1', 2)])
