Log the end of a server with the requests that were lost with it

The logs could not tell the hypotheses of requests-that-end-servers apart: a lost request was logged with its server and 'lost', not whether the server had ended, which other requests were lost with it, and whether any of them had been lost with another server before. Now a host that loses a request probes the address 15 ms later, once for all losses of a run; server-ended has the run, the evidence and the fingerprints of the lost requests, and the lines of lost requests have the fingerprint, too, so that an identifier leads to the ends under its request. A fingerprint covers what a server gets: method, path with query, headers but those that differ between attempts, and the body (the length of one that is streamed).

No logic of routing changes. Ruled out as evidence: a reset alone, which networks, faulty servers and limits on connections cause as well; refused connections on a host that reaches no server.

--- a/src/entry_host/create_entry_host.ts
+++ b/src/entry_host/create_entry_host.ts
@@ -7,6 +7,7 @@
 import {
   createCallerServer, createGateway, createRequestLimits, createRequestPermits, createRoutingState, createServerAdmission, createServerAgent, createServerLoads, type HeaderNames, type RequestRecord
 } from '../gateway/mod.ts'
+import { createRequestGuard, createServerEndDetector } from '../fatal_requests/mod.ts'
 import { createLeadership } from '../leadership/mod.ts'
 import type { Logger } from '../logging/mod.ts'
 import type { ServerControl } from '../ownership/mod.ts'
@@ -20,6 +21,7 @@
 import { trackControl } from './_tracked_control.ts'
 import { createCoordinator } from './create_coordinator.ts'
 import type { EntryHostSettings } from './entry_host_settings.ts'
+import { createEndLog } from './end_log.ts'
 import { createHostReportTracker } from './host_report_tracker.ts'
 import { createLeadershipController } from './create_leadership_controller.ts'
 import { createLeaderMonitor } from './leader_monitor.ts'
@@ -89,8 +91,9 @@
   const { settings, logger } = options
   const now = (): number => performance.now()
   const routingState = createRoutingState({ now, onLeaving: onServerLeaving })
+  const probe = createConnectProbe(TaskTiming.probeTimeoutMs)
   const reachability = createReachabilityMonitor({
-    zone: settings.zone, servers: routingState.servers, probe: createConnectProbe(TaskTiming.probeTimeoutMs), now, random: Math.random, onChange: onReachabilityChange
+    zone: settings.zone, servers: routingState.servers, probe, now, random: Math.random, onChange: onReachabilityChange
   })
   const isIsolated = (): boolean => reachability.isolation() !== null
   const reachesServersSince = (): number => reachability.isTrusted() ? reachability.trustedSince() : Infinity
@@ -103,6 +106,10 @@
   const relayAgent = new Agent({ keepAlive: true, maxFreeSockets: RELAY_IDLE_CONNECTIONS, scheduling: 'lifo' })
   const relayAddress = `${settings.ip}:${settings.peerPort + 1}`
   const relays = createRelayDirectory({ host: settings.host, now, isolation: reachability.isolation, onRelayLost })
+  const endDetector = createServerEndDetector({
+    probe, verifyReachability: reachability.verify, isLeaving: (server) => routingState.server(server.id)?.leaving !== false, onEnd () {}, onChecked: createEndLog(logger), now
+  })
+  const guard = createRequestGuard({ detector: endDetector })
   const holder = `${settings.host}/${process.pid}-${Date.now().toString(36)}-${Math.random().toString(36).slice(2, 8)}`
   const leadership = createLeadership({
     table: options.table, logger, holder, address: `${settings.ip}:${settings.peerPort}`, now, wallClock: () => Date.now()
@@ -201,6 +208,7 @@
     limits,
     permits,
     admission,
+    guard,
     agent,
     relays,
     relayAgent,
@@ -220,7 +228,7 @@
     stopsAt: () => stopsAt
   })
   const relay = createRelay({
-    routingState, loads, limits, admission, isRelay: relays.isRelay, isIsolated, agent, names: options.names, now, onEnd (record) { requestLog.write(record, describeRoutingState()) }, stopsAt: () => stopsAt
+    routingState, loads, limits, admission, isRelay: relays.isRelay, isIsolated, guard, agent, names: options.names, now, onEnd (record) { requestLog.write(record, describeRoutingState()) }, stopsAt: () => stopsAt
   })
   const relayServer = createCallerServer({
     limits: RELAY_LIMITS, maximumConnections: settings.sockets, handle: relay.handle, onError: reportConnectionError
--- /dev/null
+++ b/src/entry_host/end_log.ts
@@ -0,0 +1,21 @@
+/** Logs the ends of servers together with the requests that were lost with them. */
+import { EndEvidence, type ServerEndDetectorOptions } from '../fatal_requests/mod.ts'
+import type { Logger } from '../logging/mod.ts'
+
+/** Maximum number of fingerprints in one line. */
+const MAXIMUM_FINGERPRINTS = 8
+
+/**
+ * Creates the log.
+ *
+ * @param logger Destination of the lines.
+ * @returns A function that logs the result of a check.
+ */
+export function createEndLog (logger: Logger): NonNullable<ServerEndDetectorOptions['onChecked']> {
+  return ({ server, evidence, requests }) => {
+    const fields = { server: server.id, service: server.service, bornAt: server.bornAt, evidence, lost: requests.length, fingerprints: [...new Set(requests.map(({ fingerprint }) => fingerprint))].slice(0, MAXIMUM_FINGERPRINTS).join() }
+    // Connections are reset for many reasons; only ends are worth a line each.
+    if (evidence === EndEvidence.none) logger.debug(fields, 'server-alive')
+    else logger.info(fields, 'server-ended')
+  }
+}
--- a/src/entry_host/request_log.ts
+++ b/src/entry_host/request_log.ts
@@ -52,6 +52,7 @@
         ms: Math.round(record.durationMs),
         // With another reason than caller-left, this shows that the host did not notice in time that the connection was closed.
         caller: record.isCallerConnected ? undefined : 'disconnected',
+        fingerprint: record.fingerprint ?? undefined,
         retryAfterMs: record.retryAfterMs === undefined ? undefined : Math.round(record.retryAfterMs),
         attempts: record.attempts.map((attempt) => `${attempt.server}:${attempt.outcome}${attempt.detail === undefined ? '' : `(${attempt.detail})`}:${attempt.durationMs}ms:${attempt.inFlight}busy:${attempt.expectedMs}expected${attempt.relay === undefined ? '' : `:via=${attempt.relay}`}`).join(','),
         ...context
--- a/src/gateway/_exchange.ts
+++ b/src/gateway/_exchange.ts
@@ -23,6 +23,8 @@
   readonly abort: AbortController
   readonly attempts: AttemptRecord[]
   readonly triedServers: Set<string>
+  /** Fingerprint of the request; called only after its body has been read. */
+  readonly fingerprint: () => string | null
   body: RequestBody
   /** Whether a server may have run the request. */
   mayHaveRun: boolean
--- a/src/gateway/create_gateway.ts
+++ b/src/gateway/create_gateway.ts
@@ -6,6 +6,7 @@
  * after attempts that did not reach a server.
  */
 import type { IncomingMessage, ServerResponse } from 'node:http'
+import { createFingerprintSource } from '../fatal_requests/mod.ts'
 import { pickTarget, RequestKind, type RoutedServer } from '../routing/mod.ts'
 import { clampRetryAfterMs } from './admission.ts'
 import { bodyBytes, createBodyReader, discardBody } from './body_reader.ts'
@@ -16,6 +17,7 @@
 import type { GatewayOptions } from './gateway_options.ts'
 import { outcomeLabel, parseKey, toLoadOutcome } from './outcomes.ts'
 import type { Relay } from './relay_selector.ts'
+import { reportAttempt } from './report_attempt.ts'
 import type { AttemptRecord } from './request_record.ts'
 import { sendAttempt, type Attempt, type AttemptOutcome, type SendAttemptOptions } from './send_attempt.ts'
 import type { ServerAdmissionQuery } from './server_admission.ts'
@@ -59,6 +61,8 @@
   let pending = 0
   const bodyReader = createBodyReader()
   const callerDeadlines = createCallerDeadlines()
+  /** Headers that differ between attempts with the same content. */
+  const varyingHeaders: ReadonlySet<string> = new Set([names.attemptId])
 
   function writeLocalResponse (response: ServerResponse, status: number, retryAfterMs?: number): void {
     if (response.headersSent || response.destroyed) return
@@ -114,6 +118,7 @@
       attempts: exchange.attempts,
       isCallerConnected: !exchange.request.socket.destroyed,
       isFirstAttempt: exchange.elapsedMs === 0,
+      ...(exchange.attempts.some(({ outcome }) => outcome === 'lost') ? { fingerprint: exchange.fingerprint() } : {}),
       ...(retryAfterMs === undefined ? {} : { retryAfterMs })
     })
   }
@@ -204,6 +209,7 @@
     const durationMs = now() - sentAt
     complete(toLoadOutcome(outcome, durationMs))
     admission.end()
+    reportAttempt(options.guard, { server, fingerprint: exchange.fingerprint, sentAt, outcome })
     recordAttempt(exchange, { server: server.id, outcome, durationMs, inFlight, expectedMs })
     if (outcome.kind === 'unsent' && options.relays.isIsolated()) {
       exchange.triedDirectly = true
@@ -336,7 +342,7 @@
     const key = parseKey(request.headers[names.key])
     const abort = new AbortController()
     const exchange: Exchange = {
-      request, response, id, route, service, key, startedAt, deadlineAt: startedAt + timeoutMs, callerDeadlineAt: startedAt + (statedMs ?? timeoutMs), elapsedMs: statedMs === null ? 0 : callerDeadlines.elapsedMs(route.name, statedMs), abort, attempts: [], triedServers: new Set(), body: null, mayHaveRun: false, triedRelays: new Set(), triedDirectly: false, hasCallerLeft: false
+      request, response, id, route, service, key, startedAt, deadlineAt: startedAt + timeoutMs, callerDeadlineAt: startedAt + (statedMs ?? timeoutMs), elapsedMs: statedMs === null ? 0 : callerDeadlines.elapsedMs(route.name, statedMs), abort, attempts: [], triedServers: new Set(), fingerprint: createFingerprintSource(() => ({ method: request.method ?? 'GET', path: request.url ?? '/', headers: requestHeaders(request.rawHeaders, names), body: exchange.body }), varyingHeaders), body: null, mayHaveRun: false, triedRelays: new Set(), triedDirectly: false, hasCallerLeft: false
     }
     const timer = setTimeout(() => { abort.abort() }, timeoutMs)
     const endWatch = watchDisconnect(request, () => {
--- a/src/gateway/gateway_options.ts
+++ b/src/gateway/gateway_options.ts
@@ -1,6 +1,7 @@
 /** Options of a host's gateway. */
 import type { Agent } from 'node:http'
 import type { RetryBudget } from '../dispatch/retry_budget.ts'
+import type { RequestGuard } from '../fatal_requests/mod.ts'
 import type { HeaderNames } from './header_names.ts'
 import type { PathSelector } from './relay_selector.ts'
 import type { RequestLimits } from './request_limits.ts'
@@ -20,6 +21,8 @@
   readonly permits: RequestPermits
   /** Admission control for requests that this host sends to servers itself. */
   readonly admission: ServerAdmission
+  /** Recognises requests that end the servers which run them. */
+  readonly guard: RequestGuard
   readonly agent: Agent
   /** Selects the way of each request to its server. */
   readonly relays: PathSelector
--- a/src/gateway/request_record.ts
+++ b/src/gateway/request_record.ts
@@ -17,6 +17,8 @@
   readonly isCallerConnected: boolean
   /** Whether this is probably the caller's first attempt and not one after a refusal; absent for relayed requests. */
   readonly isFirstAttempt?: boolean
+  /** Fingerprint of the content of a request that was lost, `null` if it is not known; absent for other requests. */
+  readonly fingerprint?: string | null
   /** Whether this host relayed the request for another host. */
   readonly isRelayed?: boolean
 }
--- a/src/relay/create_relay.ts
+++ b/src/relay/create_relay.ts
@@ -7,9 +7,10 @@
  */
 import type { Agent, IncomingMessage, ServerResponse } from 'node:http'
 import {
-  createBodyReader, discardBody, forwardResponse, outcomeLabel, parseKey, pollConnections, RelayHeader, RelayRefusal, requestHeaders, sendAttempt, toLoadOutcome, waitUntilSent, watchDisconnect,
+  createBodyReader, discardBody, forwardResponse, outcomeLabel, parseKey, pollConnections, RelayHeader, RelayRefusal, reportAttempt, requestHeaders, sendAttempt, toLoadOutcome, waitUntilSent, watchDisconnect,
   type AttemptOutcome, type HeaderNames, type RequestBody, type RequestLimits, type RoutingState, type RequestRecord, type ServerAdmission, type ServerAdmissionQuery, type ServerLoads
 } from '../gateway/mod.ts'
+import { createFingerprintSource, type RequestGuard } from '../fatal_requests/mod.ts'
 import type { RoutedServer } from '../routing/mod.ts'
 
 /** Options of {@link createRelay}. */
@@ -23,6 +24,8 @@
   readonly isRelay: (server: RoutedServer) => boolean
   /** Whether this host reaches no server. */
   readonly isIsolated: () => boolean
+  /** Recognises requests that end the servers which run them. */
+  readonly guard: RequestGuard
   /** Connections to servers. */
   readonly agent: Agent
   readonly names: HeaderNames
@@ -56,6 +59,8 @@
   const { routingState, loads, names, now } = options
   let pending = 0
   const bodyReader = createBodyReader()
+  /** Headers that differ between attempts with the same content. */
+  const varyingHeaders: ReadonlySet<string> = new Set([names.attemptId])
 
   function attemptIdOf (request: IncomingMessage): string {
     return String(request.headers[names.attemptId] ?? '')
@@ -110,13 +115,15 @@
     const inFlight = loads.inFlight(server.id)
     const expectedMs = loads.expectedMs(server)
     const end = loads.trackRequest(server)
+    const headers = withoutRelayHeaders(requestHeaders(request.rawHeaders, names))
+    const fingerprint = createFingerprintSource(() => ({ method: request.method ?? 'GET', path: request.url ?? '/', headers, body }), varyingHeaders)
     const sentAt = now()
     const outcome = await sendAttempt({
       server,
       id: attemptIdOf(request),
       method: request.method ?? 'GET',
       path: request.url ?? '/',
-      headers: withoutRelayHeaders(requestHeaders(request.rawHeaders, names)),
+      headers,
       body,
       deadlineMs: deadlineAt - sentAt,
       signal
@@ -124,8 +131,9 @@
     const durationMs = now() - sentAt
     end(toLoadOutcome(outcome, durationMs))
     admission.end()
+    reportAttempt(options.guard, { server, fingerprint, sentAt, outcome })
     await sendOutcome(response, { outcome, server, query, method: request.method ?? 'GET', signal })
-    record(request, { server, outcome, durationMs, inFlight, expectedMs })
+    record(request, { server, outcome, durationMs, inFlight, expectedMs, fingerprint })
   }
 
   /** Reports the outcome of a request to the host that sent it. */
@@ -145,7 +153,7 @@
   }
 
   /** Records a request; its outcome is `null` if it was not sent because the other host had disconnected. */
-  function record (request: IncomingMessage, { server, outcome, durationMs, inFlight = 0, expectedMs = 0 }: { readonly server: RoutedServer, readonly outcome: AttemptOutcome | null, readonly durationMs: number, readonly inFlight?: number, readonly expectedMs?: number }): void {
+  function record (request: IncomingMessage, { server, outcome, durationMs, inFlight = 0, expectedMs = 0, fingerprint }: { readonly server: RoutedServer, readonly outcome: AttemptOutcome | null, readonly durationMs: number, readonly inFlight?: number, readonly expectedMs?: number, readonly fingerprint?: () => string | null }): void {
     const isAnswered = outcome?.kind === 'answer' || outcome?.kind === 'stream'
     options.onEnd({
       id: attemptIdOf(request),
@@ -157,6 +165,7 @@
       durationMs,
       isCallerConnected: !request.socket.destroyed,
       isRelayed: true,
+      ...(outcome?.kind === 'lost' && fingerprint !== undefined ? { fingerprint: fingerprint() } : {}),
       attempts: outcome === null ? [] : [{ server: server.id, outcome: outcomeLabel(outcome), ...('detail' in outcome ? { detail: outcome.detail } : {}), durationMs: Math.round(durationMs), inFlight, expectedMs: Math.round(expectedMs) }]
     })
   }
--- a/src/relay/create_relay_test.ts
+++ b/src/relay/create_relay_test.ts
@@ -4,6 +4,7 @@
 import { suite } from 'uvu'
 import * as assert from 'uvu/assert'
 import { callPort, type CallerResponse, type CallPortOptions } from '../../testing/call_port.ts'
+import { createTestGuard } from '../../testing/create_test_guard.ts'
 import { respondNotRun, respondWithPath, createFakeBackend, TEST_HEADER_NAMES, type BackendHandler, type FakeBackend } from '../../testing/fake_backend.ts'
 import { createRetryBudget } from '../dispatch/retry_budget.ts'
 import { RelayHeader, RelayRefusal, createCallerServer, createGateway, createRequestLimits, createRequestPermits, createRoutingState, createServerAdmission, createServerAgent, createServerLoads, type RoutingState, type ServerLoads } from '../gateway/mod.ts'
@@ -50,12 +51,13 @@
   const limits = createRequestLimits({ now, onChange: () => {} })
   const permits = createRequestPermits({ limits, hostCount: () => 1, now, random: () => 0 })
   const agents = [createServerAgent(), createServerAgent(), new Agent({ keepAlive: true })] as const
-  const relay = createRelay({ routingState: relayState, loads, limits, admission: createServerAdmission({ loads, limits, permits, now }), isRelay: () => true, isIsolated: () => false, agent: agents[0], names: TEST_HEADER_NAMES, now, onEnd: () => {}, stopsAt: relayStopsAt })
+  const relay = createRelay({ routingState: relayState, loads, limits, admission: createServerAdmission({ loads, limits, permits, now }), isRelay: () => true, isIsolated: () => false, guard: createTestGuard(), agent: agents[0], names: TEST_HEADER_NAMES, now, onEnd: () => {}, stopsAt: relayStopsAt })
   const relayServer = createCallerServer({ limits: configuration.limits, maximumConnections: 100, handle: relay.handle, onError: () => {} })
   const relayPort = await listen(relayServer)
   const address = `127.0.0.1:${relayPort}`
   const budget = createRetryBudget({ share: 0, maximum: 5 })
   const gateway = createGateway({
+    guard: createTestGuard(),
     routingState: originState,
     loads: originLoads,
     limits,
--- a/src/relay/isolated_host_test.ts
+++ b/src/relay/isolated_host_test.ts
@@ -4,6 +4,7 @@
 import { suite } from 'uvu'
 import * as assert from 'uvu/assert'
 import { callPort } from '../../testing/call_port.ts'
+import { createTestGuard } from '../../testing/create_test_guard.ts'
 import { createFakeBackend, respondWithPath, TEST_HEADER_NAMES, type FakeBackend } from '../../testing/fake_backend.ts'
 import { TEST_CONFIGURATION } from '../../testing/with_gateway.ts'
 import { createRetryBudget } from '../dispatch/retry_budget.ts'
@@ -58,7 +59,7 @@
   const records: RequestRecord[] = []
   const relayed: RequestRecord[] = []
   const isIsolated = (): boolean => reachability.isolation() !== null
-  const shared = { routingState, loads, limits, permits, admission, isRelay: directory.isRelay, isIsolated, agent, names: TEST_HEADER_NAMES, now, stopsAt: () => Infinity }
+  const shared = { guard: createTestGuard(), routingState, loads, limits, permits, admission, isRelay: directory.isRelay, isIsolated, agent, names: TEST_HEADER_NAMES, now, stopsAt: () => Infinity }
   const gateway = createGateway({ ...shared, relays: directory, relayAgent, host: name, zone: 'a', retryBudgetOf: () => budget, random: Math.random, onKeyRequested: () => {}, onRequestEnd (record) { records.push(record) }, isLeaving: () => false })
   const relay = createRelay({ ...shared, onEnd (record) { relayed.push(record) } })
   const listeners = [gateway.handle, relay.handle].map((handle) => createCallerServer({ limits: TEST_CONFIGURATION.limits, maximumConnections: 1000, handle, onError: () => {} }))
--- a/src/relay/request_limit_test.ts
+++ b/src/relay/request_limit_test.ts
@@ -8,6 +8,7 @@
 import { suite } from 'uvu'
 import * as assert from 'uvu/assert'
 import { callPort } from '../../testing/call_port.ts'
+import { createTestGuard } from '../../testing/create_test_guard.ts'
 import { createFakeBackend, TEST_HEADER_NAMES, type BackendHandler } from '../../testing/fake_backend.ts'
 import { countWithin } from '../../testing/count_within.ts'
 import { TEST_CONFIGURATION } from '../../testing/with_gateway.ts'
@@ -56,7 +57,7 @@
   const admission = createServerAdmission({ loads, limits, permits, now })
   const [agent, relayAgent] = [createServerAgent(), new Agent({ keepAlive: true })]
   const budget = createRetryBudget({ share: 0, maximum: 5 })
-  const shared = { routingState, loads, limits, permits, admission, isRelay: relays.isRelay, isIsolated: () => false, agent, names: TEST_HEADER_NAMES, now }
+  const shared = { guard: createTestGuard(), routingState, loads, limits, permits, admission, isRelay: relays.isRelay, isIsolated: () => false, agent, names: TEST_HEADER_NAMES, now }
   const gateway = createGateway({ ...shared, relays, relayAgent, host: name, zone: 'a', retryBudgetOf: () => budget, random: Math.random, onKeyRequested: () => {}, onRequestEnd: () => {}, isLeaving: () => false, stopsAt: () => Infinity })
   const relay = createRelay({ ...shared, onEnd: () => {}, stopsAt: () => Infinity })
   const [callerServer, relayServer] = [gateway, relay].map(({ handle }) => createCallerServer({ limits: TEST_CONFIGURATION.limits, maximumConnections: 1000, handle, onError: () => {} }))
--- a/testing/with_gateway.ts
+++ b/testing/with_gateway.ts
@@ -14,6 +14,7 @@
 import { createServerLoads } from '../src/gateway/server_loads.ts'
 import { RequestKind, type Route, type RoutingConfiguration } from '../src/routing/mod.ts'
 import { callPort, type CallerResponse, type CallPortOptions } from './call_port.ts'
+import { createTestGuard } from './create_test_guard.ts'
 import { createFakeBackend, TEST_HEADER_NAMES, type BackendHandler, type FakeBackend } from './fake_backend.ts'
 
 /** What a test of a gateway works with. */
@@ -71,7 +72,7 @@
   const permits = createRequestPermits({ limits, hostCount: () => 1, now, random: () => 0 })
   const budget = createRetryBudget({ share: 0, maximum: options.retries ?? 5 })
   const gateway = createGateway({
-    routingState, loads, limits, permits, admission: createServerAdmission({ loads, limits, permits, now }), agent, relays: options.relays ?? { select: () => ({ kind: 'direct' }), isRelay: () => true, isIsolated: () => false, recordIsolated: () => {} }, relayAgent: agent, names: TEST_HEADER_NAMES, host: 'h1', zone: 'a', retryBudgetOf: () => budget, now, random: () => 0, onKeyRequested: () => {}, onRequestEnd: (record) => { records.push(record) }, isLeaving: () => false, stopsAt: () => options.stopsAt?.() ?? Infinity
+    routingState, loads, limits, permits, admission: createServerAdmission({ loads, limits, permits, now }), guard: createTestGuard(), agent, relays: options.relays ?? { select: () => ({ kind: 'direct' }), isRelay: () => true, isIsolated: () => false, recordIsolated: () => {} }, relayAgent: agent, names: TEST_HEADER_NAMES, host: 'h1', zone: 'a', retryBudgetOf: () => budget, now, random: () => 0, onKeyRequested: () => {}, onRequestEnd: (record) => { records.push(record) }, isLeaving: () => false, stopsAt: () => options.stopsAt?.() ?? Infinity
   })
   const server: Server = createCallerServer({ limits: TEST_CONFIGURATION.limits, maximumConnections: 100, handle: gateway.handle, onError: () => {} })
   await new Promise<void>((resolve) => { server.listen(0, '127.0.0.1', resolve) })
