Refuse a request under which three servers have ended one after another

Callers saw: one request, sent again and again, ended one server after another; on a service without keys nearly every other request failed beside it.

A guard on each host now counts, for the fingerprint of each request that was lost with a server, the servers that ended one after another under it. After the third it is refused at once, unrun, with 503 and the time for which it is refused; a request that was lost with a server shortly before and is lost again is not sent a third time by the router itself. Only runs that follow one another count, so that servers which end at the same moment count once; a completed run sets the count back and ends a refusal; of several requests that were lost with the same three servers none is refused before their counts differ (or two more have ended); an end counts for one request only. A relay refuses as for a full server, with a header of its own, so that hosts of an earlier build stop, too.

Weighed: refusing after two ends (requests that were lost with one server are sent again, and meet the next end by chance); sending suspects one at a time and alone, as the project's own interface does (needs one sender); 4xx in place of 503 (final for the caller, but it says that the request is improper, and a wrong one harms more).

--- a/src/entry_host/create_entry_host.ts
+++ b/src/entry_host/create_entry_host.ts
@@ -7,7 +7,7 @@
 import {
   createCallerServer, createGateway, createRequestLimits, createRequestPermits, createRoutingState, createServerAdmission, createServerAgent, createServerLoads, type HeaderNames, type RequestRecord
 } from '../gateway/mod.ts'
-import { createRequestGuard, createServerEndDetector } from '../fatal_requests/mod.ts'
+import { createRequestGuard } from '../fatal_requests/mod.ts'
 import { createLeadership } from '../leadership/mod.ts'
 import type { Logger } from '../logging/mod.ts'
 import type { ServerControl } from '../ownership/mod.ts'
@@ -21,7 +21,7 @@
 import { trackControl } from './_tracked_control.ts'
 import { createCoordinator } from './create_coordinator.ts'
 import type { EntryHostSettings } from './entry_host_settings.ts'
-import { createEndLog } from './end_log.ts'
+import { createEndLog, createRefusalLog } from './fatal_request_log.ts'
 import { createHostReportTracker } from './host_report_tracker.ts'
 import { createLeadershipController } from './create_leadership_controller.ts'
 import { createLeaderMonitor } from './leader_monitor.ts'
@@ -106,10 +106,9 @@
   const relayAgent = new Agent({ keepAlive: true, maxFreeSockets: RELAY_IDLE_CONNECTIONS, scheduling: 'lifo' })
   const relayAddress = `${settings.ip}:${settings.peerPort + 1}`
   const relays = createRelayDirectory({ host: settings.host, now, isolation: reachability.isolation, onRelayLost })
-  const endDetector = createServerEndDetector({
-    probe, verifyReachability: reachability.verify, isLeaving: (server) => routingState.server(server.id)?.leaving !== false, onEnd () {}, onChecked: createEndLog(logger), now
+  const guard = createRequestGuard({
+    probe, verifyReachability: reachability.verify, isLeaving: (server) => routingState.server(server.id)?.leaving !== false, onChecked: createEndLog(logger), onEvidence () {}, now, ...createRefusalLog(logger)
   })
-  const guard = createRequestGuard({ detector: endDetector })
   const holder = `${settings.host}/${process.pid}-${Date.now().toString(36)}-${Math.random().toString(36).slice(2, 8)}`
   const leadership = createLeadership({
     table: options.table, logger, holder, address: `${settings.ip}:${settings.peerPort}`, now, wallClock: () => Date.now()
--- a/src/entry_host/end_log.ts
+++ b/src/entry_host/fatal_request_log.ts
@@ -1,5 +1,5 @@
-/** Logs the ends of servers together with the requests that were lost with them. */
-import { EndEvidence, type ServerEndDetectorOptions } from '../fatal_requests/mod.ts'
+/** Logs the ends of servers together with the requests that were lost with them, and the requests that are refused for it. */
+import { EndEvidence, type FatalRequestRegistryOptions, type ServerEndDetectorOptions } from '../fatal_requests/mod.ts'
 import type { Logger } from '../logging/mod.ts'
 
 /** Maximum number of fingerprints in one line. */
@@ -19,3 +19,18 @@
     else logger.info(fields, 'server-ended')
   }
 }
+
+/**
+ * Creates the log of refused requests.
+ *
+ * @param logger Destination of the lines.
+ * @returns Callbacks of the registry.
+ */
+export function createRefusalLog (logger: Logger): Pick<FatalRequestRegistryOptions, 'onRefused' | 'onCleared'> {
+  return {
+    onRefused ({ fingerprint, refusedAt, until, times }, servers) {
+      logger.warn({ fingerprint, servers: servers.join(), times, refusedMs: Math.round(until - refusedAt) }, 'request-refused')
+    },
+    onCleared (fingerprint) { logger.info({ fingerprint }, 'request-cleared') }
+  }
+}
--- a/src/fatal_requests/request_guard.ts
+++ b/src/fatal_requests/request_guard.ts
@@ -1,28 +1,80 @@
-/** What gateways and relays report of requests and the servers that ran them. */
+/**
+ * Keeps requests from servers that they would end. Gateways and relays ask the
+ * guard before they send a request, and report what became of it.
+ */
 import type { RoutedServer } from '../routing/mod.ts'
-import type { ServerEndDetector } from './server_end_detector.ts'
+import { NO_EVIDENCE, type Evidence } from './evidence.ts'
+import { createFatalRequestRegistry, type FatalRequestRegistryOptions } from './fatal_request_registry.ts'
+import { createServerEndDetector, type ServerEndDetectorOptions } from './server_end_detector.ts'
+
+/** Computes the fingerprint of a request when it is needed; `null` if the request has none. */
+export type FingerprintSource = () => string | null
 
 /** Guard of one host. */
 export interface RequestGuard {
+  /** Time for which a request is refused, in milliseconds; `null` if it may be sent. */
+  refusalMs (fingerprint: FingerprintSource): number | null
+  /** Whether a server that the request was just lost with may have ended because of it, so that the request is not sent again at once. */
+  isSuspect (fingerprint: FingerprintSource): boolean
   /** Records that a request was lost together with its connection to a server; `sentAt` is monotonic time in milliseconds. */
-  recordLoss (server: RoutedServer, request: { readonly fingerprint: string | null, readonly sentAt: number }): void
+  recordLoss (server: RoutedServer, request: { readonly fingerprint: FingerprintSource, readonly sentAt: number }): void
+  /** Records that a server has completed a request. */
+  recordCompletion (fingerprint: FingerprintSource): void
+  /** Merges evidence of other hosts; returns the part of it that was not known. */
+  merge (evidence: Evidence): Evidence
+  /** Everything that this host knows. */
+  evidence (): Evidence
+  /** Records the runs of servers that are listed, whenever the list has changed. */
+  onListed (servers: readonly RoutedServer[]): void
 }
 
 /** Options of {@link createRequestGuard}. */
-export interface RequestGuardOptions {
-  readonly detector: ServerEndDetector
+export interface RequestGuardOptions extends Omit<ServerEndDetectorOptions, 'onEnd'>, FatalRequestRegistryOptions {
+  /** Called with what this host has found out itself. */
+  readonly onEvidence: (evidence: Evidence) => void
 }
 
+/** Time after the end of a server within which a request that was lost with it and is lost again is not sent a third time, in milliseconds: its caller may have sent it again by then. */
+const SUSPECT_MS = 30_000
+
 /**
  * Creates the guard of one host.
  *
- * @param options Detector of ended servers.
+ * @param options Probes, callbacks and clock.
  * @returns The guard.
  */
-export function createRequestGuard ({ detector }: RequestGuardOptions): RequestGuard {
+export function createRequestGuard (options: RequestGuardOptions): RequestGuard {
+  const registry = createFatalRequestRegistry(options)
+  const detector = createServerEndDetector({ ...options, onEnd (end) { mergeOwn({ ...NO_EVIDENCE, ends: [end] }) } })
+
+  function mergeOwn (evidence: Evidence): void {
+    const added = registry.merge(evidence)
+    if (added.ends.length + added.completions.length > 0) options.onEvidence(added)
+  }
+
   return {
+    refusalMs (fingerprint) {
+      // The fingerprint is computed only in the rare case that any request is refused.
+      const known = registry.isWatching() ? fingerprint() : null
+      const refusal = known === null ? null : registry.refusalOf(known)
+      return refusal === null ? null : refusal.until - options.now()
+    },
+    isSuspect (fingerprint) {
+      const known = fingerprint()
+      if (known === null) return false
+      const { count, sinceMs } = registry.endsUnder(known)
+      return count > 1 || (count === 1 && sinceMs < SUSPECT_MS)
+    },
     recordLoss (server, { fingerprint, sentAt }) {
-      if (fingerprint !== null) detector.recordLoss(server, { fingerprint, sentAt })
-    }
+      const known = fingerprint()
+      if (known !== null) detector.recordLoss(server, { fingerprint: known, sentAt })
+    },
+    recordCompletion (fingerprint) {
+      const known = registry.isWatching() ? fingerprint() : null
+      if (known !== null && registry.isWatched(known)) mergeOwn({ ...NO_EVIDENCE, completions: [{ fingerprint: known, at: options.now() }] })
+    },
+    merge: registry.merge,
+    evidence: registry.evidence,
+    onListed: detector.onListed
   }
 }
--- a/src/gateway/_exchange.ts
+++ b/src/gateway/_exchange.ts
@@ -1,5 +1,6 @@
 /** State of a request that the gateway is handling, and the decision after each attempt. */
 import type { IncomingMessage, ServerResponse } from 'node:http'
+import type { FingerprintSource } from '../fatal_requests/mod.ts'
 import type { Route } from '../routing/mod.ts'
 import type { RequestBody } from './body_reader.ts'
 import type { AttemptRecord } from './request_record.ts'
@@ -24,7 +25,7 @@
   readonly attempts: AttemptRecord[]
   readonly triedServers: Set<string>
   /** Fingerprint of the request; called only after its body has been read. */
-  readonly fingerprint: () => string | null
+  readonly fingerprint: FingerprintSource
   body: RequestBody
   /** Whether a server may have run the request. */
   mayHaveRun: boolean
--- a/src/gateway/create_gateway.ts
+++ b/src/gateway/create_gateway.ts
@@ -162,9 +162,20 @@
     return { kind: 'refuse', reason, retryAfterMs: jitteredRetryAfterMs(exchange, DEFAULT_RETRY_AFTER_MS) }
   }
 
+  /** Refuses a request under which servers have ended; `null` if it may be sent. */
+  function refuseFatal (exchange: Exchange): AttemptDecision | null {
+    const retryAfterMs = options.guard.refusalMs(exchange.fingerprint)
+    return retryAfterMs === null ? null : { kind: 'refuse', reason: 'ends-servers', retryAfterMs }
+  }
+
   async function makeAttempt (exchange: Exchange): Promise<AttemptDecision> {
+    const refusal = refuseFatal(exchange)
+    if (refusal !== null) return refusal
     const server = await findServer(exchange)
     if ('kind' in server) return server
+    // Another server may have ended while the request waited for an owner.
+    const lateRefusal = refuseFatal(exchange)
+    if (lateRefusal !== null) return lateRefusal
     const path = options.relays.select(server, { bodyBytes: bodyBytes(exchange.body), isLimited: options.limits.limitOf(server) !== null, triedRelays: exchange.triedRelays, triedDirectly: exchange.triedDirectly })
     if (path.kind === 'none') return { kind: 'refuse', reason: 'no-path', retryAfterMs: jitteredRetryAfterMs(exchange, DEFAULT_RETRY_AFTER_MS) }
     return path.kind === 'direct' ? await attemptDirectly(exchange, server) : await attemptThroughRelay(exchange, server, path.relay)
@@ -268,7 +279,8 @@
 
   function decideNext (exchange: Exchange, server: RoutedServer, outcome: AttemptOutcome): AttemptDecision {
     const isIdempotent = exchange.route.kind === RequestKind.idempotent
-    const canSendAgain = (exchange.body === null || Buffer.isBuffer(exchange.body)) && exchange.attempts.length < exchange.route.maximumAttempts + 2
+    const isSuspect = outcome.kind === 'lost' && options.guard.isSuspect(exchange.fingerprint)
+    const canSendAgain = !isSuspect && (exchange.body === null || Buffer.isBuffer(exchange.body)) && exchange.attempts.length < exchange.route.maximumAttempts + 2
     if (outcome.kind === 'stream') return { kind: 'answer', outcome }
     if (outcome.kind === 'answer') {
       if (outcome.status < 500) return { kind: 'answer', outcome }
@@ -277,6 +289,7 @@
       return isIdempotent && canSendAgain && reserveRetry(exchange) ? { kind: 'retry' } : { kind: 'answer', outcome }
     }
     if (outcome.kind === 'lost') exchange.mayHaveRun = true
+    if (outcome.kind === 'not-run' && outcome.isFatal === true) return { kind: 'refuse', reason: 'ends-servers', retryAfterMs: outcome.roomAfterMs ?? 0 }
     const isOverLimit = outcome.kind === 'not-run' && outcome.isOverLimit === true
     if (isOverLimit) options.permits.recordRefusal(server.id, outcome.roomAfterMs ?? 0)
     // A key has one owner: another server is tried only if the cached owner is out of date or cannot be reached.
--- a/src/gateway/relay_selector.ts
+++ b/src/gateway/relay_selector.ts
@@ -53,7 +53,9 @@
   /** From the relay: why the request was not forwarded; one of {@link RelayRefusal}. */
   refusal: 'x-gooseberryfold-relay-refusal',
   /** From the relay: time after which the caller may return, in milliseconds. */
-  roomAfterMs: 'x-gooseberryfold-room-after-ms'
+  roomAfterMs: 'x-gooseberryfold-room-after-ms',
+  /** From the relay: present if servers have ended under the request; hosts that do not know the header handle the refusal like that of a full server. */
+  fatal: 'x-gooseberryfold-fatal'
 } as const
 
 /** Maximum length of a body that is sent through a relay, in bytes: a second transfer over a slow network would take long. Longer ones are relayed only to servers that have named a limit. */
--- a/src/gateway/report_attempt.ts
+++ b/src/gateway/report_attempt.ts
@@ -1,12 +1,12 @@
 /** Reports to the guard what an attempt has shown of its request and its server. */
-import type { RequestGuard } from '../fatal_requests/mod.ts'
+import type { FingerprintSource, RequestGuard } from '../fatal_requests/mod.ts'
 import type { RoutedServer } from '../routing/mod.ts'
 import type { AttemptOutcome } from './send_attempt.ts'
 
 /** An attempt that this host sent to a server itself. */
 export interface SentAttempt {
   readonly server: RoutedServer
-  readonly fingerprint: () => string | null
+  readonly fingerprint: FingerprintSource
   /** Monotonic time in milliseconds. */
   readonly sentAt: number
   readonly outcome: AttemptOutcome
@@ -19,5 +19,7 @@
  * @param attempt The attempt and its outcome.
  */
 export function reportAttempt (guard: RequestGuard, { server, fingerprint, sentAt, outcome }: SentAttempt): void {
-  if (outcome.kind === 'lost' && !outcome.aborted) guard.recordLoss(server, { fingerprint: fingerprint(), sentAt })
+  if (outcome.kind === 'lost' && !outcome.aborted) guard.recordLoss(server, { fingerprint, sentAt })
+  // A server may report a failure before it has run the request to its end.
+  if (outcome.kind === 'answer' && outcome.status < 500) guard.recordCompletion(fingerprint)
 }
--- a/src/gateway/send_attempt.ts
+++ b/src/gateway/send_attempt.ts
@@ -31,8 +31,8 @@
   | { readonly kind: 'answer', readonly isFramed: boolean, readonly status: number, readonly headers: readonly string[], readonly body: Buffer }
   /** Response of the server of which only the beginning, `start`, has been received. */
   | { readonly kind: 'stream', readonly status: number, readonly headers: readonly string[], readonly start: Buffer, readonly rest: IncomingMessage }
-  /** The server or its relay reports that the request was not run; `roomAfterMs` is set if a relay reports that the server is full or has reached its limit (`isOverLimit`), and is the time after which the caller may return. */
-  | { readonly kind: 'not-run', readonly status: number, readonly misdirected: boolean, readonly roomAfterMs?: number, readonly isOverLimit?: boolean }
+  /** The server or its relay reports that the request was not run; `roomAfterMs` is set if a relay reports that the server is full or has reached its limit (`isOverLimit`), or that servers end under the request (`isFatal`), and is the time after which the caller may return. */
+  | { readonly kind: 'not-run', readonly status: number, readonly misdirected: boolean, readonly roomAfterMs?: number, readonly isOverLimit?: boolean, readonly isFatal?: boolean }
   /** The request has not been sent to the server. `atRelay` is set if the relay failed before the server was tried, `isRelayIsolated` if it reaches no server, `wasConnected` if the connection was closed after it had been established. */
   | { readonly kind: 'unsent', readonly detail: string, readonly refused: boolean, readonly atRelay?: boolean, readonly wasConnected?: boolean, readonly isRelayIsolated?: boolean }
   /** The request was sent and may have run. `isReset` is whether its connection was reset, so that nothing shows that the server responds. */
@@ -192,7 +192,7 @@
   const refusal = response.headers[RelayHeader.refusal]
   if (refusal === undefined) return null
   if (refusal === RelayRefusal.full || refusal === RelayRefusal.overLimit) {
-    return { kind: 'not-run', status: 503, misdirected: false, roomAfterMs: Number(response.headers[RelayHeader.roomAfterMs] ?? 0), isOverLimit: refusal === RelayRefusal.overLimit }
+    return { kind: 'not-run', status: 503, misdirected: false, roomAfterMs: Number(response.headers[RelayHeader.roomAfterMs] ?? 0), isOverLimit: refusal === RelayRefusal.overLimit, isFatal: response.headers[RelayHeader.fatal] !== undefined }
   }
   if (refusal === RelayRefusal.leaving) return { kind: 'unsent', detail: 'The server is about to leave', refused: false }
   return { kind: 'unsent', detail: `The relay refused: ${String(refusal)}`, refused: false, atRelay: true, ...(refusal === RelayRefusal.isolated ? { isRelayIsolated: true } : {}) }
--- a/src/relay/create_relay.ts
+++ b/src/relay/create_relay.ts
@@ -10,7 +10,7 @@
   createBodyReader, discardBody, forwardResponse, outcomeLabel, parseKey, pollConnections, RelayHeader, RelayRefusal, reportAttempt, requestHeaders, sendAttempt, toLoadOutcome, waitUntilSent, watchDisconnect,
   type AttemptOutcome, type HeaderNames, type RequestBody, type RequestLimits, type RoutingState, type RequestRecord, type ServerAdmission, type ServerAdmissionQuery, type ServerLoads
 } from '../gateway/mod.ts'
-import { createFingerprintSource, type RequestGuard } from '../fatal_requests/mod.ts'
+import { createFingerprintSource, type FingerprintSource, type RequestGuard } from '../fatal_requests/mod.ts'
 import type { RoutedServer } from '../routing/mod.ts'
 
 /** Options of {@link createRelay}. */
@@ -66,8 +66,8 @@
     return String(request.headers[names.attemptId] ?? '')
   }
 
-  function refuse (response: ServerResponse, refusal: string, roomAfterMs = 0): void {
-    response.writeHead(503, { [names.attemptId]: attemptIdOf(response.req), 'Content-Length': '0', [RelayHeader.refusal]: refusal, [RelayHeader.roomAfterMs]: String(Math.ceil(roomAfterMs)) }).end()
+  function refuse (response: ServerResponse, refusal: string, { roomAfterMs = 0, isFatal = false }: { readonly roomAfterMs?: number, readonly isFatal?: boolean } = {}): void {
+    response.writeHead(503, { [names.attemptId]: attemptIdOf(response.req), 'Content-Length': '0', [RelayHeader.refusal]: refusal, [RelayHeader.roomAfterMs]: String(Math.ceil(roomAfterMs)), ...(isFatal ? { [RelayHeader.fatal]: '1' } : {}) }).end()
   }
 
   function admissionQuery (request: IncomingMessage, server: RoutedServer): ServerAdmissionQuery {
@@ -109,14 +109,16 @@
 
   /** Sends a request to its server if that has room, and reports the outcome. */
   async function sendToServer (request: IncomingMessage, response: ServerResponse, { server, body, signal, deadlineAt }: { readonly server: RoutedServer, readonly body: RequestBody, readonly signal: AbortSignal, readonly deadlineAt: number }): Promise<void> {
+    const headers = withoutRelayHeaders(requestHeaders(request.rawHeaders, names))
+    const fingerprint = createFingerprintSource(() => ({ method: request.method ?? 'GET', path: request.url ?? '/', headers, body }), varyingHeaders)
+    const refusalMs = options.guard.refusalMs(fingerprint)
+    if (refusalMs !== null) return refuse(response, RelayRefusal.full, { roomAfterMs: refusalMs, isFatal: true })
     const query = admissionQuery(request, server)
     const admission = options.admission.decide(server, query)
-    if (admission.kind === 'refuse') return refuse(response, admission.isOverLimit ? RelayRefusal.overLimit : RelayRefusal.full, admission.returnAfterMs)
+    if (admission.kind === 'refuse') return refuse(response, admission.isOverLimit ? RelayRefusal.overLimit : RelayRefusal.full, { roomAfterMs: admission.returnAfterMs })
     const inFlight = loads.inFlight(server.id)
     const expectedMs = loads.expectedMs(server)
     const end = loads.trackRequest(server)
-    const headers = withoutRelayHeaders(requestHeaders(request.rawHeaders, names))
-    const fingerprint = createFingerprintSource(() => ({ method: request.method ?? 'GET', path: request.url ?? '/', headers, body }), varyingHeaders)
     const sentAt = now()
     const outcome = await sendAttempt({
       server,
@@ -146,14 +148,14 @@
       // The other host must not mistake this for a response of the server: the request may have run.
       response.destroy()
     } else if (!outcome.misdirected && loads.isFull(server.id)) {
-      refuse(response, RelayRefusal.full, options.admission.returnAfterMs(server, query))
+      refuse(response, RelayRefusal.full, { roomAfterMs: options.admission.returnAfterMs(server, query) })
     } else {
       response.writeHead(outcome.status, { 'Content-Length': '0', [names.attemptId]: attemptIdOf(response.req), [names.notRun]: 'true', ...(routingState.server(server.id)?.leaving === true ? { [names.leaving]: '1' } : {}) }).end()
     }
   }
 
   /** Records a request; its outcome is `null` if it was not sent because the other host had disconnected. */
-  function record (request: IncomingMessage, { server, outcome, durationMs, inFlight = 0, expectedMs = 0, fingerprint }: { readonly server: RoutedServer, readonly outcome: AttemptOutcome | null, readonly durationMs: number, readonly inFlight?: number, readonly expectedMs?: number, readonly fingerprint?: () => string | null }): void {
+  function record (request: IncomingMessage, { server, outcome, durationMs, inFlight = 0, expectedMs = 0, fingerprint }: { readonly server: RoutedServer, readonly outcome: AttemptOutcome | null, readonly durationMs: number, readonly inFlight?: number, readonly expectedMs?: number, readonly fingerprint?: FingerprintSource }): void {
     const isAnswered = outcome?.kind === 'answer' || outcome?.kind === 'stream'
     options.onEnd({
       id: attemptIdOf(request),
--- a/src/relay/create_relay_test.ts
+++ b/src/relay/create_relay_test.ts
@@ -7,6 +7,7 @@
 import { createTestGuard } from '../../testing/create_test_guard.ts'
 import { respondNotRun, respondWithPath, createFakeBackend, TEST_HEADER_NAMES, type BackendHandler, type FakeBackend } from '../../testing/fake_backend.ts'
 import { createRetryBudget } from '../dispatch/retry_budget.ts'
+import { fingerprintRequest, NO_EVIDENCE, type RequestGuard } from '../fatal_requests/mod.ts'
 import { RelayHeader, RelayRefusal, createCallerServer, createGateway, createRequestLimits, createRequestPermits, createRoutingState, createServerAdmission, createServerAgent, createServerLoads, type RoutingState, type ServerLoads } from '../gateway/mod.ts'
 import { RequestKind, type Route, type RoutingConfiguration } from '../routing/mod.ts'
 import { createRelay } from './create_relay.ts'
@@ -18,6 +19,8 @@
   /** Server loads as the relay counts them. */
   readonly loads: ServerLoads
   readonly relayState: RoutingState
+  /** Guard of the relay; the host that accepts requests has another one. */
+  readonly relayGuard: RequestGuard
   readonly originState: RoutingState
   readonly relayPort: number
   closeRelay (): Promise<void>
@@ -50,8 +53,9 @@
   const originLoads = createServerLoads(now)
   const limits = createRequestLimits({ now, onChange: () => {} })
   const permits = createRequestPermits({ limits, hostCount: () => 1, now, random: () => 0 })
+  const relayGuard = createTestGuard()
   const agents = [createServerAgent(), createServerAgent(), new Agent({ keepAlive: true })] as const
-  const relay = createRelay({ routingState: relayState, loads, limits, admission: createServerAdmission({ loads, limits, permits, now }), isRelay: () => true, isIsolated: () => false, guard: createTestGuard(), agent: agents[0], names: TEST_HEADER_NAMES, now, onEnd: () => {}, stopsAt: relayStopsAt })
+  const relay = createRelay({ routingState: relayState, loads, limits, admission: createServerAdmission({ loads, limits, permits, now }), isRelay: () => true, isIsolated: () => false, guard: relayGuard, agent: agents[0], names: TEST_HEADER_NAMES, now, onEnd: () => {}, stopsAt: relayStopsAt })
   const relayServer = createCallerServer({ limits: configuration.limits, maximumConnections: 100, handle: relay.handle, onError: () => {} })
   const relayPort = await listen(relayServer)
   const address = `127.0.0.1:${relayPort}`
@@ -88,6 +92,7 @@
       backend,
       loads,
       relayState,
+      relayGuard,
       originState,
       relayPort,
       closeRelay,
@@ -117,6 +122,20 @@
   })
 })
 
+// Guards against a request that ends one server after another through relays: the host that accepts it may know less than the relay.
+test('handle() refuses a request unrun and for long, when the relay knows that three servers have ended under it', async () => {
+  await withRelay(respondWithPath, async ({ call, backend, relayGuard }) => {
+    const fingerprint = fingerprintRequest({ method: 'POST', path: '/lookups/fatal', headers: ['host', 'one.example', TEST_HEADER_NAMES.key, '7'], body: Buffer.from('cast') }, new Set()) ?? ''
+    const endedAt = performance.now() - 1000
+    relayGuard.merge({ ...NO_EVIDENCE, ends: [0, 100, 200].map((afterMs) => ({ server: `gone-${afterMs}`, bornAt: 1, endedAt: endedAt + afterMs, requests: [{ fingerprint, sentAt: endedAt + afterMs - 50 }] })) })
+    const refused = await call('/lookups/fatal', { body: 'cast' })
+    assert.is(refused.status, 503)
+    assert.ok(Number(refused.headers['retry-after']) > 60)
+    assert.is((await call('/lookups/fatal', { id: 'a2', body: 'last' })).status, 200)
+    assert.equal(backend.requests.map(({ id }) => id), ['a2'])
+  })
+})
+
 test('handle() refuses immediately and sends nothing, when the requests in flight are twice the server\'s slots', async () => {
   await withRelay(respondWithPath, async ({ call, backend, loads }) => {
     for (let request = 0; request < backend.server.slots * 2; request++) loads.trackRequest(backend.server)
