Hosts share the ends of servers, and refuse a fatal request together

A host now sends what it finds out to the leader within a few milliseconds, which passes on what is new; hosts and leader exchange all they know when they connect, so that evidence outlasts a leader and reaches hosts that join. Ends and runs are sent as ages, since clocks differ.

In a deployment of both builds the earlier hosts learn nothing; relays of this build refuse for them.

--- a/src/entry_host/create_entry_host.ts
+++ b/src/entry_host/create_entry_host.ts
@@ -15,12 +15,13 @@
 import type { RoutedServer } from '../routing/mod.ts'
 import { createConnectProbe, createReachabilityMonitor, type Isolation } from '../reachability/mod.ts'
 import { createRelay, createRelayDirectory } from '../relay/mod.ts'
-import { createPeerServer, createLeaderConnection, type Update } from '../replication/mod.ts'
+import { createPeerServer, createLeaderConnection, OPTIONAL_KINDS } from '../replication/mod.ts'
 import { listen, pause } from './_listen.ts'
 import { TaskTiming } from './_task_timing.ts'
 import { trackControl } from './_tracked_control.ts'
 import { createCoordinator } from './create_coordinator.ts'
 import type { EntryHostSettings } from './entry_host_settings.ts'
+import { createEvidenceExchange } from './evidence_exchange.ts'
 import { createEndLog, createRefusalLog } from './fatal_request_log.ts'
 import { createHostReportTracker } from './host_report_tracker.ts'
 import { createLeadershipController } from './create_leadership_controller.ts'
@@ -28,12 +29,11 @@
 import { createLimitLog } from './limit_log.ts'
 import { createLoopDelayMonitor } from './loop_delay_monitor.ts'
 import { createStatePublisher } from './create_state_publisher.ts'
-import { applyPublishedUpdate } from './published_updates.ts'
 import { createRequestLog } from './request_log.ts'
 import { createRequestSummary } from './request_summary.ts'
 import { createRetryBudgets } from './retry_budgets.ts'
 import { createStoreReader, type PublishedState } from './store_reader.ts'
-import { decodeOwner, decodeViews } from './encode_updates.ts'
+import { createUpdateHandler } from './update_handler.ts'
 
 /** Options of {@link createEntryHost}. */
 export interface EntryHostOptions {
@@ -107,7 +107,10 @@
   const relayAddress = `${settings.ip}:${settings.peerPort + 1}`
   const relays = createRelayDirectory({ host: settings.host, now, isolation: reachability.isolation, onRelayLost })
   const guard = createRequestGuard({
-    probe, verifyReachability: reachability.verify, isLeaving: (server) => routingState.server(server.id)?.leaving !== false, onChecked: createEndLog(logger), onEvidence () {}, now, ...createRefusalLog(logger)
+    probe, verifyReachability: reachability.verify, isLeaving: (server) => routingState.server(server.id)?.leaving !== false, onChecked: createEndLog(logger), onEvidence (found) { evidence.add(found) }, now, ...createRefusalLog(logger)
+  })
+  const evidence = createEvidenceExchange({
+    guard: () => guard, isLeading: () => leadershipController.isLeading(), publish (message) { peerServer.publish(message) }, send (message) { leaderConnection.send(message) }, onChange () {}, now
   })
   const holder = `${settings.host}/${process.pid}-${Date.now().toString(36)}-${Math.random().toString(36).slice(2, 8)}`
   const leadership = createLeadership({
@@ -137,7 +140,8 @@
   const peerServer = createPeerServer({
     logger,
     initialUpdates: (connected) => [
-      { kind: 'identity', holder },
+      { kind: 'identity', holder, accepts: OPTIONAL_KINDS },
+      ...evidence.initialUpdates(),
       ...(leadershipController.isLeading() ? [...coordinator.initialUpdates(connected), ...statePublisher.relaysUpdates()] : [])
     ],
     onReport (reportingHost, report) {
@@ -147,6 +151,7 @@
     onHostDisconnected: coordinator.onHostLeft,
     onHostIsolated: coordinator.onHostIsolated,
     onServerLeaving: routingState.recordLeaving,
+    onEvidence: evidence.receive,
     onStoreReachable () { leadershipController.onStoreReachable().catch(reportFailure) },
     onLeaseClaimed (lease) { leadershipController.onLeaseClaimed(lease) }
   })
@@ -158,7 +163,22 @@
     logger,
     now,
     cachedVersions: () => ({ version: routingState.configuration()?.version ?? 0, servers: routingState.serversDigest(), leaving: routingState.unlistedLeaving() }),
-    onUpdate,
+    onUpdate: createUpdateHandler({
+      leadershipController: () => leadershipController,
+      relays,
+      routingState,
+      leadership,
+      leaderMonitor,
+      budgets,
+      loads,
+      reader: () => reader,
+      evidence,
+      logger,
+      onConfigurationChanged: applyConfiguration,
+      onServersChanged () { guard.onListed(routingState.servers()) },
+      onFailure: reportFailure,
+      now
+    }),
     onConnectionRefused (address) { leadershipController.recordProcessAt(address, null) }
   })
   const reader = createStoreReader({
@@ -175,7 +195,7 @@
   })
 
   const statePublisher = createStatePublisher({
-    host: settings.host, zone: settings.zone, routingState, loads, limits, coordinator, leadership, peerServer, leaderConnection, reader, relays, budgets, leaderMonitor, isLeading: () => leadershipController.isLeading(), now
+    host: settings.host, zone: settings.zone, routingState, loads, limits, coordinator, leadership, peerServer, leaderConnection, reader, relays, evidence, budgets, leaderMonitor, isLeading: () => leadershipController.isLeading(), now
   })
   const leadershipController = createLeadershipController({
     holder,
@@ -253,6 +273,7 @@
 
   /** As the leader, plans for the changed list of servers and publishes it. */
   function onServersChanged (): void {
+    guard.onListed(routingState.servers())
     if (!leadershipController.isLeading()) return
     coordinator.onServersChanged()
     statePublisher.publishChanges()
@@ -291,35 +312,6 @@
     coordinator.plan().catch(reportFailure)
   }
 
-  function onUpdate (update: Update, address: string): void {
-    if (leadershipController.isLeading()) return
-    if (update.kind === 'identity') {
-      leadershipController.recordProcessAt(address, update.holder)
-      return
-    }
-    if (update.kind === 'resigned') leadershipController.onResigned(update.holder)
-    else if (update.kind === 'successor') leadershipController.onSuccessor(update.lease)
-    else if (update.kind === 'relays') relays.setHosts(update.hosts)
-    else if (update.kind === 'owners') {
-      routingState.setOwners(update.service, update.changes.map(([from, to, owner]) => ({ from, to, owner: decodeOwner(owner, now()) })))
-    } else if (update.kind === 'beat') {
-      if (update.lease !== null) leadership.observeLease(update.lease)
-      leaderMonitor.recordHeartbeat(update, address)
-      budgets.setHostCount(update.hosts)
-      loads.applyViews(decodeViews(update.views), update.complete)
-    } else {
-      const version = routingState.configuration()?.version
-      if (!applyPublishedUpdate(update, routingState)) {
-        logger.info({ update: update.kind, version, servers: routingState.serversDigest() }, 'update-missed')
-        reader.readPublished().catch(reportFailure)
-      }
-      if (update.kind === 'servers' || update.kind === 'servers-change') reader.recordServers()
-      if (routingState.configuration()?.version === version) return
-      logger.info({ version: routingState.configuration()?.version, source: 'leader' }, 'configuration-in-force')
-      applyConfiguration()
-    }
-  }
-
   /** Logs a failed task; the cause is a bug, and the task continues at its next interval. */
   function reportFailure (error: unknown): void {
     logger.error({ error: error instanceof Error ? error.stack : String(error) }, 'task-failed')
--- a/src/entry_host/create_state_publisher.ts
+++ b/src/entry_host/create_state_publisher.ts
@@ -8,6 +8,7 @@
 import type { RelayDirectory } from '../relay/mod.ts'
 import type { PeerServer, LeaderConnection, Report, Update } from '../replication/mod.ts'
 import { TaskTiming } from './_task_timing.ts'
+import type { EvidenceExchange } from './evidence_exchange.ts'
 import type { Coordinator } from './create_coordinator.ts'
 import type { LeaderMonitor } from './leader_monitor.ts'
 import { createPublishedUpdates } from './published_updates.ts'
@@ -28,6 +29,7 @@
   readonly leaderConnection: Pick<LeaderConnection, 'send'>
   readonly reader: Pick<StoreReader, 'ageMs'>
   readonly relays: RelayDirectory
+  readonly evidence: Pick<EvidenceExchange, 'publishAll'>
   readonly budgets: RetryBudgets
   readonly leaderMonitor: LeaderMonitor
   readonly isLeading: () => boolean
@@ -43,7 +45,7 @@
   sendLoads (): void
   /** As the leader, publishes the changes of configuration and servers since the last call. */
   publishChanges (): void
-  /** Resets the record of published state; called when this host becomes leader. */
+  /** Resets the record of published state and publishes what this host knows of fatal requests; called when it becomes leader. */
   reset (): void
   /** Published relays, for a host that has just connected. */
   relaysUpdates (): Update[]
@@ -136,6 +138,7 @@
       relayPublication = createRelayPublication(now())
       peakHosts = 1
       publishedRelays = null
+      options.evidence.publishAll()
     },
     relaysUpdates: () => publishedRelays === null ? [] : [publishedRelays]
   }
--- a/src/fatal_requests/fatal_request_registry.ts
+++ b/src/fatal_requests/fatal_request_registry.ts
@@ -35,7 +35,7 @@
   isWatching (): boolean
   /** Whether the request is one of these. */
   isWatched (fingerprint: string): boolean
-  /** Everything that is known. */
+  /** What another host needs: refusals, completions, recent ends, and those under requests that are close to a refusal. */
   evidence (): Evidence
 }
 
@@ -55,6 +55,9 @@
 /** Time for which an end, a completion or the end of a refusal is remembered, in milliseconds. */
 const RETENTION_MS = 3_600_000
 
+/** Age up to which every end is passed on to hosts that join, in milliseconds; later a request with a single end rarely matters. */
+const RECENT_END_MS = 60_000
+
 /** Maximum numbers of ends, of requests of one end, of completions and of refusals: about a megabyte. */
 const MAXIMUM_ENDS = 128
 const MAXIMUM_REQUESTS_PER_END = 64
@@ -224,7 +227,7 @@
     isWatching: () => watched.size > 0,
     isWatched: (fingerprint) => watched.has(fingerprint),
     evidence: () => ({
-      ends: [...ends.values()].map(({ server, bornAt, endedAt, sentAt }) => ({ server, bornAt, endedAt, requests: [...sentAt].map(([fingerprint, at]) => ({ fingerprint, sentAt: at })) })),
+      ends: [...ends.values()].filter((end) => end.endedAt > now() - RECENT_END_MS || [...end.sentAt.keys()].some((fingerprint) => watched.has(fingerprint))).map(({ server, bornAt, endedAt, sentAt }) => ({ server, bornAt, endedAt, requests: [...sentAt].map(([fingerprint, at]) => ({ fingerprint, sentAt: at })) })),
       completions: [...completedAt].map(([fingerprint, at]) => ({ fingerprint, at })),
       refusals: [...refusals.values()]
     })
--- a/src/fatal_requests/request_guard.ts
+++ b/src/fatal_requests/request_guard.ts
@@ -22,7 +22,7 @@
   recordCompletion (fingerprint: FingerprintSource): void
   /** Merges evidence of other hosts; returns the part of it that was not known. */
   merge (evidence: Evidence): Evidence
-  /** Everything that this host knows. */
+  /** What this host knows that others need. */
   evidence (): Evidence
   /** Records the runs of servers that are listed, whenever the list has changed. */
   onListed (servers: readonly RoutedServer[]): void
--- a/src/replication/leader_connection.ts
+++ b/src/replication/leader_connection.ts
@@ -3,7 +3,7 @@
 import type { ServerRun } from '../gateway/leaving_servers.ts'
 import type { Logger } from '../logging/mod.ts'
 import type { RelayHost } from '../relay/mod.ts'
-import { readMessages, writeMessage, type Report, type Update } from './messages.ts'
+import { OPTIONAL_KINDS, readMessages, writeMessage, type Report, type Update } from './messages.ts'
 
 /** Options of {@link createLeaderConnection}. */
 export interface LeaderConnectionOptions {
@@ -51,6 +51,8 @@
   let socket: Socket | null = null
   let receivedAt = -Infinity
   let timer: NodeJS.Timeout | undefined
+  /** Optional kinds of messages that the other host accepts. */
+  let accepted: readonly string[] = []
 
   /** Connects to the current address. */
   function open (): void {
@@ -59,10 +61,11 @@
     const [host, port] = target.split(':')
     const opened = connect({ host, port: Number(port), noDelay: true })
     socket = opened
+    accepted = []
     opened.setTimeout(CONNECT_TIMEOUT_MS, () => { opened.destroy(new Error('No message from the leader within the timeout')) })
     opened.on('connect', () => {
       opened.setTimeout(INACTIVITY_TIMEOUT_MS)
-      writeMessage(opened, { kind: 'hello', host: options.host, zone: options.zone, relay: options.relay(), isolated: options.isIsolated(), ...options.cachedVersions() })
+      writeMessage(opened, { kind: 'hello', host: options.host, zone: options.zone, relay: options.relay(), isolated: options.isIsolated(), accepts: OPTIONAL_KINDS, ...options.cachedVersions() })
     })
     opened.on('error', (error: NodeJS.ErrnoException) => {
       if (error.code === 'ECONNREFUSED') options.onConnectionRefused(target)
@@ -76,7 +79,9 @@
     readMessages(opened, (message) => {
       if (socket !== opened) return
       receivedAt = options.now()
-      options.onUpdate(message as Update, target)
+      const update = message as Update
+      if (update.kind === 'identity') accepted = update.accepts ?? []
+      options.onUpdate(update, target)
     })
   }
 
@@ -92,7 +97,10 @@
       open()
       return true
     },
-    send (report) { if (socket !== null && !socket.connecting) writeMessage(socket, report) },
+    send (report) {
+      if (report.kind === 'fatal-requests' && !accepted.includes(report.kind)) return
+      if (socket !== null && !socket.connecting) writeMessage(socket, report)
+    },
     lastMessageAt: () => receivedAt
   }
 }
--- a/src/replication/messages.ts
+++ b/src/replication/messages.ts
@@ -15,10 +15,26 @@
 /** The leading host's data on a server: requests in flight, work in milliseconds, share of failures, 1 if unresponsive, share of requests to admit. */
 export type WireServerView = readonly [server: string, inFlight: number, workMs: number, failureShare: number, silent: 0 | 1, admitShare: number]
 
+/** Evidence on fatal requests; times are ages in milliseconds, because clocks differ between hosts. */
+export interface WireEvidence {
+  readonly ends: ReadonlyArray<readonly [server: string, bornAt: number, endedAgoMs: number, requests: ReadonlyArray<readonly [fingerprint: string, sentAgoMs: number]>]>
+  readonly completions: ReadonlyArray<readonly [fingerprint: string, agoMs: number]>
+  readonly refusals: ReadonlyArray<readonly [fingerprint: string, refusedAgoMs: number, remainingMs: number, times: number]>
+}
+
+/** Evidence on fatal requests, in either direction; sent only to hosts that have stated that they accept it. */
+export interface EvidenceMessage extends WireEvidence {
+  readonly kind: 'fatal-requests'
+}
+
+/** Kinds of messages that earlier builds do not know. A host states those that it accepts in its first message, and gets no others of them. */
+export const OPTIONAL_KINDS = ['fatal-requests'] as const
+
 /** Message from the leading host. */
 export type Update =
-  /** First message from every host: the identifier of its process, which shows whether an earlier process has ended. */
-  | { readonly kind: 'identity', readonly holder: string }
+  | EvidenceMessage
+  /** First message from every host: the identifier of its process, which shows whether an earlier process has ended, and the optional kinds of messages that it accepts. */
+  | { readonly kind: 'identity', readonly holder: string, readonly accepts?: readonly string[] }
   | { readonly kind: 'configuration', readonly configuration: RoutingConfiguration }
   | { readonly kind: 'configuration-change', readonly change: ConfigurationChange }
   | { readonly kind: 'servers', readonly servers: readonly RoutedServer[] }
@@ -36,8 +52,9 @@
 
 /** Message to the leading host. */
 export type Report =
-  /** First message. `version` is the version of the host's configuration and `servers` the digest of its list of servers, so that data it already has is not sent; `relay` is its relay address and weight, `isolated` whether it reaches no server, `leaving` lists servers whose responses show that they are leaving. */
-  | { readonly kind: 'hello', readonly host: string, readonly zone: string, readonly version: number, readonly servers: string, readonly relay: RelayHost | null, readonly isolated?: boolean, readonly leaving?: readonly ServerRun[] }
+  | EvidenceMessage
+  /** First message. `version` is the version of the host's configuration and `servers` the digest of its list of servers, so that data it already has is not sent; `relay` is its relay address and weight, `isolated` whether it reaches no server, `leaving` lists servers whose responses show that they are leaving, `accepts` the optional kinds of messages that the host accepts. */
+  | { readonly kind: 'hello', readonly host: string, readonly zone: string, readonly version: number, readonly servers: string, readonly relay: RelayHost | null, readonly isolated?: boolean, readonly leaving?: readonly ServerRun[], readonly accepts?: readonly string[] }
   /** A response of the server has shown that it is leaving. */
   | { readonly kind: 'server-leaving', readonly server: ServerRun }
   /** The host no longer reaches any server, or does so again. */
--- a/src/replication/peer_server.ts
+++ b/src/replication/peer_server.ts
@@ -4,7 +4,7 @@
 import type { Logger } from '../logging/mod.ts'
 import type { RelayHost } from '../relay/mod.ts'
 import { encodeMessage } from './encode_message.ts'
-import { readMessages, type Report, type Update } from './messages.ts'
+import { readMessages, type EvidenceMessage, type Report, type Update } from './messages.ts'
 
 /** A host that has connected and identified itself. */
 export interface ConnectedHost {
@@ -18,6 +18,8 @@
   readonly relay: RelayHost | null
   /** Whether it reaches no server. */
   readonly isIsolated: boolean
+  /** Optional kinds of messages that it accepts. */
+  readonly accepts: readonly string[]
 }
 
 /** Options of {@link createPeerServer}. */
@@ -31,6 +33,8 @@
   readonly onHostIsolated: (host: string) => void
   /** Called when a host has found out from a response that a server is leaving. */
   readonly onServerLeaving: (server: ServerRun) => void
+  /** Called with evidence on fatal requests. */
+  readonly onEvidence: (message: EvidenceMessage) => void
   /** Called when a host has read the store while this host's data from it is out of date. */
   readonly onStoreReachable: () => void
   /** Called when a host has claimed the lease that this host held. */
@@ -71,6 +75,10 @@
     return line
   }
 
+  function isAccepted (host: ConnectedHost, update: Update): boolean {
+    return update.kind !== 'fatal-requests' || host.accepts.includes(update.kind)
+  }
+
   function closeConnection (socket: Socket): void {
     const host = peers.get(socket)
     peers.delete(socket)
@@ -84,10 +92,10 @@
     readMessages(socket, (message) => {
       const report = message as Report
       if (report.kind === 'hello') {
-        const host = { name: report.host, zone: report.zone, version: report.version, servers: report.servers, relay: report.relay, isIsolated: report.isolated === true }
+        const host = { name: report.host, zone: report.zone, version: report.version, servers: report.servers, relay: report.relay, isIsolated: report.isolated === true, accepts: report.accepts ?? [] }
         peers.set(socket, host)
         for (const leaving of report.leaving ?? []) options.onServerLeaving(leaving)
-        for (const update of options.initialUpdates(host)) if (!socket.destroyed) socket.write(encodeLine(update))
+        for (const update of options.initialUpdates(host)) if (!socket.destroyed && isAccepted(host, update)) socket.write(encodeLine(update))
         return
       }
       const host = peers.get(socket)
@@ -99,7 +107,10 @@
       } else if (report.kind === 'server-leaving') options.onServerLeaving(report.server)
       else if (report.kind === 'store-reachable') options.onStoreReachable()
       else if (report.kind === 'claimed') options.onLeaseClaimed(report.lease)
-      else options.onReport(host, report)
+      else if (report.kind === 'fatal-requests') options.onEvidence(report)
+      else if (report.kind === 'report') options.onReport(host, report)
+      // Later builds may send kinds that this one does not know.
+      else options.logger.debug({ host: host.name, kind: (report as { readonly kind?: unknown }).kind }, 'report-unknown')
     })
   })
 
@@ -107,7 +118,8 @@
     server,
     publish (update) {
       const line = encodeLine(update)
-      for (const [socket] of peers) {
+      for (const [socket, host] of peers) {
+        if (!isAccepted(host, update)) continue
         if (socket.writableLength > MAXIMUM_BUFFERED_BYTES) closeConnection(socket)
         else socket.write(line)
       }
