Servers that end without a request count against refusing it

Now the ends under a request must be at least twice the other moments at which servers ended from two seconds before; from five ends on it is refused in any case, so that two fatal requests cannot shield each other.

Ruled out: a minimum time between the first and the last end (a request that comes each 350 ms would end a fourth server); lifting a refusal when servers go on ending (two fatal requests would lift each other's).

--- a/src/fatal_requests/_sequence.ts
+++ b/src/fatal_requests/_sequence.ts
@@ -9,7 +9,7 @@
 /** Time by which a run may begin before the end of the one before it, in milliseconds: hosts notice an end at slightly different times, and their messages take different times. */
 const CLOCK_TOLERANCE_MS = 30
 
-/** Minimum time between two ends, in milliseconds. It is longer than the tolerance, so that three servers that end at the same moment are never a sequence of three. */
+/** Minimum time between two ends that count as two, in milliseconds. It is longer than the tolerance, so that three servers that end at the same moment are never a sequence of three. */
 const MINIMUM_SEPARATION_MS = 40
 
 /**
@@ -29,3 +29,19 @@
   }
   return count
 }
+
+/**
+ * Returns the number of moments at which servers ended; those that end together count once.
+ *
+ * @param endedAt Times of the ends in any order, in milliseconds.
+ * @returns The number of moments.
+ */
+export function countMoments (endedAt: readonly number[]): number {
+  let count = 0
+  let lastEndedAt = -Infinity
+  for (const time of [...endedAt].sort((left, right) => left - right)) {
+    if (time >= lastEndedAt + MINIMUM_SEPARATION_MS) count++
+    lastEndedAt = time
+  }
+  return count
+}
--- a/src/fatal_requests/fatal_request_registry.ts
+++ b/src/fatal_requests/fatal_request_registry.ts
@@ -6,10 +6,11 @@
  * ends leave too much to chance: requests that were lost with one server are
  * sent again, and some of them meet the end of the next. If several requests
  * were lost with all three servers, none is refused before their numbers of
- * ends differ, or two more servers have ended. An end is attributed to one
+ * ends differ, or two more servers have ended. The same number is required
+ * while servers end without the request, too. An end is attributed to one
  * request only, so that it does not count for the others that were lost with it.
  */
-import { countSequentialEnds } from './_sequence.ts'
+import { countMoments, countSequentialEnds } from './_sequence.ts'
 import type { Completion, Evidence, Refusal } from './evidence.ts'
 import type { ServerEnd } from './server_end.ts'
 
@@ -42,9 +43,13 @@
 /** Number of ends, one after another, from which a request is refused. */
 export const FATAL_END_COUNT = 3
 
-/** Number of ends from which a request is refused even if others were lost with the same servers. */
+/** Number of ends from which a request is refused even if others were lost with the same servers, or servers end without it as well. */
 const UNDISPUTED_END_COUNT = 5
 
+/** Factor by which the ends under a request must exceed the other ends of the same time, and the time before its first end that counts, in milliseconds: while many servers end, some request is lost with three of them by chance. */
+const OTHER_ENDS_FACTOR = 2
+const OTHER_ENDS_WINDOW_MS = 2000
+
 /** Number of ends from which the completions of a request are recorded. */
 const WATCHED_END_COUNT = 2
 
@@ -144,13 +149,19 @@
     return (refusals.get(fingerprint)?.until ?? -Infinity) > now()
   }
 
+  /** Number of moments at which servers ended without the request, at about the time of its own ends. */
+  function countOtherEnds (fingerprint: string): number {
+    const since = Math.min(...endsOf(fingerprint).map(({ endedAt }) => endedAt)) - OTHER_ENDS_WINDOW_MS
+    return countMoments([...ends.values()].filter((end) => end.endedAt >= since && end.causedBy === null && !end.sentAt.has(fingerprint)).map(({ endedAt }) => endedAt))
+  }
+
   /** Requests that may have caused an end, with their numbers of ends. */
   function suspectsOf (end: KnownEnd): Array<{ readonly fingerprint: string, readonly count: number }> {
     return [...end.sentAt.keys()].map((fingerprint) => ({
       fingerprint,
       // A request that has been refused before needs only one more end.
       count: end.endedAt > (completedAt.get(fingerprint) ?? -Infinity) ? countEnds(fingerprint) + (refusals.has(fingerprint) ? FATAL_END_COUNT : 0) : 0
-    })).filter(({ count }) => count >= FATAL_END_COUNT).sort((left, right) => right.count - left.count)
+    })).filter(({ fingerprint, count }) => count >= UNDISPUTED_END_COUNT || (count >= FATAL_END_COUNT && count >= OTHER_ENDS_FACTOR * countOtherEnds(fingerprint))).sort((left, right) => right.count - left.count)
   }
 
   function judge (end: KnownEnd): void {
--- a/src/fatal_requests/fatal_request_registry_test.ts
+++ b/src/fatal_requests/fatal_request_registry_test.ts
@@ -93,6 +93,17 @@
   assert.equal([registry.endsUnder('sound').count, registry.endsUnder('other').count], [0, 0])
 })
 
+test('merge() refuses no request after three ends, when as many servers have ended without it at about the same time', () => {
+  const { registry, refused } = setUp()
+  for (const index of [0, 1, 2]) {
+    registry.merge(sequentialEnd(index, ['sound']))
+    registry.merge(end(`t${index}`, 1100 + index * 270, { other: 1050 }))
+  }
+  assert.equal(refused, [])
+  for (const index of [3, 4]) registry.merge(sequentialEnd(index, ['sound']))
+  assert.equal(refused, ['sound'])
+})
+
 test('merge() refuses a request after five ends, when another one was lost with all of these servers', () => {
   const { registry, refused } = setUp()
   for (const index of [0, 1, 2, 3]) registry.merge(sequentialEnd(index, ['first', 'second']))
