Store refusals with the lease, so that they outlast the loss of all hosts

The leader now writes the refusals in one row together with its lease, only when they change, and reads them once when it has become leader; they are written again after a restore of the store. Costs one read for each change of leader. The log line of lost requests has a name of its own: the range controller has a server-ended already.

--- a/src/entry_host/create_entry_host.ts
+++ b/src/entry_host/create_entry_host.ts
@@ -29,6 +29,7 @@
 import { createLimitLog } from './limit_log.ts'
 import { createLoopDelayMonitor } from './loop_delay_monitor.ts'
 import { createStatePublisher } from './create_state_publisher.ts'
+import { createRefusalStore } from './refusal_store.ts'
 import { createRequestLog } from './request_log.ts'
 import { createRequestSummary } from './request_summary.ts'
 import { createRetryBudgets } from './retry_budgets.ts'
@@ -110,7 +111,10 @@
     probe, verifyReachability: reachability.verify, isLeaving: (server) => routingState.server(server.id)?.leaving !== false, onChecked: createEndLog(logger), onEvidence (found) { evidence.add(found) }, now, ...createRefusalLog(logger)
   })
   const evidence = createEvidenceExchange({
-    guard: () => guard, isLeading: () => leadershipController.isLeading(), publish (message) { peerServer.publish(message) }, send (message) { leaderConnection.send(message) }, onChange () {}, now
+    guard: () => guard, isLeading: () => leadershipController.isLeading(), publish (message) { peerServer.publish(message) }, send (message) { leaderConnection.send(message) }, now
+  })
+  const refusalStore = createRefusalStore({
+    table: options.table, leadership: { isLeading: () => leadership.isLeading(), isStoreUnavailable: () => leadership.isStoreUnavailable(), recordPosition: (key, position) => { leadership.recordPosition(key, position) }, write: async (rows) => await leadership.write(rows) }, evidence: guard.evidence, onLoaded (loaded) { evidence.add(guard.merge(loaded)) }, logger, now, wallClock: () => Date.now()
   })
   const holder = `${settings.host}/${process.pid}-${Date.now().toString(36)}-${Math.random().toString(36).slice(2, 8)}`
   const leadership = createLeadership({
@@ -318,7 +322,9 @@
   }
 
   async function renewLease (): Promise<void> {
-    if (await leadership.renew()) await coordinator.plan()
+    if (!await leadership.renew()) return
+    refusalStore.invalidate()
+    await coordinator.plan()
   }
 
   const timers = [
@@ -330,7 +336,8 @@
       loopDelayMonitor.recordTick()
       statePublisher.sendLoads()
     }, TaskTiming.loadIntervalMs),
-    setInterval(() => { coordinator.plan().catch(reportFailure) }, TaskTiming.planIntervalMs)
+    setInterval(() => { coordinator.plan().catch(reportFailure) }, TaskTiming.planIntervalMs),
+    setInterval(() => { refusalStore.tick().catch(reportFailure) }, TaskTiming.planIntervalMs)
   ]
   await Promise.all([
     listen(callerServer, settings.callerAddress),
--- a/src/entry_host/evidence_exchange.ts
+++ b/src/entry_host/evidence_exchange.ts
@@ -19,8 +19,6 @@
   readonly publish: (message: EvidenceMessage) => void
   /** Sends a message to the leader. */
   readonly send: (message: EvidenceMessage) => void
-  /** Called when this host or another one has found out something new. */
-  readonly onChange: () => void
   /** Monotonic time in milliseconds. */
   readonly now: () => number
 }
@@ -73,7 +71,6 @@
     if (isEmpty(evidence)) return
     collected = { ends: [...collected.ends, ...evidence.ends], completions: [...collected.completions, ...evidence.completions], refusals: [...collected.refusals, ...evidence.refusals] }
     timer ??= setTimeout(flush, COLLECTION_MS)
-    options.onChange()
   }
 
   function all (): EvidenceMessage[] {
@@ -86,7 +83,6 @@
     receive (wire) {
       const added = options.guard().merge(decodeEvidence(wire, options.now()))
       if (options.isLeading()) add(added)
-      else if (!isEmpty(added)) options.onChange()
     },
     sendAll () { for (const message of all()) options.send(message) },
     publishAll () { for (const message of all()) options.publish(message) },
--- a/src/entry_host/evidence_exchange_test.ts
+++ b/src/entry_host/evidence_exchange_test.ts
@@ -42,7 +42,6 @@
           const leader = cluster.hosts[cluster.leader]
           if (leader !== undefined && !leader.isCut && !host.isCut) leader.exchange.receive(message)
         },
-        onChange: () => {},
         now
       })
     }
--- a/src/entry_host/fatal_request_log.ts
+++ b/src/entry_host/fatal_request_log.ts
@@ -15,8 +15,8 @@
   return ({ server, evidence, requests }) => {
     const fields = { server: server.id, service: server.service, bornAt: server.bornAt, evidence, lost: requests.length, fingerprints: [...new Set(requests.map(({ fingerprint }) => fingerprint))].slice(0, MAXIMUM_FINGERPRINTS).join() }
     // Connections are reset for many reasons; only ends are worth a line each.
-    if (evidence === EndEvidence.none) logger.debug(fields, 'server-alive')
-    else logger.info(fields, 'server-ended')
+    if (evidence === EndEvidence.none) logger.debug(fields, 'requests-lost-without-end')
+    else logger.info(fields, 'requests-lost-with-server')
   }
 }
 
