Soak: a request that ends servers, with hosts and store lost meanwhile

A new check, fatal-request: one request each 350 ms ends each server that runs it after 70 ms, at a key that others use, beside requests of another caller for the same path; then a host is lost, all hosts are lost, and the store is away. Every other host can start with an earlier build (--earlier), which is replaced host by host.

--- a/soak/backend.ts
+++ b/soak/backend.ts
@@ -1,5 +1,6 @@
 /** Stand-in for a backend server, with slots, a queue, granted keys and the platform's headers. */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
+import { FATAL_HEADER } from './fatal_header.ts'
 import { Guarantees, type GuaranteeChecker } from './guarantee_checker.ts'
 import { sendSpoiledResponse, SPOILED_SHARE, type ResponseFault } from './spoiled_responses.ts'
 
@@ -33,6 +34,8 @@
   longWorkShare: number
   /** Whether a request of a caller that has left for long is a violation: without other faults only. */
   checksCallersLeft: boolean
+  /** Called with the name of a fatal request that starts to run; `null` if there are none. */
+  onFatal: ((request: string) => void) | null
   /** Discards all grants and tokens, as a restart of the server does. */
   reset (): void
 }
@@ -155,6 +158,11 @@
       if (response.destroyed) return
       if (now() > backend.drainDeadline) checker.reportViolation(Guarantees.leaving, `${id} gets ${attempt} ${Math.round(now() - backend.drainDeadline)} ms after the drain deadline`)
       checker.recordStarted(attempt, id, body)
+      const fatal = request.headers[FATAL_HEADER]
+      if (fatal !== undefined) {
+        backend.onFatal?.(String(fatal))
+        return await new Promise<void>((resolve) => { response.on('close', resolve) })
+      }
       runningRequests.set(key, (runningRequests.get(key) ?? 0) + 1)
       const workMs = backend.longWorkShare > 0 && options.random() < backend.longWorkShare ? LONG_WORK_MS : WORK_MS.minimum + options.random() * (WORK_MS.maximum - WORK_MS.minimum)
       await new Promise((resolve) => { setTimeout(resolve, workMs) })
@@ -188,6 +196,7 @@
     arrivals: [],
     longWorkShare: 0,
     checksCallersLeft: false,
+    onFatal: null,
     server: createServer((request, response) => {
       const parts: Buffer[] = []
       request.on('data', (part: Buffer) => { parts.push(part) })
--- a/soak/environment.ts
+++ b/soak/environment.ts
@@ -39,6 +39,11 @@
   putServerEntry(environment, backend)
 }
 
+/** Removes the entry of a server that has ended, unless another run of it has been entered. */
+export function removeServerEntry (environment: Environment, backend: SoakBackend): void {
+  environment.store.remove('servers', backend.id)
+}
+
 /** Writes again, after the store has been restored, what the operator and the servers wrote. */
 export function writeAgain (environment: Environment): void {
   environment.store.put('op', 'config', environment.configuration)
--- a/soak/hosts.ts
+++ b/soak/hosts.ts
@@ -18,6 +18,8 @@
   sendSignal (signal: NodeJS.Signals): void
   /** Starts the process, unless it runs. */
   start (): void
+  /** Sets the program that the process runs from its next start on. */
+  setProgram (path: string): void
   /** Largest resident memory of the process so far, in bytes; 0 if it does not run. */
   peakMemoryBytes (): number
   /** Resolves with the exit code of the process once it has ended; `null` if a signal ended it. */
@@ -38,6 +40,8 @@
   /** Folder for settings files and logs. */
   readonly folder: string
   readonly program: string
+  /** Program that every other host runs at first. Default: the same. */
+  readonly earlierProgram?: string
 }
 
 /** Memory of a host, in megabytes, as the settings state it. */
@@ -59,11 +63,12 @@
   writeFileSync(settingsPath, settingsText({ name, ip, zone, basePort: options.basePort }))
   let child: ChildProcess | null = null
   let stopping = false
+  let program = index % 2 === 1 ? options.earlierProgram ?? options.program : options.program
 
   function start (): void {
     if (isRunning()) return
     stopping = false
-    child = spawn(process.execPath, [options.program], { env: { PATH: process.env.PATH, GOOSEBERRYFOLD_BOOT: settingsPath }, stdio: ['ignore', 'pipe', 'pipe'] })
+    child = spawn(process.execPath, [program], { env: { PATH: process.env.PATH, GOOSEBERRYFOLD_BOOT: settingsPath }, stdio: ['ignore', 'pipe', 'pipe'] })
     child.stdout?.pipe(log, { end: false })
     child.stderr?.pipe(log, { end: false })
   }
@@ -92,6 +97,7 @@
       child?.kill(signal)
     },
     start,
+    setProgram (path) { program = path },
     peakMemoryBytes: () => child?.pid === undefined || !isRunning() ? 0 : readPeakMemoryBytes(child.pid),
     waitForExit,
     async stop () {
--- a/soak/link_proxy.ts
+++ b/soak/link_proxy.ts
@@ -12,6 +12,10 @@
   setState (state: LinkState): void
   /** Resets every connection. */
   reset (): void
+  isListening (): boolean
+  /** Makes the proxy refuse connections until it listens again. */
+  stopListening (): void
+  listen (): void
   close (): void
 }
 
@@ -58,6 +62,9 @@
     server,
     setState (next) { state = next },
     reset () { for (const socket of sockets) socket.resetAndDestroy() },
+    isListening: () => server.listening,
+    stopListening () { server.close() },
+    listen () { server.listen({ ...listenAddress, backlog: BACKLOG }) },
     close () {
       for (const socket of sockets) socket.destroy()
       server.close()
--- a/soak/main.ts
+++ b/soak/main.ts
@@ -14,11 +14,12 @@
     --from     First seed. Default: derived from the current time
     --hosts    Number of entry hosts. Default: 6
     --seconds  Duration of the phase with faults. Default: 20
+    --earlier  Program of an earlier build, which every other host runs at first. Default: none
     --at-once  Number of simultaneous runs. Default: 1
 `, {
   importMeta: import.meta,
   flags: {
-    seeds: { type: 'number', default: 1 }, from: { type: 'number' }, hosts: { type: 'number', default: 6 }, seconds: { type: 'number', default: 20 }, atOnce: { type: 'number', default: 1 }
+    seeds: { type: 'number', default: 1 }, from: { type: 'number' }, hosts: { type: 'number', default: 6 }, seconds: { type: 'number', default: 20 }, earlier: { type: 'string' }, atOnce: { type: 'number', default: 1 }
   }
 })
 
@@ -29,7 +30,7 @@
 async function runSeeds (): Promise<void> {
   while (nextSeed < firstSeed + cli.flags.seeds) {
     const seed = nextSeed++
-    const result = await runSoak({ seed, hosts: cli.flags.hosts, faultMs: cli.flags.seconds * 1000, program: PROGRAM_PATH })
+    const result = await runSoak({ seed, hosts: cli.flags.hosts, faultMs: cli.flags.seconds * 1000, program: PROGRAM_PATH, ...(cli.flags.earlier === undefined ? {} : { earlierProgram: cli.flags.earlier }) })
     const { counts } = result
     console.log(`seed ${seed}: ${result.failures.length === 0 ? 'held' : 'BROKEN'}; ${counts.sent} sent, ${counts.served} served, ${counts.refused} refused, ${counts.left} left, ${counts.other} other; ${result.faults.length} faults; ${result.folder}`)
     if (result.failures.length === 0) continue
--- a/soak/recovery_checks.ts
+++ b/soak/recovery_checks.ts
@@ -1,6 +1,7 @@
 /** Checks of a soak run that are made after the last fault, without other faults. */
 import { countWithin } from '../testing/count_within.ts'
 import { pause, pickRandom, writeServerEntry, type Environment } from './environment.ts'
+import { checkFatalRequests } from './fatal_requests.ts'
 import { Guarantees } from './guarantee_checker.ts'
 import { HOST_MEMORY_MB } from './hosts.ts'
 
@@ -55,6 +56,7 @@
   await checkLimit(environment)
   await checkSaidLeaving(environment)
   await checkDraining(environment)
+  await checkFatalRequests(environment)
   await checkGracefulShutdown(environment)
 }
 
--- a/soak/run_soak.ts
+++ b/soak/run_soak.ts
@@ -7,6 +7,7 @@
 import { createBackend, createKeyGrantTracker } from './backend.ts'
 import { createCallers } from './callers.ts'
 import { pause, pickRandom, writeAgain, writeServerEntry, ZONES, type Environment } from './environment.ts'
+import { installFatalRequests } from './fatal_requests.ts'
 import { createHosts, type SoakHost } from './hosts.ts'
 import { LinkState, openLinkProxy, type LinkProxy } from './link_proxy.ts'
 import { createGuaranteeChecker, type GuaranteeChecker } from './guarantee_checker.ts'
@@ -23,6 +24,8 @@
   readonly faultMs?: number
   /** Path of the program that each host runs. */
   readonly program: string
+  /** Path of the program of an earlier build, which every other host runs until it is replaced. Default: none. */
+  readonly earlierProgram?: string
   /** Called with the description of each fault. Default: no callback. */
   readonly onFault?: (text: string) => void
 }
@@ -95,8 +98,9 @@
   const network = await listenOnFreeNetwork(store, options.seed)
   const environment: Environment = { hosts: [], backends: [], linkProxies: new Map(), store, checker, random, spoilRandom, stoppingHosts: new Set(), version: 1, configuration: null }
   await startBackends(environment, { network, basePort, seed: options.seed })
+  installFatalRequests(environment)
   writeConfiguration(environment)
-  environment.hosts.push(...await createHosts({ count: options.hosts ?? 6, zones: ZONES, storeHost: `127.0.${network}.${STORE_HOST_NUMBER}`, storePort: basePort + 39, basePort, network, folder, program: options.program }))
+  environment.hosts.push(...await createHosts({ count: options.hosts ?? 6, zones: ZONES, storeHost: `127.0.${network}.${STORE_HOST_NUMBER}`, storePort: basePort + 39, basePort, network, folder, program: options.program, ...(options.earlierProgram === undefined ? {} : { earlierProgram: options.earlierProgram }) }))
   const callers = createCallers({ hosts: environment.hosts, checker, random, leaveRandom: createRandom(options.seed + LEAVE_SEED_OFFSET), requestsPerSecond: REQUESTS_PER_SECOND, stoppingHosts: environment.stoppingHosts })
   const faults: string[] = []
   const spoilTimer = setInterval(() => { spoilResponses(environment) }, SPOIL_INTERVAL_MS)
@@ -112,6 +116,7 @@
       options.onFault?.(faults.at(-1) ?? '')
     }
     await restores
+    if (options.earlierProgram !== undefined) await replaceEarlierBuilds(environment, options.program)
     clearInterval(spoilTimer)
     clearFaults(environment)
     checkMemory(environment)
@@ -128,6 +133,17 @@
   return { failures: checker.failures, counts: checker.counts, faults, folder }
 }
 
+/** Replaces the hosts that run an earlier build, one after the other; the other faults of the run may go on. */
+async function replaceEarlierBuilds (environment: Environment, program: string): Promise<void> {
+  for (const [index, host] of environment.hosts.entries()) {
+    host.setProgram(program)
+    if (index % 2 === 0 || !host.isServing()) continue
+    host.sendSignal('SIGTERM')
+    await host.waitForExit()
+    host.start()
+  }
+}
+
 function createRandom (seed: number): () => number {
   const generator = xoroshiro128plus(seed)
   return () => uniformInt(generator, 0, 2 ** 30) / 2 ** 30
