Bound what a host keeps of all responses together

A server that sends bytes without end: each response was bounded at 512 KB, so that 100 of them kept 56 MB, and requests in flight times 512 KB in general, twice with a relay, and what callers had not read. A refusal (503, not run) with such a body was read for as long as the server sent.

Gateway and relay of a host now share one account of the bytes that they keep of responses, 32 MiB as for request bodies, from the first byte received until the caller has read it. The responses of one server may take as much as is still free; beyond that they are streamed as fast as callers read. If the capacity is used up even so, the longest response of the server that takes most is ended (response-ended-for-memory in the log; responseBytes in /state). The body of a refusal may have 16 KiB and 300 ms; then its connection is closed. A streamed response keeps the length that its server stated.

Ruled out: ending responses as soon as the capacity is used up (a caller that pipelines 120 requests of 450 KB and reads late lost them); pausing responses (partly received ones wait for each other until their time is over).

--- a/src/entry_host/create_entry_host.ts
+++ b/src/entry_host/create_entry_host.ts
@@ -5,7 +5,7 @@
  */
 import { Agent, createServer } from 'node:http'
 import {
-  createCallerServer, createGateway, createRequestLimits, createRequestPermits, createRoutingState, createServerAdmission, createServerAgent, createServerLoads, type HeaderNames, type RequestRecord
+  createCallerServer, createGateway, createRequestLimits, createRequestPermits, createResponseMemory, createRoutingState, createServerAdmission, createServerAgent, createServerLoads, type HeaderNames, type RequestRecord
 } from '../gateway/mod.ts'
 import { createRequestGuard } from '../fatal_requests/mod.ts'
 import { createLeadership } from '../leadership/mod.ts'
@@ -21,6 +21,7 @@
 import { trackControl } from './_tracked_control.ts'
 import { createCoordinator } from './create_coordinator.ts'
 import type { EntryHostSettings } from './entry_host_settings.ts'
+import { createEndedResponseLog } from './ended_response_log.ts'
 import { createEvidenceExchange } from './evidence_exchange.ts'
 import { createEndLog, createRefusalLog } from './fatal_request_log.ts'
 import { createHostReportTracker } from './host_report_tracker.ts'
@@ -103,6 +104,7 @@
   const limits = createRequestLimits({ now, onChange: createLimitLog(logger) })
   const permits = createRequestPermits({ limits, hostCount: budgets.hostCount, now, random: Math.random })
   const admission = createServerAdmission({ loads, limits, permits, now })
+  const responseMemory = createResponseMemory({ onEnded: createEndedResponseLog(logger, now) })
   const agent = createServerAgent()
   const relayAgent = new Agent({ keepAlive: true, maxFreeSockets: RELAY_IDLE_CONNECTIONS, scheduling: 'lifo' })
   const relayAddress = `${settings.ip}:${settings.peerPort + 1}`
@@ -232,6 +234,7 @@
     permits,
     admission,
     guard,
+    responseMemory,
     agent,
     relays,
     relayAgent,
@@ -251,7 +254,7 @@
     stopsAt: () => stopsAt
   })
   const relay = createRelay({
-    routingState, loads, limits, admission, isRelay: relays.isRelay, isIsolated, guard, agent, names: options.names, now, onEnd (record) { requestLog.write(record, describeRoutingState()) }, stopsAt: () => stopsAt
+    routingState, loads, limits, admission, isRelay: relays.isRelay, isIsolated, guard, responseMemory, agent, names: options.names, now, onEnd (record) { requestLog.write(record, describeRoutingState()) }, stopsAt: () => stopsAt
   })
   const relayServer = createCallerServer({
     limits: RELAY_LIMITS, maximumConnections: settings.sockets, handle: relay.handle, onError: reportConnectionError
@@ -383,6 +386,8 @@
       version: routingState.configuration()?.version ?? null,
       servers: routingState.servers(),
       pending: gateway.pending(),
+      responseBytes: responseMemory.bytes(),
+      refused: guard.evidence().refusals.length,
       loopDelayMs: loopDelayMonitor.delayMs(),
       limits: [...limits.observations()],
       views: [...coordinator.views()]
--- a/src/gateway/_exchange.ts
+++ b/src/gateway/_exchange.ts
@@ -5,6 +5,7 @@
 import type { RequestBody } from './body_reader.ts'
 import type { AttemptRecord } from './request_record.ts'
 import type { BackendResponse } from './forward_response.ts'
+import type { ResponseAccount } from './response_memory.ts'
 
 /** State of one request. */
 export interface Exchange {
@@ -23,6 +24,8 @@
   readonly elapsedMs: number
   readonly abort: AbortController
   readonly attempts: AttemptRecord[]
+  /** What this host keeps of the response. */
+  readonly memory: ResponseAccount
   readonly triedServers: Set<string>
   /** Fingerprint of the request; called only after its body has been read. */
   readonly fingerprint: FingerprintSource
--- a/src/gateway/create_gateway.ts
+++ b/src/gateway/create_gateway.ts
@@ -19,6 +19,7 @@
 import type { Relay } from './relay_selector.ts'
 import { reportAttempt } from './report_attempt.ts'
 import type { AttemptRecord } from './request_record.ts'
+import type { ResponseAccount } from './response_memory.ts'
 import { sendAttempt, type Attempt, type AttemptOutcome, type SendAttemptOptions } from './send_attempt.ts'
 import type { ServerAdmissionQuery } from './server_admission.ts'
 import { forwardResponse, waitUntilSent } from './forward_response.ts'
@@ -262,6 +263,7 @@
       path: exchange.request.url ?? '/',
       headers: requestHeaders(exchange.request.rawHeaders, names),
       body: exchange.body,
+      memory: exchange.memory,
       deadlineMs: remainingMs(exchange),
       signal: exchange.abort.signal
     }
@@ -331,11 +333,11 @@
       writeLocalResponse(response, decision.status)
       return finish(exchange, decision.status, decision.reason)
     }
-    const isWhole = await forwardResponse(response, decision.outcome, { method: exchange.request.method ?? 'GET', closesConnection: options.isLeaving(), signal: exchange.abort.signal })
+    const isWhole = await forwardResponse(response, decision.outcome, { method: exchange.request.method ?? 'GET', closesConnection: options.isLeaving(), memory: exchange.memory, signal: exchange.abort.signal })
     finish(exchange, decision.outcome.status, isWhole ? 'served' : 'answer-broke-off')
   }
 
-  async function handleRequest (request: IncomingMessage, response: ServerResponse): Promise<void> {
+  async function handleRequest (request: IncomingMessage, response: ServerResponse, memory: ResponseAccount): Promise<void> {
     const startedAt = now()
     const routes = routingState.routes()
     const id = String(request.headers[names.attemptId] ?? '')
@@ -355,7 +357,7 @@
     const key = parseKey(request.headers[names.key])
     const abort = new AbortController()
     const exchange: Exchange = {
-      request, response, id, route, service, key, startedAt, deadlineAt: startedAt + timeoutMs, callerDeadlineAt: startedAt + (statedMs ?? timeoutMs), elapsedMs: statedMs === null ? 0 : callerDeadlines.elapsedMs(route.name, statedMs), abort, attempts: [], triedServers: new Set(), fingerprint: createFingerprintSource(() => ({ method: request.method ?? 'GET', path: request.url ?? '/', headers: requestHeaders(request.rawHeaders, names), body: exchange.body }), varyingHeaders), body: null, mayHaveRun: false, triedRelays: new Set(), triedDirectly: false, hasCallerLeft: false
+      request, response, id, route, service, key, startedAt, deadlineAt: startedAt + timeoutMs, callerDeadlineAt: startedAt + (statedMs ?? timeoutMs), elapsedMs: statedMs === null ? 0 : callerDeadlines.elapsedMs(route.name, statedMs), abort, attempts: [], memory, triedServers: new Set(), fingerprint: createFingerprintSource(() => ({ method: request.method ?? 'GET', path: request.url ?? '/', headers: requestHeaders(request.rawHeaders, names), body: exchange.body }), varyingHeaders), body: null, mayHaveRun: false, triedRelays: new Set(), triedDirectly: false, hasCallerLeft: false
     }
     const timer = setTimeout(() => { abort.abort() }, timeoutMs)
     const endWatch = watchDisconnect(request, () => {
@@ -380,10 +382,12 @@
   return {
     async handle (request, response) {
       pending++
+      const memory = options.responseMemory.open()
       try {
-        await handleRequest(request, response)
+        await handleRequest(request, response, memory)
         await waitUntilSent(response)
       } finally {
+        memory.close()
         pending--
       }
     },
--- a/src/gateway/endless_responses_test.ts
+++ b/src/gateway/endless_responses_test.ts
@@ -1,10 +1,13 @@
 /** Tests of servers that send bytes without end: a host must keep a bounded number of them, and close what it has no use for. */
+import { connect } from 'node:net'
 import { suite } from 'uvu'
 import * as assert from 'uvu/assert'
 import { respondWithPath, TEST_HEADER_NAMES } from '../../testing/fake_backend.ts'
 import { createFloodServer } from '../../testing/flood_server.ts'
-import { withGateway } from '../../testing/with_gateway.ts'
+import { TEST_CONFIGURATION, TEST_ROUTE, withGateway } from '../../testing/with_gateway.ts'
+import { RequestKind } from '../routing/mod.ts'
 import { createRequestLimits } from './request_limits.ts'
+import { createResponseMemory } from './response_memory.ts'
 import { sendAttempt } from './send_attempt.ts'
 import { createServerAgent } from './server_agent.ts'
 
@@ -21,6 +24,7 @@
   const flood = await createFloodServer()
   const agent = createServerAgent()
   const abort = new AbortController()
+  const memory = createResponseMemory()
   const limits = createRequestLimits({ now: () => performance.now(), onChange: () => {} })
   try {
     const outcomes = await Promise.all(Array.from({ length: 100 }, async (_, index) => await sendAttempt({
@@ -31,10 +35,12 @@
       headers: [TEST_HEADER_NAMES.attemptId, `e${index}`],
       body: null,
       deadlineMs: 5000,
+      memory: memory.open(),
       signal: abort.signal
     }, { agent, names: TEST_HEADER_NAMES, limits })))
     const bytes = outcomes.reduce((sum, outcome) => sum + (outcome.kind === 'stream' ? outcome.start.length : 0), 0)
     assert.ok(bytes <= CAPACITY_BYTES, `${bytes} bytes are kept`)
+    assert.ok(memory.bytes() <= CAPACITY_BYTES)
     for (const outcome of outcomes) if (outcome.kind === 'stream') outcome.rest.destroy()
   } finally {
     abort.abort()
@@ -43,6 +49,42 @@
   }
 })
 
+for (const [reads, readBytes] of [['fast', Infinity], ['slowly', 4096], ['not', 0]] as const) {
+  test(`handle() keeps a bounded number of bytes and serves other requests, when a server sends without end and callers read ${reads}`, async () => {
+    const flood = await createFloodServer()
+    try {
+      await withGateway([respondWithPath], async ({ port, call, routingState, responseMemory }) => {
+        const [sound] = routingState.servers()
+        if (sound === undefined) throw new Error('There is no server')
+        routingState.applyConfiguration({ ...TEST_CONFIGURATION, version: 2, routes: [{ ...TEST_ROUTE, prefix: '/orders/' }, { ...TEST_ROUTE, name: 'endless', prefix: '/endless/', kind: RequestKind.once, timeoutMs: 1500, targets: [{ service: 'endless', weight: 1 }] }] })
+        routingState.setServers([sound, { ...sound, id: 'flood', service: 'endless', address: flood.address, slots: 1000 }])
+        const sockets = Array.from({ length: 90 }, (_, index) => {
+          const socket = connect(port, '127.0.0.1')
+          socket.on('error', () => {})
+          socket.write(`GET /endless/x HTTP/1.1\r\nHost: one.example\r\n${TEST_HEADER_NAMES.attemptId}: e${index}\r\n\r\n`)
+          if (readBytes === Infinity) return socket.resume()
+          socket.pause()
+          const timer = setInterval(() => { socket.read(readBytes) }, 20)
+          socket.on('close', () => { clearInterval(timer) })
+          return socket
+        })
+        let peak = 0
+        for (const until = performance.now() + 600; performance.now() < until;) {
+          await pause(5)
+          peak = Math.max(peak, responseMemory.bytes())
+        }
+        assert.is((await call('/orders/sound')).status, 200)
+        assert.ok(peak > 0 && peak <= CAPACITY_BYTES, `${peak} bytes are kept`)
+        for (const socket of sockets) socket.destroy()
+        await pause(200)
+        assert.is(responseMemory.bytes(), 0)
+      }, { retries: 0 })
+    } finally {
+      await flood.close()
+    }
+  })
+}
+
 test('handle() closes the connection to a server, when it refuses a request with a body without end', async () => {
   const flood = await createFloodServer()
   try {
--- a/src/gateway/forward_response.ts
+++ b/src/gateway/forward_response.ts
@@ -1,6 +1,7 @@
 /** Forwards a server's response to the caller or relay client; an incomplete response never looks complete. */
 import type { ServerResponse } from 'node:http'
 import { responseHeaders } from './forwarded_headers.ts'
+import type { ResponseAccount } from './response_memory.ts'
 import type { AttemptOutcome } from './send_attempt.ts'
 
 /** Outcomes with a response of the server. */
@@ -12,6 +13,8 @@
   readonly method: string
   /** Whether the connection is closed after the response. */
   readonly closesConnection: boolean
+  /** What this host keeps of the response until the caller has read it. */
+  readonly memory: ResponseAccount
   /** Ends a response that is still being received: a server may send a body without end. */
   readonly signal: AbortSignal
 }
@@ -33,18 +36,31 @@
       response.useChunkedEncodingByDefault = false
       response.shouldKeepAlive = false
     } else if (options.method !== 'HEAD' && backendResponse.status !== 204 && backendResponse.status !== 304) headers.push('Content-Length', String(backendResponse.body.length))
+    // A response that waits for another one on its connection is cut only with the connection.
+    options.memory.onEnd(() => { response.req.socket.destroy() })
     response.writeHead(backendResponse.status, headers as unknown as Record<string, string>)
     response.end(backendResponse.body)
     return true
   }
+  const length = contentLength(backendResponse.headers)
+  if (length !== null) headers.push('Content-Length', length)
   response.writeHead(backendResponse.status, headers as unknown as Record<string, string>)
+  const abort = (): void => { backendResponse.rest.destroy() }
+  options.memory.onEnd(() => {
+    abort()
+    response.req.socket.destroy()
+  })
   response.write(backendResponse.start)
+  options.memory.set(response.writableLength)
   backendResponse.rest.on('data', (part: Buffer) => {
     if (!response.write(part)) backendResponse.rest.pause()
+    options.memory.set(response.writableLength)
+  })
+  response.on('drain', () => {
+    options.memory.set(0)
+    backendResponse.rest.resume()
   })
-  response.on('drain', () => { backendResponse.rest.resume() })
   backendResponse.rest.resume()
-  const abort = (): void => { backendResponse.rest.destroy() }
   options.signal.addEventListener('abort', abort)
   if (options.signal.aborted) abort()
   await new Promise<void>((resolve) => {
@@ -59,6 +75,12 @@
   return backendResponse.rest.complete
 }
 
+/** Length that the server stated for a body that is streamed; `null` if it stated none. */
+function contentLength (rawHeaders: readonly string[]): string | null {
+  const index = rawHeaders.findIndex((text, position) => position % 2 === 0 && text.toLowerCase() === 'content-length')
+  return index < 0 ? null : rawHeaders[index + 1] ?? null
+}
+
 /**
  * Waits until a response that has ended is completely handed to the network, or its connection is closed.
  *
--- a/src/gateway/gateway_options.ts
+++ b/src/gateway/gateway_options.ts
@@ -7,6 +7,7 @@
 import type { RequestLimits } from './request_limits.ts'
 import type { RequestPermits } from './request_permits.ts'
 import type { RequestRecord } from './request_record.ts'
+import type { ResponseMemory } from './response_memory.ts'
 import type { RoutingState } from './routing_state.ts'
 import type { ServerAdmission } from './server_admission.ts'
 import type { ServerLoads } from './server_loads.ts'
@@ -21,6 +22,8 @@
   readonly permits: RequestPermits
   /** Admission control for requests that this host sends to servers itself. */
   readonly admission: ServerAdmission
+  /** Memory for the responses of servers. */
+  readonly responseMemory: ResponseMemory
   /** Recognises requests that end the servers which run them. */
   readonly guard: RequestGuard
   readonly agent: Agent
--- a/src/gateway/send_attempt.ts
+++ b/src/gateway/send_attempt.ts
@@ -9,6 +9,7 @@
 import { hasRefusedAttempt, recordRefusedAttempt } from './_refused_attempts.ts'
 import { RelayHeader, RelayRefusal } from './relay_selector.ts'
 import type { RequestLimits } from './request_limits.ts'
+import type { ResponseAccount } from './response_memory.ts'
 
 /** A request that is sent to one server. */
 export interface Attempt {
@@ -19,6 +20,8 @@
   /** Headers as alternating names and values. */
   readonly headers: readonly string[]
   readonly body: RequestBody
+  /** What this host keeps of the response. */
+  readonly memory: ResponseAccount
   readonly deadlineMs: number
   readonly signal: AbortSignal
   /** Relay that the request is sent through, and what it needs for admission control, in milliseconds; if absent, the request goes to the server directly. */
@@ -50,8 +53,9 @@
   readonly connectTimeoutMs?: number
 }
 
-/** Maximum length of a response that is buffered before it is forwarded, in bytes; if a shorter one is incomplete, the request can be retried. */
-const MAXIMUM_BUFFERED_RESPONSE_BYTES = 512 * 1024
+/** Maximum length of the body of a refusal, in bytes, and the time in which it must end, in milliseconds; then its connection is closed. */
+const MAXIMUM_REFUSAL_BYTES = 16 * 1024
+const REFUSAL_BODY_MS = 300
 
 /** Maximum number of interim responses (status 1xx) before the final one: more than any server has a reason to send. */
 const MAXIMUM_INTERIM_RESPONSES = 8
@@ -152,8 +156,7 @@
       const refusal = relay === undefined ? null : parseRelayRefusal(response)
       if (refusal !== null) {
         settle(refusal)
-        response.resume()
-        return
+        return discardResponse(request, response)
       }
       const invalidReason = describeInvalidResponse(response, { id: attempt.id, isFirstOnConnection: !request.reusedSocket, names })
       if (invalidReason !== null) {
@@ -170,10 +173,13 @@
       if (isNotRun) {
         if (relay === undefined) recordRefusedAttempt(response.socket, attempt.id)
         settle({ kind: 'not-run', status: response.statusCode ?? 0, misdirected: response.statusCode === 421 })
-        response.resume()
-        return
+        return discardResponse(request, response)
       }
-      readResponse(request, response, settle)
+      attempt.memory.begin(attempt.server.id, () => {
+        settle({ kind: 'lost', detail: 'The responses that this host keeps took too much memory', aborted: false })
+        request.destroy()
+      })
+      readResponse({ request, response, memory: attempt.memory }, settle)
     })
   })
 }
@@ -213,7 +219,18 @@
   return null
 }
 
-function readResponse (request: ClientRequest, response: IncomingMessage, settle: (outcome: AttemptOutcome) => void): void {
+/** Reads the rest of a refusal, so that its connection can be used again, unless the rest is long or comes slowly. */
+function discardResponse (request: ClientRequest, response: IncomingMessage): void {
+  let bytes = 0
+  const timer = setTimeout(() => { request.destroy() }, REFUSAL_BODY_MS)
+  response.on('close', () => { clearTimeout(timer) })
+  response.on('data', (part: Buffer) => {
+    bytes += part.length
+    if (bytes > MAXIMUM_REFUSAL_BYTES) request.destroy()
+  })
+}
+
+function readResponse ({ request, response, memory }: { readonly request: ClientRequest, readonly response: IncomingMessage, readonly memory: ResponseAccount }, settle: (outcome: AttemptOutcome) => void): void {
   const status = response.statusCode ?? 0
   const { socket } = response
   // A response without a length ends with its connection; it is complete only if that was closed and not reset.
@@ -223,7 +240,8 @@
   function onData (part: Buffer): void {
     parts.push(part)
     bytes += part.length
-    if (bytes <= MAXIMUM_BUFFERED_RESPONSE_BYTES) return
+    memory.set(bytes)
+    if (memory.mayBuffer()) return
     response.pause()
     response.off('data', onData)
     settle({ kind: 'stream', status, headers: response.rawHeaders, start: Buffer.concat(parts), rest: response })
--- a/src/relay/create_relay.ts
+++ b/src/relay/create_relay.ts
@@ -8,7 +8,7 @@
 import type { Agent, IncomingMessage, ServerResponse } from 'node:http'
 import {
   createBodyReader, discardBody, forwardResponse, outcomeLabel, parseKey, pollConnections, RelayHeader, RelayRefusal, reportAttempt, requestHeaders, sendAttempt, toLoadOutcome, waitUntilSent, watchDisconnect,
-  type AttemptOutcome, type HeaderNames, type RequestBody, type RequestLimits, type RoutingState, type RequestRecord, type ServerAdmission, type ServerAdmissionQuery, type ServerLoads
+  type AttemptOutcome, type HeaderNames, type RequestBody, type RequestLimits, type RoutingState, type RequestRecord, type ResponseAccount, type ResponseMemory, type ServerAdmission, type ServerAdmissionQuery, type ServerLoads
 } from '../gateway/mod.ts'
 import { createFingerprintSource, type FingerprintSource, type RequestGuard } from '../fatal_requests/mod.ts'
 import type { RoutedServer } from '../routing/mod.ts'
@@ -24,6 +24,8 @@
   readonly isRelay: (server: RoutedServer) => boolean
   /** Whether this host reaches no server. */
   readonly isIsolated: () => boolean
+  /** Memory for the responses of servers. */
+  readonly responseMemory: ResponseMemory
   /** Recognises requests that end the servers which run them. */
   readonly guard: RequestGuard
   /** Connections to servers. */
@@ -83,7 +85,7 @@
   }
 
   /** Forwards a request, unless the host that sent it has closed its connection. */
-  async function forward (request: IncomingMessage, response: ServerResponse, server: RoutedServer): Promise<void> {
+  async function forward (request: IncomingMessage, response: ServerResponse, { server, memory }: { readonly server: RoutedServer, readonly memory: ResponseAccount }): Promise<void> {
     const receivedAt = now()
     const remainingMs = Number(request.headers[names.deadlineMs])
     const abort = new AbortController()
@@ -99,7 +101,7 @@
         return record(request, { server, outcome: null, durationMs: now() - receivedAt })
       }
       body = reading.body
-      await sendToServer(request, response, { server, body, signal: abort.signal, deadlineAt: receivedAt + remainingMs })
+      await sendToServer(request, response, { server, body, memory, signal: abort.signal, deadlineAt: receivedAt + remainingMs })
     } finally {
       clearTimeout(timer)
       endWatch()
@@ -108,7 +110,7 @@
   }
 
   /** Sends a request to its server if that has room, and reports the outcome. */
-  async function sendToServer (request: IncomingMessage, response: ServerResponse, { server, body, signal, deadlineAt }: { readonly server: RoutedServer, readonly body: RequestBody, readonly signal: AbortSignal, readonly deadlineAt: number }): Promise<void> {
+  async function sendToServer (request: IncomingMessage, response: ServerResponse, { server, body, memory, signal, deadlineAt }: { readonly server: RoutedServer, readonly body: RequestBody, readonly memory: ResponseAccount, readonly signal: AbortSignal, readonly deadlineAt: number }): Promise<void> {
     const headers = withoutRelayHeaders(requestHeaders(request.rawHeaders, names))
     const fingerprint = createFingerprintSource(() => ({ method: request.method ?? 'GET', path: request.url ?? '/', headers, body }), varyingHeaders)
     const refusalMs = options.guard.refusalMs(fingerprint)
@@ -127,6 +129,7 @@
       path: request.url ?? '/',
       headers,
       body,
+      memory,
       deadlineMs: deadlineAt - sentAt,
       signal
     }, { agent: options.agent, names, limits: options.limits, onLeaving: routingState.recordLeaving })
@@ -134,14 +137,14 @@
     end(toLoadOutcome(outcome, durationMs))
     admission.end()
     reportAttempt(options.guard, { server, fingerprint, sentAt, outcome })
-    await sendOutcome(response, { outcome, server, query, method: request.method ?? 'GET', signal })
+    await sendOutcome(response, { outcome, server, query, method: request.method ?? 'GET', memory, signal })
     record(request, { server, outcome, durationMs, inFlight, expectedMs, fingerprint })
   }
 
   /** Reports the outcome of a request to the host that sent it. */
-  async function sendOutcome (response: ServerResponse, { outcome, server, query, method, signal }: { readonly outcome: AttemptOutcome, readonly server: RoutedServer, readonly query: ServerAdmissionQuery, readonly method: string, readonly signal: AbortSignal }): Promise<void> {
+  async function sendOutcome (response: ServerResponse, { outcome, server, query, method, memory, signal }: { readonly outcome: AttemptOutcome, readonly server: RoutedServer, readonly query: ServerAdmissionQuery, readonly method: string, readonly memory: ResponseAccount, readonly signal: AbortSignal }): Promise<void> {
     if (outcome.kind === 'answer' || outcome.kind === 'stream') {
-      await forwardResponse(response, outcome, { method, closesConnection: false, signal })
+      await forwardResponse(response, outcome, { method, closesConnection: false, memory, signal })
     } else if (outcome.kind === 'unsent') {
       refuse(response, options.isIsolated() ? RelayRefusal.isolated : RelayRefusal.unreachable)
     } else if (outcome.kind === 'lost') {
@@ -180,10 +183,12 @@
       if (server.leaving) return refuse(response, RelayRefusal.leaving)
       if (now() + Number(request.headers[names.deadlineMs]) > options.stopsAt()) return refuse(response, RelayRefusal.stopping)
       pending++
+      const memory = options.responseMemory.open()
       try {
-        await forward(request, response, server)
+        await forward(request, response, { server, memory })
         await waitUntilSent(response)
       } finally {
+        memory.close()
         pending--
       }
     },
--- a/testing/with_gateway.ts
+++ b/testing/with_gateway.ts
@@ -8,6 +8,7 @@
 import type { RequestRecord } from '../src/gateway/request_record.ts'
 import { createRequestLimits } from '../src/gateway/request_limits.ts'
 import { createRequestPermits } from '../src/gateway/request_permits.ts'
+import { createResponseMemory, type ResponseMemory } from '../src/gateway/response_memory.ts'
 import { createRoutingState, type RoutingState } from '../src/gateway/routing_state.ts'
 import { createServerAdmission } from '../src/gateway/server_admission.ts'
 import { createServerAgent } from '../src/gateway/server_agent.ts'
@@ -22,6 +23,9 @@
   readonly routingState: RoutingState
   readonly backends: readonly FakeBackend[]
   readonly records: RequestRecord[]
+  readonly responseMemory: ResponseMemory
+  /** Port of the gateway. */
+  readonly port: number
   call (path: string, options?: CallPortOptions): Promise<CallerResponse>
   /** Opens a connection and passes it to `write`; resolves with all that the host has sent once the connection is closed. */
   exchangeBytes (write: (socket: Socket) => void): Promise<string>
@@ -70,9 +74,10 @@
   const loads = createServerLoads(now)
   const limits = createRequestLimits({ now, onChange: () => {} })
   const permits = createRequestPermits({ limits, hostCount: () => 1, now, random: () => 0 })
+  const responseMemory = createResponseMemory()
   const budget = createRetryBudget({ share: 0, maximum: options.retries ?? 5 })
   const gateway = createGateway({
-    routingState, loads, limits, permits, admission: createServerAdmission({ loads, limits, permits, now }), guard: createTestGuard(), agent, relays: options.relays ?? { select: () => ({ kind: 'direct' }), isRelay: () => true, isIsolated: () => false, recordIsolated: () => {} }, relayAgent: agent, names: TEST_HEADER_NAMES, host: 'h1', zone: 'a', retryBudgetOf: () => budget, now, random: () => 0, onKeyRequested: () => {}, onRequestEnd: (record) => { records.push(record) }, isLeaving: () => false, stopsAt: () => options.stopsAt?.() ?? Infinity
+    routingState, loads, limits, permits, admission: createServerAdmission({ loads, limits, permits, now }), guard: createTestGuard(), responseMemory, agent, relays: options.relays ?? { select: () => ({ kind: 'direct' }), isRelay: () => true, isIsolated: () => false, recordIsolated: () => {} }, relayAgent: agent, names: TEST_HEADER_NAMES, host: 'h1', zone: 'a', retryBudgetOf: () => budget, now, random: () => 0, onKeyRequested: () => {}, onRequestEnd: (record) => { records.push(record) }, isLeaving: () => false, stopsAt: () => options.stopsAt?.() ?? Infinity
   })
   const server: Server = createCallerServer({ limits: TEST_CONFIGURATION.limits, maximumConnections: 100, handle: gateway.handle, onError: () => {} })
   await new Promise<void>((resolve) => { server.listen(0, '127.0.0.1', resolve) })
@@ -82,6 +87,8 @@
       routingState,
       backends,
       records,
+      responseMemory,
+      port,
       pending: gateway.pending,
       call: (path, call = {}) => callPort({ port, path }, call),
       exchangeBytes: (write) => new Promise((resolve) => {
