An operator ends the refusal of a request; protection in a module of its own

A refusal ends after its time, by a completed run, or now by an operator's word on any host: POST /refused-requests/FINGERPRINT/lift on the operator listener, passed on like any completion and stored. /state lists what is refused. Test: lift() ends a refusal, passes that on, and says when there was none.

--- a/src/entry_host/create_entry_host.ts
+++ b/src/entry_host/create_entry_host.ts
@@ -7,7 +7,6 @@
 import {
   createCallerServer, createGateway, createRequestLimits, createRequestPermits, createResponseMemory, createRoutingState, createServerAdmission, createServerAgent, createServerLoads, type HeaderNames, type RequestRecord
 } from '../gateway/mod.ts'
-import { createRequestGuard } from '../fatal_requests/mod.ts'
 import { createLeadership } from '../leadership/mod.ts'
 import type { Logger } from '../logging/mod.ts'
 import type { ServerControl } from '../ownership/mod.ts'
@@ -22,15 +21,13 @@
 import { createCoordinator } from './create_coordinator.ts'
 import type { EntryHostSettings } from './entry_host_settings.ts'
 import { createEndedResponseLog } from './ended_response_log.ts'
-import { createEvidenceExchange } from './evidence_exchange.ts'
-import { createEndLog, createRefusalLog } from './fatal_request_log.ts'
 import { createHostReportTracker } from './host_report_tracker.ts'
 import { createLeadershipController } from './create_leadership_controller.ts'
 import { createLeaderMonitor } from './leader_monitor.ts'
 import { createLimitLog } from './limit_log.ts'
 import { createLoopDelayMonitor } from './loop_delay_monitor.ts'
 import { createStatePublisher } from './create_state_publisher.ts'
-import { createRefusalStore } from './refusal_store.ts'
+import { createRequestProtection } from './create_request_protection.ts'
 import { createRequestLog } from './request_log.ts'
 import { createRequestSummary } from './request_summary.ts'
 import { createRetryBudgets } from './retry_budgets.ts'
@@ -52,6 +49,8 @@
 export interface EntryHost {
   /** Stops accepting requests, completes those in progress and shuts down. */
   shutDown (): Promise<void>
+  /** Ends the refusal of a request under which servers have ended, on all hosts; returns whether it was refused. */
+  liftRefusal (fingerprint: string): boolean
   /** State of the host, for diagnostics. */
   describe (): unknown
 }
@@ -109,19 +108,14 @@
   const relayAgent = new Agent({ keepAlive: true, maxFreeSockets: RELAY_IDLE_CONNECTIONS, scheduling: 'lifo' })
   const relayAddress = `${settings.ip}:${settings.peerPort + 1}`
   const relays = createRelayDirectory({ host: settings.host, now, isolation: reachability.isolation, onRelayLost })
-  const guard = createRequestGuard({
-    probe, verifyReachability: reachability.verify, isLeaving: (server) => routingState.server(server.id)?.leaving !== false, onChecked: createEndLog(logger), onEvidence (found) { evidence.add(found) }, now, ...createRefusalLog(logger)
-  })
-  const evidence = createEvidenceExchange({
-    guard: () => guard, isLeading: () => leadershipController.isLeading(), publish (message) { peerServer.publish(message) }, send (message) { leaderConnection.send(message) }, now
-  })
-  const refusalStore = createRefusalStore({
-    table: options.table, leadership: { isLeading: () => leadership.isLeading(), isStoreUnavailable: () => leadership.isStoreUnavailable(), recordPosition: (key, position) => { leadership.recordPosition(key, position) }, write: async (rows) => await leadership.write(rows) }, evidence: guard.evidence, onLoaded (loaded) { evidence.add(guard.merge(loaded)) }, logger, now, wallClock: () => Date.now()
-  })
   const holder = `${settings.host}/${process.pid}-${Date.now().toString(36)}-${Math.random().toString(36).slice(2, 8)}`
   const leadership = createLeadership({
     table: options.table, logger, holder, address: `${settings.ip}:${settings.peerPort}`, now, wallClock: () => Date.now()
   })
+  const protection = createRequestProtection({
+    routingState, probe, verifyReachability: reachability.verify, table: options.table, leadership, isLeading: () => leadershipController.isLeading(), publish (message) { peerServer.publish(message) }, send (message) { leaderConnection.send(message) }, logger, now
+  })
+  const { guard, exchange: evidence, refusalStore } = protection
   const requestLog = createRequestLog(logger, now)
   const requestSummary = createRequestSummary(logger, now)
   let leaving = false
@@ -377,6 +371,7 @@
       for (const timer of timers) clearInterval(timer)
       logger.info({ pending: gateway.pending(), afterMs: Math.round(now() - signalledAt) }, 'stopped')
     },
+    liftRefusal: protection.lift,
     describe: () => ({
       host: settings.host,
       leading: leadershipController.isLeading(),
@@ -387,7 +382,7 @@
       servers: routingState.servers(),
       pending: gateway.pending(),
       responseBytes: responseMemory.bytes(),
-      refused: guard.evidence().refusals.length,
+      refusedRequests: protection.describe(),
       loopDelayMs: loopDelayMonitor.delayMs(),
       limits: [...limits.observations()],
       views: [...coordinator.views()]
