Bytes without end through a relay: a test at both hosts

What gateway and relay keep of 80 responses without end, whose callers do not read, stays within 32 MiB each and is given back when the callers leave; a later request is served.

--- a/src/relay/create_relay_test.ts
+++ b/src/relay/create_relay_test.ts
@@ -4,11 +4,12 @@
 import { suite } from 'uvu'
 import * as assert from 'uvu/assert'
 import { callPort, type CallerResponse, type CallPortOptions } from '../../testing/call_port.ts'
+import { createFloodServer } from '../../testing/flood_server.ts'
 import { createTestGuard } from '../../testing/create_test_guard.ts'
 import { respondNotRun, respondWithPath, createFakeBackend, TEST_HEADER_NAMES, type BackendHandler, type FakeBackend } from '../../testing/fake_backend.ts'
 import { createRetryBudget } from '../dispatch/retry_budget.ts'
 import { fingerprintRequest, NO_EVIDENCE, type RequestGuard } from '../fatal_requests/mod.ts'
-import { RelayHeader, RelayRefusal, createCallerServer, createGateway, createRequestLimits, createRequestPermits, createResponseMemory, createRoutingState, createServerAdmission, createServerAgent, createServerLoads, type RoutingState, type ServerLoads } from '../gateway/mod.ts'
+import { RelayHeader, RelayRefusal, createCallerServer, createGateway, createRequestLimits, createRequestPermits, createResponseMemory, createRoutingState, createServerAdmission, createServerAgent, createServerLoads, type ResponseMemory, type RoutingState, type ServerLoads } from '../gateway/mod.ts'
 import { RequestKind, type Route, type RoutingConfiguration } from '../routing/mod.ts'
 import { createRelay } from './create_relay.ts'
 
@@ -19,10 +20,14 @@
   /** Server loads as the relay counts them. */
   readonly loads: ServerLoads
   readonly relayState: RoutingState
+  /** Memory for responses of the host that accepts requests, and of the relay. */
+  readonly responseMemories: readonly [origin: ResponseMemory, relay: ResponseMemory]
   /** Guard of the relay; the host that accepts requests has another one. */
   readonly relayGuard: RequestGuard
   readonly originState: RoutingState
   readonly relayPort: number
+  /** Port of the host that accepts requests. */
+  readonly port: number
   closeRelay (): Promise<void>
   call (path: string, options?: CallPortOptions): Promise<CallerResponse>
 }
@@ -54,15 +59,16 @@
   const limits = createRequestLimits({ now, onChange: () => {} })
   const permits = createRequestPermits({ limits, hostCount: () => 1, now, random: () => 0 })
   const relayGuard = createTestGuard()
+  const responseMemories = [createResponseMemory(), createResponseMemory()] as const
   const agents = [createServerAgent(), createServerAgent(), new Agent({ keepAlive: true })] as const
-  const relay = createRelay({ routingState: relayState, loads, limits, admission: createServerAdmission({ loads, limits, permits, now }), isRelay: () => true, isIsolated: () => false, guard: relayGuard, responseMemory: createResponseMemory(), agent: agents[0], names: TEST_HEADER_NAMES, now, onEnd: () => {}, stopsAt: relayStopsAt })
+  const relay = createRelay({ routingState: relayState, loads, limits, admission: createServerAdmission({ loads, limits, permits, now }), isRelay: () => true, isIsolated: () => false, guard: relayGuard, responseMemory: responseMemories[1], agent: agents[0], names: TEST_HEADER_NAMES, now, onEnd: () => {}, stopsAt: relayStopsAt })
   const relayServer = createCallerServer({ limits: configuration.limits, maximumConnections: 100, handle: relay.handle, onError: () => {} })
   const relayPort = await listen(relayServer)
   const address = `127.0.0.1:${relayPort}`
   const budget = createRetryBudget({ share: 0, maximum: 5 })
   const gateway = createGateway({
     guard: createTestGuard(),
-    responseMemory: createResponseMemory(),
+    responseMemory: responseMemories[0],
     routingState: originState,
     loads: originLoads,
     limits,
@@ -94,8 +100,10 @@
       loads,
       relayState,
       relayGuard,
+      responseMemories,
       originState,
       relayPort,
+      port,
       closeRelay,
       call: (path, call = {}) => callPort({ port, path }, { ...call, key: 7 })
     })
@@ -137,6 +145,34 @@
   })
 })
 
+test('handle() keeps a bounded number of bytes at the relay and at the host that accepts requests, when a server sends without end and callers do not read', async () => {
+  const flood = await createFloodServer()
+  try {
+    await withRelay(respondWithPath, async ({ call, backend, originState, relayState, responseMemories, port }) => {
+      for (const state of [originState, relayState]) state.setServers(state.servers().map((server) => ({ ...server, address: flood.address, slots: 1000 })))
+      const sockets = Array.from({ length: 80 }, (_, index) => {
+        const socket = connect(port, '127.0.0.1')
+        socket.on('error', () => {}).pause()
+        socket.write(`GET /once/x HTTP/1.1\r\nHost: one.example\r\n${TEST_HEADER_NAMES.attemptId}: e${index}\r\n${TEST_HEADER_NAMES.key}: 7\r\n\r\n`)
+        return socket
+      })
+      const peaks = [0, 0]
+      for (const until = performance.now() + 400; performance.now() < until;) {
+        await new Promise((resolve) => { setTimeout(resolve, 5) })
+        for (const [index, memory] of responseMemories.entries()) peaks[index] = Math.max(peaks[index] ?? 0, memory.bytes())
+      }
+      for (const socket of sockets) socket.destroy()
+      await new Promise((resolve) => { setTimeout(resolve, 300) })
+      assert.ok(peaks.every((peak) => peak > 0 && peak <= 32 * 1024 * 1024), `${peaks.join()} bytes are kept`)
+      assert.equal(responseMemories.map((memory) => memory.bytes()), [0, 0])
+      for (const state of [originState, relayState]) state.setServers([backend.server])
+      assert.is((await call('/once/y')).status, 200)
+    })
+  } finally {
+    await flood.close()
+  }
+})
+
 test('handle() refuses immediately and sends nothing, when the requests in flight are twice the server\'s slots', async () => {
   await withRelay(respondWithPath, async ({ call, backend, loads }) => {
     for (let request = 0; request < backend.server.slots * 2; request++) loads.trackRequest(backend.server)
