A server that was wrongly taken for ended counts again when it ends

A host that loses its paths with refused connections takes live servers for ended in the moment before it finds out. Their runs were then recorded as ended for an hour: a later real end was merged into the earlier report, with its time, so that a fatal request that ended these servers one after another was never refused. Found by reading. Requests that were sent a second or more after an end now show that it was none: the later report replaces the earlier one, in whichever order they arrive, and the detector probes the run again. Both tests failed before (no refusal; one probe in place of two).

--- a/src/fatal_requests/fatal_request_registry.ts
+++ b/src/fatal_requests/fatal_request_registry.ts
@@ -12,7 +12,7 @@
  */
 import { countMoments, countSequentialEnds } from './_sequence.ts'
 import type { Completion, Evidence, Refusal } from './evidence.ts'
-import type { ServerEnd } from './server_end.ts'
+import { SAME_END_MS, type ServerEnd } from './server_end.ts'
 
 /** Options of {@link createFatalRequestRegistry}. */
 export interface FatalRequestRegistryOptions {
@@ -182,9 +182,18 @@
     addRefusal({ fingerprint: first.fingerprint, refusedAt: now(), until: now() + Math.min(MAXIMUM_REFUSAL_MS, FIRST_REFUSAL_MS * 2 ** (times - 1)), times })
   }
 
+  /** Whether two reports are of the same end. A server that has run requests since the first was wrongly taken for ended, by a host that had lost its paths. */
+  function isSameEnd (recorded: KnownEnd, end: ServerEnd): boolean {
+    const [endedAt, laterSentAt] = end.endedAt < recorded.endedAt ? [end.endedAt, [...recorded.sentAt.values()]] : [recorded.endedAt, end.requests.map(({ sentAt }) => sentAt)]
+    return laterSentAt.every((sentAt) => sentAt < endedAt + SAME_END_MS)
+  }
+
   function mergeEnd (end: ServerEnd): ServerEnd | null {
     const key = `${end.bornAt} ${end.server}`
-    const known = ends.get(key) ?? { server: end.server, bornAt: end.bornAt, endedAt: end.endedAt, sentAt: new Map<string, number>(), causedBy: null }
+    const recorded = ends.get(key)
+    const isSame = recorded !== undefined && isSameEnd(recorded, end)
+    if (recorded !== undefined && !isSame && end.endedAt < recorded.endedAt) return null
+    const known = isSame ? recorded : { server: end.server, bornAt: end.bornAt, endedAt: end.endedAt, sentAt: new Map<string, number>(), causedBy: null }
     const added = end.requests.filter(({ fingerprint }) => !known.sentAt.has(fingerprint)).slice(0, MAXIMUM_REQUESTS_PER_END - known.sentAt.size)
     if (added.length === 0) return null
     known.endedAt = Math.min(known.endedAt, end.endedAt)
--- a/src/fatal_requests/fatal_request_registry_test.ts
+++ b/src/fatal_requests/fatal_request_registry_test.ts
@@ -121,6 +121,19 @@
   assert.equal([refused, registry.endsUnder('sound').count], [['fatal'], 0])
 })
 
+// Guards against hosts that lose their paths: they take live servers for ended, whose later ends must still count.
+test('merge() counts the end of a server that was taken for ended before, when it has run requests since', () => {
+  const { registry, refused } = setUp()
+  for (const index of [0, 1, 2]) registry.merge(end(`s${index}`, 1000, { other: 950 }))
+  for (const index of [0, 1, 2]) {
+    registry.merge(end(`s${index}`, 5000 + index * 300, { fatal: 4930 + index * 300 }))
+    // Another host may pass the earlier report on later.
+    registry.merge(end(`s${index}`, 1000, { other: 950 }))
+  }
+  assert.equal(refused, ['fatal'])
+  assert.is(registry.endsUnder('other').count, 0)
+})
+
 test('refusalOf() ends after its time, and the next end starts one that is twice as long', () => {
   const setup = setUp()
   for (const index of [0, 1, 2]) setup.registry.merge(sequentialEnd(index, ['fatal']))
--- a/src/fatal_requests/server_end.ts
+++ b/src/fatal_requests/server_end.ts
@@ -7,6 +7,9 @@
   readonly sentAt: number
 }
 
+/** Time after the end of a server within which requests to it are lost with it, in milliseconds: by then every host has lost its connections. Requests that were sent later show that it had not ended. */
+export const SAME_END_MS = 1000
+
 /** The end of one run of a server. */
 export interface ServerEnd {
   readonly server: string
--- a/src/fatal_requests/server_end_detector.ts
+++ b/src/fatal_requests/server_end_detector.ts
@@ -8,7 +8,7 @@
  */
 import { ProbeResult, type ConnectProbe } from '../reachability/mod.ts'
 import type { RoutedServer } from '../routing/mod.ts'
-import type { LostRequest, ServerEnd } from './server_end.ts'
+import { SAME_END_MS, type LostRequest, type ServerEnd } from './server_end.ts'
 
 /** Evidence that a server has ended, or that it has not; the values appear in logs. */
 export const EndEvidence = {
@@ -100,7 +100,7 @@
       discardOldLosses()
       const key = keyOf(server)
       const known = losses.get(key)
-      if (known?.hasEnded === true || known?.isChecking === true) {
+      if (known !== undefined && (known.isChecking || (known.hasEnded && now() - known.lostAt < SAME_END_MS))) {
         if (known.requests.length < MAXIMUM_REQUESTS) known.requests.push(request)
         if (known.hasEnded) reportEnd(known)
         return
--- a/src/fatal_requests/server_end_detector_test.ts
+++ b/src/fatal_requests/server_end_detector_test.ts
@@ -83,6 +83,17 @@
   assert.equal([setup.ends, setup.probes], [[], 0])
 })
 
+test('recordLoss() checks a server anew, when it was taken for ended and a later request is lost with it', async () => {
+  const setup = setUp()
+  setup.detector.recordLoss(SERVER, { fingerprint: 'a', sentAt: -70 })
+  await settle()
+  setup.advance(3000)
+  setup.detector.recordLoss(SERVER, { fingerprint: 'b', sentAt: 2930 })
+  await settle()
+  assert.is(setup.probes, 2)
+  assert.equal(setup.ends.at(-1), { server: 's1', bornAt: 1, endedAt: 3000, requests: [{ fingerprint: 'b', sentAt: 2930 }] })
+})
+
 test('onListed() reports the end of a run that another one has replaced at its address, and none when its loss is long ago', async () => {
   const setup = setUp()
   setup.probeResult = ProbeResult.connected
