Soak: a server that has ended handles nothing that reaches it

Traced in the hosts' logs: a renewal to i-3 was in flight when that server ended (server-control-lost, read ECONNRESET); its keys went to i-2 2.1 s later, when it was no longer listed and refused connections. The stand-in, whose process goes on, recorded the renewal after its end. It now drops whatever reaches it then; the check is unchanged.

--- a/soak/backend.ts
+++ b/soak/backend.ts
@@ -34,6 +34,8 @@
   longWorkShare: number
   /** Whether a request of a caller that has left for long is a violation: without other faults only. */
   checksCallersLeft: boolean
+  /** Whether its process has ended: what had reached it by then has no effect any more. */
+  hasEnded: boolean
   /** Called with the name of a fatal request that starts to run; `null` if there are none. */
   onFatal: ((request: string) => void) | null
   /** Discards all grants and tokens, as a restart of the server does. */
@@ -197,11 +199,18 @@
     longWorkShare: 0,
     checksCallersLeft: false,
     onFatal: null,
+    hasEnded: false,
     server: createServer((request, response) => {
       const parts: Buffer[] = []
       request.on('data', (part: Buffer) => { parts.push(part) })
       request.on('error', () => {})
-      request.on('end', () => { handle(request, response, Buffer.concat(parts).toString()).catch((error: unknown) => { checker.reportViolation(Guarantees.served, `the stand-in for a backend server failed: ${String(error)}`) }) })
+      request.on('end', () => {
+        if (backend.hasEnded) {
+          response.destroy()
+          return
+        }
+        handle(request, response, Buffer.concat(parts).toString()).catch((error: unknown) => { checker.reportViolation(Guarantees.served, `the stand-in for a backend server failed: ${String(error)}`) })
+      })
     }),
     reset () {
       for (const holders of grantTracker.holders.values()) holders.delete(id)
--- a/soak/fatal_requests.ts
+++ b/soak/fatal_requests.ts
@@ -43,11 +43,13 @@
   const linkProxy = environment.linkProxies.get(backend.id)
   if (linkProxy?.isListening() !== true) return
   endsByRequest.set(request, (endsByRequest.get(request) ?? 0) + 1)
+  backend.hasEnded = true
   linkProxy.stopListening()
   linkProxy.reset()
   backend.reset()
   setTimeout(() => { removeServerEntry(environment, backend) }, ENTRY_LAPSE_MS)
   setTimeout(() => {
+    backend.hasEnded = false
     linkProxy.listen()
     writeServerEntry(environment, backend, { state: 'draining' })
     writeServerEntry(environment, backend, { state: 'ready' })
--- a/src/gateway/endless_responses_test.ts
+++ b/src/gateway/endless_responses_test.ts
@@ -1,4 +1,5 @@
 /** Tests of servers that send bytes without end: a host must keep a bounded number of them, and close what it has no use for. */
+import { setMaxListeners } from 'node:events'
 import { connect } from 'node:net'
 import { suite } from 'uvu'
 import * as assert from 'uvu/assert'
@@ -24,6 +25,7 @@
   const flood = await createFloodServer()
   const agent = createServerAgent()
   const abort = new AbortController()
+  setMaxListeners(0, abort.signal)
   const memory = createResponseMemory()
   const limits = createRequestLimits({ now: () => performance.now(), onChange: () => {} })
   try {
