Recognise a fatal request by its content, when a header differs each time

A request was recognised only if all its headers but a list of varying ones were the same: one header that differs each time and is not on the list, such as a nonce, would hide it for good. Each lost request now has a second fingerprint, of method, path, authority and body alone. It counts like the first, but five ends are needed, and every completed request with that content sets it back, whoever sent it, so that other callers of a path that is served never meet it.

Both tests are new: one failed before (five servers ended, no refusal); the other keeps a shared path from being refused. The log counts and shows the first kind alone.

--- a/src/entry_host/create_request_protection.ts
+++ b/src/entry_host/create_request_protection.ts
@@ -68,7 +68,7 @@
     exchange,
     refusalStore,
     lift (fingerprint) {
-      if (guard.refusalMs(() => fingerprint) === null) return false
+      if (!guard.evidence().refusals.some((refusal) => refusal.fingerprint === fingerprint && refusal.until > now())) return false
       exchange.add(guard.merge({ ...NO_EVIDENCE, completions: [{ fingerprint, at: now() }] }))
       return true
     },
--- a/src/entry_host/fatal_request_log.ts
+++ b/src/entry_host/fatal_request_log.ts
@@ -1,5 +1,5 @@
 /** Logs the ends of servers together with the requests that were lost with them, and the requests that are refused for it. */
-import { EndEvidence, type FatalRequestRegistryOptions, type ServerEndDetectorOptions } from '../fatal_requests/mod.ts'
+import { EndEvidence, isContentFingerprint, type FatalRequestRegistryOptions, type ServerEndDetectorOptions } from '../fatal_requests/mod.ts'
 import type { Logger } from '../logging/mod.ts'
 
 /** Maximum number of fingerprints in one line. */
@@ -13,7 +13,8 @@
  */
 export function createEndLog (logger: Logger): NonNullable<ServerEndDetectorOptions['onChecked']> {
   return ({ server, evidence, requests }) => {
-    const fields = { server: server.id, service: server.service, bornAt: server.bornAt, evidence, lost: requests.length, fingerprints: [...new Set(requests.map(({ fingerprint }) => fingerprint))].slice(0, MAXIMUM_FINGERPRINTS).join() }
+    const lost = requests.filter(({ fingerprint }) => !isContentFingerprint(fingerprint))
+    const fields = { server: server.id, service: server.service, bornAt: server.bornAt, evidence, lost: lost.length, fingerprints: [...new Set(lost.map(({ fingerprint }) => fingerprint))].slice(0, MAXIMUM_FINGERPRINTS).join() }
     // Connections are reset for many reasons; only ends are worth a line each.
     if (evidence === EndEvidence.none) logger.debug(fields, 'requests-lost-without-end')
     else logger.info(fields, 'requests-lost-with-server')
--- a/src/fatal_requests/fatal_request_registry.ts
+++ b/src/fatal_requests/fatal_request_registry.ts
@@ -12,6 +12,7 @@
  */
 import { countMoments, countSequentialEnds } from './_sequence.ts'
 import type { Completion, Evidence, Refusal } from './evidence.ts'
+import { isContentFingerprint } from './request_fingerprint.ts'
 import { SAME_END_MS, type ServerEnd } from './server_end.ts'
 
 /** Options of {@link createFatalRequestRegistry}. */
@@ -43,7 +44,7 @@
 /** Number of ends, one after another, from which a request is refused. */
 export const FATAL_END_COUNT = 3
 
-/** Number of ends from which a request is refused even if others were lost with the same servers, or servers end without it as well. */
+/** Number of ends from which a request is refused even if others were lost with the same servers, or servers end without it as well, or only its content is the same and not its headers. */
 const UNDISPUTED_END_COUNT = 5
 
 /** Factor by which the ends under a request must exceed the other ends of the same time, and the time before its first end that counts, in milliseconds: while many servers end, some request is lost with three of them by chance. */
@@ -66,9 +67,9 @@
 /** Age up to which every end is passed on to hosts that join, in milliseconds; later a request with a single end rarely matters. */
 const RECENT_END_MS = 60_000
 
-/** Maximum numbers of ends, of requests of one end, of completions and of refusals: about a megabyte. */
+/** Maximum numbers of ends, of fingerprints of one end, of completions and of refusals: about two megabytes. */
 const MAXIMUM_ENDS = 128
-const MAXIMUM_REQUESTS_PER_END = 64
+const MAXIMUM_REQUESTS_PER_END = 128
 const MAXIMUM_COMPLETIONS = 512
 const MAXIMUM_REFUSALS = 512
 
@@ -165,7 +166,7 @@
       fingerprint,
       // A request that has been refused before needs only one more end.
       count: end.endedAt > (completedAt.get(fingerprint) ?? -Infinity) ? countEnds(fingerprint) + (refusals.has(fingerprint) ? FATAL_END_COUNT : 0) : 0
-    })).filter(({ fingerprint, count }) => count >= UNDISPUTED_END_COUNT || (count >= FATAL_END_COUNT && count >= OTHER_ENDS_FACTOR * countOtherEnds(fingerprint))).sort((left, right) => right.count - left.count)
+    })).filter(({ fingerprint, count }) => count >= UNDISPUTED_END_COUNT || (!isContentFingerprint(fingerprint) && count >= FATAL_END_COUNT && count >= OTHER_ENDS_FACTOR * countOtherEnds(fingerprint))).sort((left, right) => right.count - left.count)
   }
 
   function judge (end: KnownEnd): void {
--- a/src/fatal_requests/request_fingerprint.ts
+++ b/src/fatal_requests/request_fingerprint.ts
@@ -29,20 +29,45 @@
 /** Length of a fingerprint, in characters of base64: 96 bits, so that a caller cannot find a request with the fingerprint of another one. */
 const FINGERPRINT_LENGTH = 16
 
+/** First character of fingerprints that leave headers out; base64url does not have it. */
+const CONTENT_PREFIX = '~'
+
+/** Fingerprints of a request. */
+export interface RequestFingerprints {
+  /** Covers all that a server gets, but what differs between attempts: requests of one caller with the same content. */
+  readonly exact: string
+  /** Leaves out all headers but the authority: it recognises a request even if a header differs each time that is not known to. Those of other callers have it, too. */
+  readonly content: string
+}
+
+/** Computes the fingerprints of a request when they are needed; `null` if it has none. */
+export type FingerprintSource = () => RequestFingerprints | null
+
 /**
- * Computes the fingerprint of a request. The headers stand for its caller: all count, except those that vary.
+ * Computes the fingerprints of a request. The headers stand for its caller: all count, except those that vary.
  *
  * @param content Method, path, headers and body.
  * @param ignoredHeaders Further headers that differ between attempts, in lower case.
- * @returns The fingerprint; `null` if neither the body nor its length is known.
+ * @returns The fingerprints; `null` if neither the body nor its length is known.
  */
-export function fingerprintRequest (content: RequestContent, ignoredHeaders: ReadonlySet<string>): string | null {
-  const { body } = content
+export function fingerprintRequest (content: RequestContent, ignoredHeaders: ReadonlySet<string>): RequestFingerprints | null {
+  const { method, path, body } = content
   if (body !== null && !Buffer.isBuffer(body) && body.contentLength === undefined) return null
-  const hash = createHash('sha256').update(JSON.stringify([content.method, content.path, stableHeaders(content.headers, ignoredHeaders)]))
-  if (Buffer.isBuffer(body)) hash.update(body)
-  else if (body !== null) hash.update(`length ${body.contentLength ?? ''}`)
-  return hash.digest('base64url').slice(0, FINGERPRINT_LENGTH)
+  const bodyText = body === null ? '' : Buffer.isBuffer(body) ? createHash('sha256').update(body).digest('base64url') : `length ${body.contentLength ?? ''}`
+  const headers = stableHeaders(content.headers, ignoredHeaders)
+  return {
+    exact: digest([method, path, bodyText, headers]),
+    content: CONTENT_PREFIX + digest([method, path, bodyText, headers.filter((line) => line.startsWith('host:'))])
+  }
+}
+
+/** Whether a fingerprint leaves out the headers that stand for the caller. */
+export function isContentFingerprint (fingerprint: string): boolean {
+  return fingerprint.startsWith(CONTENT_PREFIX)
+}
+
+function digest (parts: readonly unknown[]): string {
+  return createHash('sha256').update(JSON.stringify(parts)).digest('base64url').slice(0, FINGERPRINT_LENGTH)
 }
 
 /** Headers that stay the same between attempts, in an order that does not depend on the sender. */
@@ -56,16 +81,16 @@
 }
 
 /**
- * Creates a function that computes the fingerprint of a request when it is first called.
+ * Creates a function that computes the fingerprints of a request when it is first called.
  *
  * @param content Returns the content of the request; its body must not change after the first call.
  * @param ignoredHeaders Further headers that differ between attempts, in lower case.
  * @returns The function.
  */
-export function createFingerprintSource (content: () => RequestContent, ignoredHeaders: ReadonlySet<string>): () => string | null {
-  let fingerprint: string | null | undefined
+export function createFingerprintSource (content: () => RequestContent, ignoredHeaders: ReadonlySet<string>): FingerprintSource {
+  let fingerprints: RequestFingerprints | null | undefined
   return () => {
-    fingerprint ??= fingerprintRequest(content(), ignoredHeaders)
-    return fingerprint
+    fingerprints ??= fingerprintRequest(content(), ignoredHeaders)
+    return fingerprints
   }
 }
--- a/src/fatal_requests/request_fingerprint_test.ts
+++ b/src/fatal_requests/request_fingerprint_test.ts
@@ -10,7 +10,7 @@
 const content: RequestContent = { method: 'POST', path: '/orders/7?copy=1', headers: ['Host', 'one.example', 'X-Attempt', 'r1', 'Authorization', 'Bearer a', 'X-Request-Id', '1'], body: Buffer.from('cast') }
 
 function fingerprintOf (changes: Partial<RequestContent>): string | null {
-  return fingerprintRequest({ ...content, ...changes }, IGNORED)
+  return fingerprintRequest({ ...content, ...changes }, IGNORED)?.exact ?? null
 }
 
 test('fingerprintRequest() returns the same value for another attempt, when only headers that vary between attempts differ', () => {
@@ -33,4 +33,12 @@
   assert.is(fingerprintOf({ body: { contentLength: undefined } }), null)
 })
 
+test('fingerprintRequest() returns the same fingerprint of the content, when headers other than the authority differ', () => {
+  const contentOf = (changes: Partial<RequestContent>): string | undefined => fingerprintRequest({ ...content, ...changes }, IGNORED)?.content
+  assert.is(contentOf({ headers: ['Host', 'one.example', 'X-Nonce', '7'] }), contentOf({}))
+  assert.is.not(contentOf({ headers: ['Host', 'two.example'] }), contentOf({}))
+  assert.is.not(contentOf({ body: Buffer.from('last') }), contentOf({}))
+  assert.is.not(contentOf({}), fingerprintOf({}))
+})
+
 test.run()
--- a/src/fatal_requests/request_guard.ts
+++ b/src/fatal_requests/request_guard.ts
@@ -5,11 +5,9 @@
 import type { RoutedServer } from '../routing/mod.ts'
 import { NO_EVIDENCE, type Completion, type Evidence } from './evidence.ts'
 import { createFatalRequestRegistry, type FatalRequestRegistryOptions } from './fatal_request_registry.ts'
+import type { FingerprintSource, RequestFingerprints } from './request_fingerprint.ts'
 import { createServerEndDetector, type ServerEndDetectorOptions } from './server_end_detector.ts'
 
-/** Computes the fingerprint of a request when it is needed; `null` if the request has none. */
-export type FingerprintSource = () => string | null
-
 /** Guard of one host. */
 export interface RequestGuard {
   /** Time for which a request is refused, in milliseconds; `null` if it may be sent. */
@@ -75,27 +73,28 @@
 
   return {
     refusalMs (fingerprint) {
-      // The fingerprint is computed only in the rare case that any request is refused.
+      // Fingerprints are computed only in the rare case that any request is refused.
       const known = registry.isWatching() ? fingerprint() : null
-      const refusal = known === null ? null : registry.refusalOf(known)
+      const refusal = known === null ? null : registry.refusalOf(known.exact) ?? registry.refusalOf(known.content)
       return refusal === null ? null : refusal.until - options.now()
     },
     isSuspect (fingerprint) {
       const known = fingerprint()
       if (known === null) return false
-      const { count, sinceMs } = registry.endsUnder(known)
+      const { count, sinceMs } = registry.endsUnder(known.exact)
       return count > 1 || (count === 1 && sinceMs < SUSPECT_MS)
     },
     recordLoss (server, { fingerprint, sentAt }) {
       const known = fingerprint()
-      if (known !== null) detector.recordLoss(server, { fingerprint: known, sentAt })
+      for (const value of allOf(known)) detector.recordLoss(server, { fingerprint: value, sentAt })
     },
     recordCompletion (fingerprint) {
       const known = registry.isWatching() ? fingerprint() : null
-      if (known === null) return
-      const completion = { fingerprint: known, at: options.now() }
-      if (registry.isWatched(known)) mergeOwn({ ...NO_EVIDENCE, completions: [completion] })
-      else if (registry.endsUnder(known).count > 0) recordUnpublished(completion)
+      for (const value of allOf(known)) {
+        const completion = { fingerprint: value, at: options.now() }
+        if (registry.isWatched(value)) mergeOwn({ ...NO_EVIDENCE, completions: [completion] })
+        else if (registry.endsUnder(value).count > 0) recordUnpublished(completion)
+      }
     },
     merge (evidence) {
       const added = registry.merge(evidence)
@@ -106,3 +105,7 @@
     onListed: detector.onListed
   }
 }
+
+function allOf (fingerprints: RequestFingerprints | null): string[] {
+  return fingerprints === null ? [] : [fingerprints.exact, fingerprints.content]
+}
--- a/src/fatal_requests/request_guard_test.ts
+++ b/src/fatal_requests/request_guard_test.ts
@@ -4,12 +4,18 @@
 import { ProbeResult } from '../reachability/mod.ts'
 import type { RoutedServer } from '../routing/mod.ts'
 import { NO_EVIDENCE, type Evidence } from './evidence.ts'
+import type { FingerprintSource } from './request_fingerprint.ts'
 import { createRequestGuard, type RequestGuard } from './request_guard.ts'
 
 const test = suite('request guard')
 
 const RUN_MS = 70
 
+/** Fingerprints of a request, by name. */
+function named (exact: string, content = `~${exact}`): FingerprintSource {
+  return () => ({ exact, content })
+}
+
 function server (id: string): RoutedServer {
   return { id, bornAt: 1, service: 'orders', address: '127.0.0.1:1', zone: 'a', slots: 4, leaving: false, warmUpLeftMs: 0 }
 }
@@ -42,7 +48,7 @@
 
 test('refusalMs() and recordCompletion() compute no fingerprint, when no server has ended', () => {
   const { guard } = setUp()
-  const fingerprint = (): string => { throw new Error('The fingerprint is not needed') }
+  const fingerprint = (): never => { throw new Error('The fingerprint is not needed') }
   assert.is(guard.refusalMs(fingerprint), null)
   guard.recordCompletion(fingerprint)
 })
@@ -50,27 +56,50 @@
 test('recordLoss() publishes the end of a server once it is known, and refusalMs() refuses after the third', async () => {
   const setup = setUp()
   for (const id of ['s1', 's2', 's3']) {
-    assert.is(setup.guard.refusalMs(() => 'fatal'), null)
+    assert.is(setup.guard.refusalMs(named('fatal')), null)
     setup.time += 300
-    setup.guard.recordLoss(server(id), { fingerprint: () => 'fatal', sentAt: setup.time - RUN_MS })
+    setup.guard.recordLoss(server(id), { fingerprint: named('fatal'), sentAt: setup.time - RUN_MS })
     await settle()
     assert.is(setup.published.at(-1)?.ends[0]?.server, id)
   }
-  assert.is(setup.guard.refusalMs(() => 'fatal'), 600_000)
-  assert.is(setup.guard.refusalMs(() => 'sound'), null)
+  assert.is(setup.guard.refusalMs(named('fatal')), 600_000)
+  assert.is(setup.guard.refusalMs(named('sound')), null)
   assert.is(setup.guard.refusalMs(() => null), null)
 })
 
+// Guards against a header that differs each time and is not known to: the request would never be recognised.
+test('recordLoss() and refusalMs() refuse a request after five ends, when one of its headers differs each time', async () => {
+  const setup = setUp()
+  for (let index = 0; index < 5; index++) {
+    assert.is(setup.guard.refusalMs(named(`nonce-${index}`, '~fatal')), null)
+    setup.time += 300
+    setup.guard.recordLoss(server(`s${index}`), { fingerprint: named(`nonce-${index}`, '~fatal'), sentAt: setup.time - RUN_MS })
+    await settle()
+  }
+  assert.is.not(setup.guard.refusalMs(named('nonce-5', '~fatal')), null)
+})
+
+test('recordCompletion() keeps a request from being refused for its content, when another caller has the same request served', async () => {
+  const setup = setUp()
+  for (let index = 0; index < 6; index++) {
+    setup.time += 300
+    setup.guard.recordLoss(server(`s${index}`), { fingerprint: named(`nonce-${index}`, '~shared'), sentAt: setup.time - RUN_MS })
+    await settle()
+    if (index === 3) setup.guard.recordCompletion(named('other', '~shared'))
+  }
+  assert.is(setup.guard.refusalMs(named('other', '~shared')), null)
+})
+
 test('isSuspect() returns true for a request that was lost with a server a short time ago, and later only after two ends', () => {
   const setup = setUp()
-  assert.is(setup.guard.isSuspect(() => 'a'), false)
+  assert.is(setup.guard.isSuspect(named('a')), false)
   setup.guard.merge(foreignEnd(setup, 's1', 'a'))
-  assert.is(setup.guard.isSuspect(() => 'a'), true)
+  assert.is(setup.guard.isSuspect(named('a')), true)
   setup.time += 120_000
-  assert.is(setup.guard.isSuspect(() => 'a'), false)
+  assert.is(setup.guard.isSuspect(named('a')), false)
   setup.guard.merge(foreignEnd(setup, 's2', 'a'))
   setup.time += 120_000
-  assert.is(setup.guard.isSuspect(() => 'a'), true)
+  assert.is(setup.guard.isSuspect(named('a')), true)
 })
 
 test('recordCompletion() publishes at once what all hosts need, when two servers have ended under the request', () => {
@@ -80,7 +109,7 @@
     setup.guard.merge(foreignEnd(setup, id, 'sound'))
   }
   setup.time += 100
-  setup.guard.recordCompletion(() => 'sound')
+  setup.guard.recordCompletion(named('sound'))
   assert.equal(setup.published, [{ ...NO_EVIDENCE, completions: [{ fingerprint: 'sound', at: setup.time }] }])
 })
 
@@ -88,7 +117,7 @@
   const setup = setUp()
   setup.guard.merge(foreignEnd(setup, 's1', 'sound'))
   setup.time += 100
-  setup.guard.recordCompletion(() => 'sound')
+  setup.guard.recordCompletion(named('sound'))
   assert.equal(setup.published, [])
   const completedAt = setup.time
   setup.time += 300
--- a/src/fatal_requests/server_end_detector.ts
+++ b/src/fatal_requests/server_end_detector.ts
@@ -59,8 +59,8 @@
 /** Time after a loss within which the server must disappear from the list to count as ended, in milliseconds: entries lapse after three missed heartbeats, and are read some time later. */
 const LISTING_WINDOW_MS = 6000
 
-/** Maximum number of requests that are kept for one end; a server has fewer slots and places in its queue. */
-const MAXIMUM_REQUESTS = 64
+/** Maximum number of fingerprints that are kept for one end, two for each request; a server has fewer slots and places in its queue. */
+const MAXIMUM_REQUESTS = 128
 
 /**
  * Creates a detector without losses.
--- a/src/gateway/create_gateway.ts
+++ b/src/gateway/create_gateway.ts
@@ -119,7 +119,7 @@
       attempts: exchange.attempts,
       isCallerConnected: !exchange.request.socket.destroyed,
       isFirstAttempt: exchange.elapsedMs === 0,
-      ...(exchange.attempts.some(({ outcome }) => outcome === 'lost') ? { fingerprint: exchange.fingerprint() } : {}),
+      ...(exchange.attempts.some(({ outcome }) => outcome === 'lost') ? { fingerprint: exchange.fingerprint()?.exact ?? null } : {}),
       ...(retryAfterMs === undefined ? {} : { retryAfterMs })
     })
   }
--- a/src/relay/create_relay.ts
+++ b/src/relay/create_relay.ts
@@ -170,7 +170,7 @@
       durationMs,
       isCallerConnected: !request.socket.destroyed,
       isRelayed: true,
-      ...(outcome?.kind === 'lost' && fingerprint !== undefined ? { fingerprint: fingerprint() } : {}),
+      ...(outcome?.kind === 'lost' && fingerprint !== undefined ? { fingerprint: fingerprint()?.exact ?? null } : {}),
       attempts: outcome === null ? [] : [{ server: server.id, outcome: outcomeLabel(outcome), ...('detail' in outcome ? { detail: outcome.detail } : {}), durationMs: Math.round(durationMs), inFlight, expectedMs: Math.round(expectedMs) }]
     })
   }
--- a/src/relay/create_relay_test.ts
+++ b/src/relay/create_relay_test.ts
@@ -134,7 +134,7 @@
 // Guards against a request that ends one server after another through relays: the host that accepts it may know less than the relay.
 test('handle() refuses a request unrun and for long, when the relay knows that three servers have ended under it', async () => {
   await withRelay(respondWithPath, async ({ call, backend, relayGuard }) => {
-    const fingerprint = fingerprintRequest({ method: 'POST', path: '/lookups/fatal', headers: ['host', 'one.example', TEST_HEADER_NAMES.key, '7'], body: Buffer.from('cast') }, new Set()) ?? ''
+    const fingerprint = fingerprintRequest({ method: 'POST', path: '/lookups/fatal', headers: ['host', 'one.example', TEST_HEADER_NAMES.key, '7'], body: Buffer.from('cast') }, new Set())?.exact ?? ''
     const endedAt = performance.now() - 1000
     relayGuard.merge({ ...NO_EVIDENCE, ends: [0, 100, 200].map((afterMs) => ({ server: `gone-${afterMs}`, bornAt: 1, endedAt: endedAt + afterMs, requests: [{ fingerprint, sentAt: endedAt + afterMs - 50 }] })) })
     const refused = await call('/lookups/fatal', { body: 'cast' })
