--- a/soak/fatal_requests.ts
+++ b/soak/fatal_requests.ts
@@ -82,8 +82,12 @@
     })
     request.setTimeout(2000, () => { request.destroy() })
     request.on('response', (response) => {
-      response.resume()
-      response.on('close', () => { resolve(response.statusCode ?? 0) })
+      const parts: Buffer[] = []
+      response.on('data', (part: Buffer) => { parts.push(part) })
+      response.on('end', () => {
+        checker.recordResponse(id, { status: response.statusCode ?? 0, body: Buffer.concat(parts).toString(), signed: response.headers['gooseberryfold-backend-signature'] !== undefined })
+        resolve(response.statusCode ?? 0)
+      })
       if (!isFatal && Number(response.headers['retry-after'] ?? 0) > FATAL_RETRY_AFTER_SECONDS) checker.reportViolation(Guarantees.fatalRequest, `${id}, which ends no server, is refused like a fatal request`)
     })
     request.on('error', () => {})
