--- a/src/fatal_requests/request_fingerprint.ts
+++ b/src/fatal_requests/request_fingerprint.ts
@@ -1,6 +1,6 @@
 /**
- * Fingerprints of requests: two requests have the same one if a server cannot
- * tell them apart, except by what differs between any two attempts.
+ * Fingerprints of requests: two requests have the same ones if a server cannot
+ * distinguish them, except by what differs between any two attempts.
  */
 import { createHash } from 'node:crypto'
 
