Relays hold requests in a queue until a server has a free slot

Cause: relays sent a server up to twice its slots, so that requests waited at the server, first come, first served. An urgent request waited behind long ones, and while one server of a service had a queue, others had free slots. What could not be queued within that bound was refused although its deadline was seconds away.

Ruled out: a queue for each host, since no host knows the requests of the others; permits dealt out to hosts, since they are a report old.

Change: the relay of a server sends it as many requests as it has slots, and orders the rest by priority, latency goal and deadline. Servers of large services without keys share a relay and a queue, by groups of a zone. Requests that cannot be served in time are refused when they arrive. Relays use the load that servers state in their responses.

--- a/src/entry_host/create_entry_host.ts
+++ b/src/entry_host/create_entry_host.ts
@@ -5,7 +5,7 @@
  */
 import { Agent, createServer } from 'node:http'
 import {
-  createCallerServer, createGateway, createRequestLimits, createRequestPermits, createResponseMemory, createRoutingState, createServerAdmission, createServerAgent, createServerLoads, type HeaderNames, type RequestRecord
+  createCallerServer, createGateway, createRequestLimits, createRequestPermits, createResponseMemory, createRoutingState, createServerAdmission, createServerAgent, createServerLoads, createServerStatements, type HeaderNames, type RequestRecord
 } from '../gateway/mod.ts'
 import { createLeadership } from '../leadership/mod.ts'
 import type { Logger } from '../logging/mod.ts'
@@ -13,7 +13,7 @@
 import type { TableService } from '../ports/mod.ts'
 import type { RoutedServer } from '../routing/mod.ts'
 import { createConnectProbe, createReachabilityMonitor, type Isolation } from '../reachability/mod.ts'
-import { createRelay, createRelayDirectory } from '../relay/mod.ts'
+import { createRelay, createRelayDirectory, createRelayGroups } from '../relay/mod.ts'
 import { createPeerServer, createLeaderConnection, OPTIONAL_KINDS } from '../replication/mod.ts'
 import { listen, pause } from './_listen.ts'
 import { TaskTiming } from './_task_timing.ts'
@@ -21,6 +21,8 @@
 import { createCoordinator } from './create_coordinator.ts'
 import type { EntryHostSettings } from './entry_host_settings.ts'
 import { createEndedResponseLog } from './ended_response_log.ts'
+import { createHostQueues } from './create_host_queues.ts'
+import { describeHost } from './describe_host.ts'
 import { createHostCount } from './host_count.ts'
 import { createHostReportTracker } from './host_report_tracker.ts'
 import { createLeadershipController } from './create_leadership_controller.ts'
@@ -112,7 +114,10 @@
   const agent = createServerAgent()
   const relayAgent = new Agent({ keepAlive: true, maxFreeSockets: RELAY_IDLE_CONNECTIONS, scheduling: 'lifo' })
   const relayAddress = `${settings.ip}:${settings.peerPort + 1}`
-  const relays = createRelayDirectory({ host: settings.host, now, isolation: reachability.isolation, onRelayLost })
+  const groups = createRelayGroups({ servers: routingState.servers, service: routingState.service })
+  const relays = createRelayDirectory({ host: settings.host, now, isolation: reachability.isolation, groupOf: groups.groupOf, onRelayLost })
+  const statements = createServerStatements(now)
+  const queues = createHostQueues({ routingState, loads, statements, limits, permits, relays, groups, now })
   const holder = `${settings.host}/${process.pid}-${Date.now().toString(36)}-${Math.random().toString(36).slice(2, 8)}`
   const leadership = createLeadership({
     table: options.table, logger, holder, address: `${settings.ip}:${settings.peerPort}`, hostCount, now, wallClock: () => Date.now()
@@ -232,6 +237,8 @@
     limits,
     permits,
     admission,
+    queues,
+    statements,
     guard,
     responseMemory,
     agent,
@@ -253,7 +260,7 @@
     stopsAt: () => stopsAt
   })
   const relay = createRelay({
-    routingState, loads, limits, admission, isRelay: relays.isRelay, isIsolated, guard, responseMemory, agent, names: options.names, now, onEnd (record) { requestLog.write(record, describeRoutingState()) }, stopsAt: () => stopsAt
+    routingState, loads, limits, admission, queues, statements, isRelay: relays.isRelay, isIsolated, guard, responseMemory, agent, names: options.names, now, onEnd (record) { requestLog.write(record, describeRoutingState()) }, stopsAt: () => stopsAt
   })
   const relayServer = createCallerServer({
     limits: RELAY_LIMITS, maximumConnections: settings.sockets, handle: relay.handle, onError: reportConnectionError
@@ -378,21 +385,8 @@
     },
     liftRefusal: protection.lift,
     retryBudgets: budgets.describe,
-    describe: () => ({
-      host: settings.host,
-      leading: leadershipController.isLeading(),
-      lease: leadership.lease(),
-      leaderHeardMs: Math.round(now() - leaderConnection.lastMessageAt()),
-      storeAgeMs: Math.round(reader.ageMs()),
-      version: routingState.configuration()?.version ?? null,
-      servers: routingState.servers(),
-      pending: gateway.pending(),
-      responseBytes: responseMemory.bytes(),
-      refusedRequests: protection.describe(),
-      loopDelayMs: loopDelayMonitor.delayMs(),
-      retryBudgets: budgets.describe(),
-      limits: [...limits.observations()],
-      views: [...coordinator.views()]
+    describe: () => describeHost({
+      host: settings.host, routingState, leadership, leaderConnection, reader, coordinator, budgets, limits, queues, responseMemory, protection, isLeading: leadershipController.isLeading, pending: gateway.pending, loopDelayMs: loopDelayMonitor.delayMs, now
     })
   }
 }
--- /dev/null
+++ b/src/entry_host/describe_host.ts
@@ -0,0 +1,55 @@
+/** Describes the state of a host for its operators. */
+import type { RequestLimits, ResponseMemory, RoutingState } from '../gateway/mod.ts'
+import type { Leadership } from '../leadership/mod.ts'
+import type { LeaderConnection } from '../replication/mod.ts'
+import type { ServerQueues } from '../server_queue/mod.ts'
+import type { Coordinator } from './create_coordinator.ts'
+import type { RequestProtection } from './create_request_protection.ts'
+import type { RetryBudgets } from './retry_budgets.ts'
+import type { StoreReader } from './store_reader.ts'
+
+/** Parts of a host that are described. */
+export interface HostParts {
+  readonly host: string
+  readonly routingState: Pick<RoutingState, 'configuration' | 'servers'>
+  readonly leadership: Pick<Leadership, 'lease'>
+  readonly leaderConnection: Pick<LeaderConnection, 'lastMessageAt'>
+  readonly reader: Pick<StoreReader, 'ageMs'>
+  readonly coordinator: Pick<Coordinator, 'views'>
+  readonly budgets: Pick<RetryBudgets, 'describe'>
+  readonly limits: Pick<RequestLimits, 'observations'>
+  readonly queues: Pick<ServerQueues, 'describe' | 'counts'>
+  readonly responseMemory: Pick<ResponseMemory, 'bytes'>
+  readonly protection: Pick<RequestProtection, 'describe'>
+  readonly isLeading: () => boolean
+  readonly pending: () => number
+  readonly loopDelayMs: () => number
+  /** Monotonic time in milliseconds. */
+  readonly now: () => number
+}
+
+/**
+ * Describes a host.
+ *
+ * @param parts Its parts.
+ * @returns Their state, to be encoded as JSON.
+ */
+export function describeHost (parts: HostParts): Record<string, unknown> {
+  return {
+    host: parts.host,
+    leading: parts.isLeading(),
+    lease: parts.leadership.lease(),
+    leaderHeardMs: Math.round(parts.now() - parts.leaderConnection.lastMessageAt()),
+    storeAgeMs: Math.round(parts.reader.ageMs()),
+    version: parts.routingState.configuration()?.version ?? null,
+    servers: parts.routingState.servers(),
+    pending: parts.pending(),
+    responseBytes: parts.responseMemory.bytes(),
+    refusedRequests: parts.protection.describe(),
+    loopDelayMs: parts.loopDelayMs(),
+    retryBudgets: parts.budgets.describe(),
+    limits: [...parts.limits.observations()],
+    queues: { ...parts.queues.counts(), waiting: parts.queues.describe() },
+    views: [...parts.coordinator.views()]
+  }
+}
--- a/src/entry_host/request_log.ts
+++ b/src/entry_host/request_log.ts
@@ -57,6 +57,7 @@
         status: record.status,
         reason: record.reason,
         ms: Math.round(record.durationMs),
+        waitedMs: record.waitedMs === undefined ? undefined : Math.round(record.waitedMs),
         // With another reason than caller-left, this shows that the host did not notice in time that the connection was closed.
         caller: record.isCallerConnected ? undefined : 'disconnected',
         fingerprint: record.fingerprint ?? undefined,
--- a/src/gateway/create_gateway.ts
+++ b/src/gateway/create_gateway.ts
@@ -12,9 +12,10 @@
 import { createAttemptRecord, type EndedAttempt } from './attempt_record.ts'
 import { bodyBytes, createBodyReader, discardBody, isBodyUnread } from './body_reader.ts'
 import { decideOnTimeout, DEFAULT_RETRY_AFTER_MS, type Exchange, type AttemptDecision } from './_exchange.ts'
+import { createExchangeTimes } from './_exchange_times.ts'
+import { createServerFinder } from './_find_server.ts'
 import { createCallerDeadlines } from './caller_deadlines.ts'
 import { requestHeaders } from './forwarded_headers.ts'
-import { chooseServer } from './choose_server.ts'
 import { decideNext, type NextStep } from './decide_next.ts'
 import type { GatewayOptions } from './gateway_options.ts'
 import { parseKey, toLoadOutcome } from './outcomes.ts'
@@ -22,6 +23,7 @@
 import { reportAttempt } from './report_attempt.ts'
 import type { ResponseAccount } from './response_memory.ts'
 import { sendAttempt, type Attempt, type AttemptOutcome, type SendAttemptOptions } from './send_attempt.ts'
+import type { Turn } from '../server_queue/mod.ts'
 import type { ServerAdmissionQuery } from './server_admission.ts'
 import { forwardResponse, waitUntilSent } from './forward_response.ts'
 import { pollConnections } from './poll_connections.ts'
@@ -34,18 +36,15 @@
   pending (): number
 }
 
-/** Maximum wait for the owner of a key, as a share of the latency goal. */
-const OWNER_WAIT_SHARE = 0.6
-
-/** Time within which the keys of a leaving server get another owner, in milliseconds: a server may stop about two seconds after it has said that it leaves. */
-const HANDOVER_MS = 2000
-
 /** Retry delay for callers of a host that stops, in milliseconds: they come to another host over a new connection. */
 const STOPPING_RETRY_AFTER_MS = 20
 
 /** Time without a response after which an idempotent request is sent to another server, as a multiple of the expected latency. */
 const ATTEMPT_TIMEOUT_FACTOR = 4
 
+/** Share of the remaining time after which an idempotent request that was sent to a relay is sent to another server: the request may have waited there for a slot. */
+const RELAY_WAIT_SHARE = 0.5
+
 /** Timeout for connecting to a relay, in milliseconds: many round trips within a region. After it, the request goes to the server directly. */
 const RELAY_CONNECT_TIMEOUT_MS = 200
 
@@ -58,6 +57,10 @@
 export function createGateway (options: GatewayOptions): Gateway {
   const { routingState, loads, names, now } = options
   let pending = 0
+  const times = createExchangeTimes(options)
+  const { remainingMs, callerRemainingMs, goalRemainingMs, jitteredRetryAfterMs } = times
+  const finder = createServerFinder(options, times)
+  const { isKeyed } = finder
   const bodyReader = createBodyReader()
   const callerDeadlines = createCallerDeadlines()
   /** Headers that differ between attempts with the same content. */
@@ -87,24 +90,11 @@
     finish(exchange, 503, 'stopping', retryAfterMs)
   }
 
-  function remainingMs (exchange: Exchange): number {
-    return exchange.deadlineAt - now()
-  }
-
-  function callerRemainingMs (exchange: Exchange): number {
-    return exchange.callerDeadlineAt - now()
-  }
-
   /** Whether a response of the only server can no longer arrive within the latency goal, counted from the caller's first attempt. */
   function isLate (exchange: Exchange, server: RoutedServer): boolean {
     return isKeyed(exchange) && exchange.elapsedMs > 0 && exchange.elapsedMs + now() - exchange.startedAt + loads.workMs(server) > exchange.route.latencyGoalMs
   }
 
-  /** Retry delay with jitter, so that callers refused at the same time do not retry at the same time. */
-  function jitteredRetryAfterMs (exchange: Exchange, suggestedMs: number): number {
-    return clampRetryAfterMs(suggestedMs * (1 + options.random()), callerRemainingMs(exchange))
-  }
-
   function finish (exchange: Exchange, status: number, reason: string, retryAfterMs?: number): void {
     options.onRequestEnd({
       id: exchange.id,
@@ -123,45 +113,6 @@
     })
   }
 
-  /** Finds the owner of a key; waits for a limited time while the key is moving. */
-  async function findOwner (exchange: Exchange, key: number): Promise<RoutedServer | AttemptDecision> {
-    const waitEndsAt = now() + Math.min(exchange.route.latencyGoalMs * OWNER_WAIT_SHARE, remainingMs(exchange) / 3)
-    for (;;) {
-      const owner = routingState.ownerOf(exchange.service, key)
-      if (owner.kind === 'owned') {
-        const server = routingState.server(owner.server)
-        if (server !== undefined && !server.leaving && !exchange.triedServers.has(server.id)) return server
-        // The key should have another owner by now; without a leader it gets none before one is found.
-        if (server?.leaving === true && routingState.leavingForMs(server) > HANDOVER_MS) return { kind: 'refuse', reason: 'owner-leaving', retryAfterMs: jitteredRetryAfterMs(exchange, DEFAULT_RETRY_AFTER_MS) }
-      }
-      if (owner.kind === 'unserved') {
-        return { kind: 'refuse', reason: 'key-unserved', retryAfterMs: clampRetryAfterMs(owner.until - now(), callerRemainingMs(exchange)) }
-      }
-      if (now() >= waitEndsAt || exchange.abort.signal.aborted) {
-        return { kind: 'refuse', reason: `key-${owner.kind}`, retryAfterMs: jitteredRetryAfterMs(exchange, DEFAULT_RETRY_AFTER_MS) }
-      }
-      await routingState.waitForOwnerChange(Math.max(1, waitEndsAt - now()))
-      await pollConnections()
-    }
-  }
-
-  function isKeyed (exchange: Exchange): boolean {
-    return exchange.key !== null && routingState.service(exchange.service)?.keyed === true
-  }
-
-  async function findServer (exchange: Exchange): Promise<RoutedServer | AttemptDecision> {
-    if (exchange.key !== null && isKeyed(exchange)) {
-      const owner = await findOwner(exchange, exchange.key)
-      if ('kind' in owner) return owner
-      if (loads.isUnresponsive(owner)) return { kind: 'refuse', reason: 'owner-silent', retryAfterMs: jitteredRetryAfterMs(exchange, DEFAULT_RETRY_AFTER_MS) }
-      return owner
-    }
-    const server = chooseServer(routingState.availableServers(exchange.service), { loads, limitOf: options.limits.limitOf, isExhausted: options.permits.isExhausted, tried: exchange.triedServers, zone: options.zone, host: options.host, bodyBytes: bodyBytes(exchange.body), random: options.random })
-    if (server !== null) return server
-    const reason = exchange.triedServers.size > 0 ? 'every-server-tried' : 'no-server'
-    return { kind: 'refuse', reason, retryAfterMs: jitteredRetryAfterMs(exchange, DEFAULT_RETRY_AFTER_MS) }
-  }
-
   /** Refuses a request under which servers have ended; `null` if it may be sent. */
   function refuseFatal (exchange: Exchange): AttemptDecision | null {
     const retryAfterMs = options.guard.refusalMs(exchange.fingerprint)
@@ -171,7 +122,7 @@
   async function makeAttempt (exchange: Exchange): Promise<AttemptDecision> {
     const refusal = refuseFatal(exchange)
     if (refusal !== null) return refusal
-    const server = await findServer(exchange)
+    const server = await finder.find(exchange)
     if ('kind' in server) return server
     // Another server may have ended while the request waited for an owner.
     const lateRefusal = refuseFatal(exchange)
@@ -207,19 +158,40 @@
     return { kind: 'choose-again' }
   }
 
-  async function attemptDirectly (exchange: Exchange, server: RoutedServer): Promise<AttemptDecision> {
+  /** Waits for a slot of the server or, as its relay, of another one in its group. */
+  async function takeSlot (exchange: Exchange, server: RoutedServer): Promise<Turn> {
+    const query = admissionQuery(exchange, server)
+    if (query.isRelay && options.queues !== undefined) {
+      return await options.queues.enter({
+        server, tried: exchange.triedServers, priority: exchange.route.priority, key: query.key, goalAt: now() + goalRemainingMs(exchange), deadlineAt: exchange.deadlineAt, callerRemainingMs: query.callerRemainingMs, signal: exchange.abort.signal
+      })
+    }
+    const admission = options.admission.decide(server, query)
+    return admission.kind === 'refuse' ? admission : { kind: 'send', server, waitedMs: 0, end: admission.end }
+  }
+
+  async function attemptDirectly (exchange: Exchange, named: RoutedServer): Promise<AttemptDecision> {
+    if (isKeyed(exchange) && !options.relays.isRelay(named) && options.random() > loads.admitShare(named.id)) return { kind: 'refuse', reason: 'key-overloaded', retryAfterMs: clampRetryAfterMs(callerRemainingMs(exchange), callerRemainingMs(exchange)) }
+    const turn = await takeSlot(exchange, named)
+    if (turn.kind === 'aborted') return decideOnTimeout(exchange)
+    if (turn.kind === 'unavailable') return tryAnotherServer(exchange, named, 0)
+    if (turn.kind === 'refuse' && turn.isOverLimit && !isKeyed(exchange)) return tryAnotherServer(exchange, named, turn.returnAfterMs)
+    if (turn.kind === 'refuse') return { kind: 'refuse', reason: turn.isOverLimit ? 'over-limit' : 'no-room', retryAfterMs: retryAfterFullMs(exchange, turn.returnAfterMs) }
+    if (turn.waitedMs > 0) await pollConnections()
+    const lateRefusal = exchange.abort.signal.aborted ? decideOnTimeout(exchange) : refuseFatal(exchange)
+    if (lateRefusal !== null) {
+      turn.end()
+      return lateRefusal
+    }
+    const { server } = turn
     const expectedMs = loads.expectedMs(server)
-    if (isKeyed(exchange) && options.random() > loads.admitShare(server.id)) return { kind: 'refuse', reason: 'key-overloaded', retryAfterMs: clampRetryAfterMs(callerRemainingMs(exchange), callerRemainingMs(exchange)) }
-    const admission = options.admission.decide(server, admissionQuery(exchange, server))
-    if (admission.kind === 'refuse' && admission.isOverLimit && !isKeyed(exchange)) return tryAnotherServer(exchange, server, admission.returnAfterMs)
-    if (admission.kind === 'refuse') return { kind: 'refuse', reason: admission.isOverLimit ? 'over-limit' : 'no-room', retryAfterMs: retryAfterFullMs(exchange, admission.returnAfterMs) }
     const inFlight = loads.inFlight(server.id)
     const sentAt = now()
     const complete = loads.trackRequest(server)
-    const outcome = await sendWithTimeout(exchange, { attempt: createAttempt(exchange, server), connections: { agent: options.agent, names, limits: options.limits, onLeaving: routingState.recordLeaving }, expectedMs })
+    const outcome = await sendWithTimeout(exchange, { attempt: createAttempt(exchange, server), connections: { agent: options.agent, names, limits: options.limits, ...(options.statements === undefined ? {} : { statements: options.statements }), onLeaving: routingState.recordLeaving }, expectedMs })
     const durationMs = now() - sentAt
     complete(toLoadOutcome(outcome, durationMs))
-    admission.end()
+    turn.end()
     reportAttempt(options.guard, { server, fingerprint: exchange.fingerprint, sentAt, outcome })
     recordAttempt(exchange, { server: server.id, outcome, durationMs, inFlight, expectedMs })
     if (outcome.kind === 'unsent' && options.relays.isIsolated()) {
@@ -230,14 +202,22 @@
   }
 
   /** Sends the request through a relay, which does the admission control: it knows all requests in flight at its servers. */
-  async function attemptThroughRelay (exchange: Exchange, server: RoutedServer, relay: Relay): Promise<AttemptDecision> {
-    const expectedMs = loads.expectedMs(server)
+  async function attemptThroughRelay (exchange: Exchange, named: RoutedServer, relay: Relay): Promise<AttemptDecision> {
+    const expectedMs = loads.expectedMs(named)
     const sentAt = now()
-    const completions = [relay.trackRequest(exchange.id, expectedMs), loads.trackRelayedRequest(server, relay.host)]
+    const completions = [relay.trackRequest(exchange.id, expectedMs), loads.trackRelayedRequest(named, relay.host)]
+    let server = named
     const outcome = await sendWithTimeout(exchange, {
-      attempt: { ...createAttempt(exchange, server), relay: { address: relay.address, goalMs: exchange.route.latencyGoalMs, callerRemainingMs: callerRemainingMs(exchange), isLate: isLate(exchange, server) } },
-      connections: { agent: options.relayAgent, names, limits: options.limits, onLeaving: routingState.recordLeaving, connectTimeoutMs: RELAY_CONNECT_TIMEOUT_MS },
-      expectedMs
+      attempt: {
+        ...createAttempt(exchange, named),
+        relay: {
+          address: relay.address, priority: exchange.route.priority, goalMs: exchange.route.latencyGoalMs, goalRemainingMs: goalRemainingMs(exchange), callerRemainingMs: callerRemainingMs(exchange), isLate: isLate(exchange, named), triedServers: exchange.triedServers
+        }
+      },
+      connections: {
+        agent: options.relayAgent, names, limits: options.limits, serverOf: routingState.server, onServer (id) { server = routingState.server(id) ?? named }, onLeaving: routingState.recordLeaving, connectTimeoutMs: RELAY_CONNECT_TIMEOUT_MS
+      },
+      expectedMs: Math.max(expectedMs, remainingMs(exchange) * RELAY_WAIT_SHARE / ATTEMPT_TIMEOUT_FACTOR)
     })
     for (const complete of completions) complete(!(outcome.kind === 'lost' || (outcome.kind === 'unsent' && outcome.atRelay === true)))
     recordAttempt(exchange, { server: server.id, outcome, durationMs: now() - sentAt, inFlight: loads.inFlight(server.id), expectedMs, relay: relay.host })
--- a/src/gateway/forward_response.ts
+++ b/src/gateway/forward_response.ts
@@ -17,6 +17,8 @@
   readonly closesConnection: boolean
   /** Whether the response goes to another host and not to a caller. Default: false. */
   readonly isToHost?: boolean
+  /** Server that has responded, if the other host has named another one. */
+  readonly server?: string
   /** What this host keeps of the response until the caller has read it. */
   readonly memory: ResponseAccount
   /** Ends a response that is still being received: a server may send a body without end. */
@@ -99,8 +101,9 @@
   return response.useChunkedEncodingByDefault ? BodyFraming.chunks : BodyFraming.connectionEnd
 }
 
-function forwardedHeaders (response: ServerResponse, backendResponse: BackendResponse, { framing, closesConnection, isToHost = false }: ForwardResponseOptions & { readonly framing: BodyFraming }): string[] {
+function forwardedHeaders (response: ServerResponse, backendResponse: BackendResponse, { framing, closesConnection, server, isToHost = false }: ForwardResponseOptions & { readonly framing: BodyFraming }): string[] {
   const headers = responseHeaders(backendResponse.headers)
+  if (server !== undefined) headers.push(RelayHeader.server, server)
   if (framing === BodyFraming.length) headers.push('Content-Length', backendResponse.kind === 'answer' ? String(backendResponse.body.length) : String(backendResponse.mark.statedBytes))
   if (framing === BodyFraming.connectionEnd) {
     response.useChunkedEncodingByDefault = false
--- a/src/gateway/gateway_options.ts
+++ b/src/gateway/gateway_options.ts
@@ -2,6 +2,7 @@
 import type { Agent } from 'node:http'
 import type { RetryBudget } from '../dispatch/retry_budget.ts'
 import type { RequestGuard } from '../fatal_requests/mod.ts'
+import type { ServerQueues } from '../server_queue/mod.ts'
 import type { HeaderNames } from './header_names.ts'
 import type { PathSelector } from './relay_selector.ts'
 import type { RequestLimits } from './request_limits.ts'
@@ -11,6 +12,7 @@
 import type { RoutingState } from './routing_state.ts'
 import type { ServerAdmission } from './server_admission.ts'
 import type { ServerLoads } from './server_loads.ts'
+import type { ServerStatements } from './server_statements.ts'
 
 /** Options of `createGateway()`. */
 export interface GatewayOptions {
@@ -22,6 +24,10 @@
   readonly permits: RequestPermits
   /** Admission control for requests that this host sends to servers itself. */
   readonly admission: ServerAdmission
+  /** Queues of the servers that this host relays for. Default: requests that are admitted wait at their server. */
+  readonly queues?: Pick<ServerQueues, 'enter'>
+  /** Records the load that servers state in their responses. Default: it is not recorded. */
+  readonly statements?: Pick<ServerStatements, 'record'>
   /** Memory for the responses of servers. */
   readonly responseMemory: ResponseMemory
   /** Recognises requests that end the servers which run them. */
--- a/src/gateway/header_names.ts
+++ b/src/gateway/header_names.ts
@@ -20,4 +20,6 @@
   readonly leaving: string
   /** Requests per second that a server takes from all hosts together; set on responses for as long as that holds. */
   readonly requestLimit: string
+  /** Load of a server, as `parseServerStatement()` reads it; set by servers of some services. */
+  readonly load: string
 }
--- a/src/gateway/relay_selector.ts
+++ b/src/gateway/relay_selector.ts
@@ -50,6 +50,14 @@
   callerRemainingMs: 'x-gooseberryfold-caller-remaining-ms',
   /** From the host: present if a response can no longer arrive within the latency goal. */
   late: 'x-gooseberryfold-late',
+  /** From the host: priority of the route; 0 is the highest. */
+  priority: 'x-gooseberryfold-priority',
+  /** From the host: time in which a response has its full value, counted from now, in milliseconds; may be negative. */
+  goalRemainingMs: 'x-gooseberryfold-goal-remaining-ms',
+  /** From the host: servers that have already got the request, separated by commas. */
+  triedServers: 'x-gooseberryfold-tried',
+  /** From the relay: server that the request was sent to, if that is not the one that the host has named. */
+  server: 'x-gooseberryfold-server',
   /** From the relay: why the request was not forwarded; one of {@link RelayRefusal}. */
   refusal: 'x-gooseberryfold-relay-refusal',
   /** From the relay: present if it has not sent the request to the server; earlier builds do not state it. */
--- a/src/gateway/request_record.ts
+++ b/src/gateway/request_record.ts
@@ -13,6 +13,8 @@
   /** Why the router created the response; `served` if the response is the server's. */
   readonly reason: string
   readonly durationMs: number
+  /** Time for which the request waited on this host for a slot of a server, in milliseconds; absent if it did not. */
+  readonly waitedMs?: number
   readonly attempts: readonly AttemptRecord[]
   /** Body of the server's response; absent if there was none to pass on. */
   readonly responseBody?: ResponseBodyRecord
--- a/src/gateway/send_attempt.ts
+++ b/src/gateway/send_attempt.ts
@@ -12,6 +12,22 @@
 import { openResponseBody, type ResponseBody } from './response_body.ts'
 import { BodyEnd, BodyFraming, type BodyMark, type PartialBody } from './response_body_record.ts'
 import type { ResponseAccount } from './response_memory.ts'
+import type { ServerStatements } from './server_statements.ts'
+
+/** Relay that a request is sent through, and what it needs to admit the request; times are in milliseconds. */
+export interface RelayTerms {
+  readonly address: string
+  readonly priority: number
+  /** Latency goal of the route. */
+  readonly goalMs: number
+  /** Time until the goal has passed, counted from the caller's first attempt; may be negative. */
+  readonly goalRemainingMs: number
+  readonly callerRemainingMs: number
+  /** Whether a response can no longer arrive within the latency goal. */
+  readonly isLate: boolean
+  /** Servers that have already got the request. */
+  readonly triedServers: ReadonlySet<string>
+}
 
 /** A request that is sent to one server. */
 export interface Attempt {
@@ -26,8 +42,8 @@
   readonly memory: ResponseAccount
   readonly deadlineMs: number
   readonly signal: AbortSignal
-  /** Relay that the request is sent through, and what it needs for admission control, in milliseconds; if absent, the request goes to the server directly. */
-  readonly relay?: { readonly address: string, readonly goalMs: number, readonly callerRemainingMs: number, readonly isLate: boolean }
+  /** Relay that the request is sent through; if absent, the request goes to the server directly. */
+  readonly relay?: RelayTerms
 }
 
 /** Outcome of an attempt. */
@@ -51,6 +67,12 @@
   readonly names: HeaderNames
   /** Records the limits that servers state in their responses. */
   readonly limits: Pick<RequestLimits, 'record'>
+  /** Records the load that servers state in their responses. Default: it is not recorded. */
+  readonly statements?: Pick<ServerStatements, 'record'>
+  /** Finds the server that a relay has sent the request to. Default: none is known. */
+  readonly serverOf?: (id: string) => RoutedServer | undefined
+  /** Called with the server that a relay has sent the request to, if that is another one than the attempt names. Default: no callback. */
+  readonly onServer?: (id: string) => void
   /** Called when a response shows that the server is leaving. Default: no callback. */
   readonly onLeaving?: (server: RoutedServer) => void
   /** Timeout for connecting, in milliseconds. Default: 400, many round trips within a region. */
@@ -84,7 +106,7 @@
     const headers = [...attempt.headers, names.deadlineMs, String(Math.max(1, Math.floor(attempt.deadlineMs))), names.targetServer, attempt.server.id]
     if (Buffer.isBuffer(attempt.body)) headers.push('Content-Length', String(attempt.body.length))
     else if (attempt.body !== null) headers.push(...framingHeaders(attempt.body))
-    if (relay !== undefined) headers.push(RelayHeader.goalMs, String(relay.goalMs), RelayHeader.callerRemainingMs, String(Math.round(relay.callerRemainingMs)), ...(relay.isLate ? [RelayHeader.late, '1'] : []))
+    if (relay !== undefined) headers.push(...relayHeaders(relay))
     /** Whether the connection is established; a request that fails then shows that its address responds. */
     let connected = false
     /** Whether the request has been handed to the connection. */
@@ -176,12 +198,15 @@
         return
       }
       if (relay === undefined) recordAnsweredAttempt(response.socket, attempt.id)
+      const server = relay === undefined ? attempt.server : relayedServer(response, attempt.server, options)
       // A response with status 421 comes from another server at the address.
-      if (response.headers[names.leaving] === '1' && response.statusCode !== 421) options.onLeaving?.(attempt.server)
+      if (server !== undefined && response.headers[names.leaving] === '1' && response.statusCode !== 421) options.onLeaving?.(server)
+      const load = response.headers[names.load]
+      if (server !== undefined && typeof load === 'string' && response.statusCode !== 421) options.statements?.record(server, load)
       const limit = response.headers[names.requestLimit]
       const isNotRun = response.headers[names.notRun] !== undefined || response.statusCode === 421
       // The end of a limit shows in responses to requests that have run; others may be created before a server knows its load.
-      if (limit !== undefined || !isNotRun) options.limits.record(attempt.server, { value: limit === undefined ? undefined : String(limit), sentAt })
+      if (server !== undefined && (limit !== undefined || !isNotRun)) options.limits.record(server, { value: limit === undefined ? undefined : String(limit), sentAt })
       if (isNotRun) {
         const roomAfterMs = relay === undefined ? undefined : response.headers[RelayHeader.roomAfterMs]
         settle({ kind: 'not-run', status: response.statusCode ?? 0, misdirected: response.statusCode === 421, ...(roomAfterMs === undefined ? {} : { roomAfterMs: Number(roomAfterMs) }) })
@@ -204,6 +229,23 @@
   })
 }
 
+function relayHeaders (relay: RelayTerms): string[] {
+  const headers = [
+    RelayHeader.priority, String(relay.priority), RelayHeader.goalMs, String(relay.goalMs), RelayHeader.goalRemainingMs, String(Math.round(relay.goalRemainingMs)), RelayHeader.callerRemainingMs, String(Math.round(relay.callerRemainingMs))
+  ]
+  if (relay.isLate) headers.push(RelayHeader.late, '1')
+  if (relay.triedServers.size > 0) headers.push(RelayHeader.triedServers, [...relay.triedServers].join())
+  return headers
+}
+
+/** The server that a relay has sent the request to; `undefined` if this host does not know it. */
+function relayedServer (response: IncomingMessage, named: RoutedServer, options: SendAttemptOptions): RoutedServer | undefined {
+  const id = response.headers[RelayHeader.server]
+  if (typeof id !== 'string' || id === named.id) return named
+  options.onServer?.(id)
+  return options.serverOf?.(id)
+}
+
 function framingHeaders (body: StreamedBody): string[] {
   return body.contentLength === undefined ? ['Transfer-Encoding', 'chunked'] : ['Content-Length', body.contentLength]
 }
--- a/src/gateway/send_attempt_test.ts
+++ b/src/gateway/send_attempt_test.ts
@@ -12,7 +12,7 @@
 
 const test = suite('sendAttempt')
 const names: HeaderNames = {
-  attemptId: 'x-attempt', deadlineMs: 'x-deadline', targetServer: 'x-target', key: 'x-key', notRun: 'x-not-run', signature: 'x-signature', respondingServer: 'x-server', leaving: 'x-leaving', requestLimit: 'x-limit'
+  attemptId: 'x-attempt', deadlineMs: 'x-deadline', targetServer: 'x-target', key: 'x-key', notRun: 'x-not-run', signature: 'x-signature', respondingServer: 'x-server', leaving: 'x-leaving', requestLimit: 'x-limit', load: 'x-load'
 }
 
 /** Runs attempts against a server that handles each request with `respond`. */
--- a/src/relay/create_relay.ts
+++ b/src/relay/create_relay.ts
@@ -8,10 +8,11 @@
 import type { Agent, IncomingMessage, ServerResponse } from 'node:http'
 import {
   createAttemptRecord, createBodyReader, discardBody, forwardResponse, parseKey, pollConnections, RelayHeader, RelayRefusal, reportAttempt, requestHeaders, sendAttempt, toLoadOutcome, waitUntilSent, watchDisconnect,
-  type AttemptOutcome, type HeaderNames, type RequestBody, type RequestLimits, type RoutingState, type RequestRecord, type ResponseAccount, type ResponseBodyRecord, type ResponseMemory, type ServerAdmission, type ServerAdmissionQuery, type ServerLoads
+  type AttemptOutcome, type HeaderNames, type RequestBody, type RequestLimits, type RoutingState, type RequestRecord, type ResponseAccount, type ResponseBodyRecord, type ResponseMemory, type ServerAdmission, type ServerAdmissionQuery, type ServerLoads, type ServerStatements
 } from '../gateway/mod.ts'
 import { createFingerprintSource, type FingerprintSource, type RequestGuard } from '../fatal_requests/mod.ts'
 import type { RoutedServer } from '../routing/mod.ts'
+import type { ServerQueues, Turn } from '../server_queue/mod.ts'
 
 /** Options of {@link createRelay}. */
 export interface RelayOptions {
@@ -20,6 +21,10 @@
   /** Limits that servers name; updated from their responses. */
   readonly limits: RequestLimits
   readonly admission: ServerAdmission
+  /** Queues of the servers that this host relays for. Default: requests that are admitted wait at their server. */
+  readonly queues?: Pick<ServerQueues, 'enter' | 'returnAfterMs'>
+  /** Records the load that servers state in their responses. Default: it is not recorded. */
+  readonly statements?: Pick<ServerStatements, 'record'>
   /** Whether this host is the server's relay; a host whose list of relays is out of date may ask another one. */
   readonly isRelay: (server: RoutedServer) => boolean
   /** Whether this host reaches no server. */
@@ -45,8 +50,8 @@
   pending (): number
 }
 
-/** Headers that are meant for the relay only. */
-const RELAY_HEADERS: ReadonlySet<string> = new Set([RelayHeader.goalMs, RelayHeader.callerRemainingMs, RelayHeader.late])
+/** Priority of a request from a host of an earlier build, which does not state it. */
+const UNSTATED_PRIORITY = 1
 
 /** Route name in the records of relayed requests. */
 const ROUTE_NAME = 'relayed'
@@ -111,14 +116,29 @@
   }
 
   /** Sends a request to its server if that has room, and reports the outcome. */
-  async function sendToServer (request: IncomingMessage, response: ServerResponse, { server, body, memory, signal, deadlineAt }: { readonly server: RoutedServer, readonly body: RequestBody, readonly memory: ResponseAccount, readonly signal: AbortSignal, readonly deadlineAt: number }): Promise<void> {
-    const headers = withoutRelayHeaders(requestHeaders(request.rawHeaders, names))
+  async function sendToServer (request: IncomingMessage, response: ServerResponse, { server: named, body, memory, signal, deadlineAt }: { readonly server: RoutedServer, readonly body: RequestBody, readonly memory: ResponseAccount, readonly signal: AbortSignal, readonly deadlineAt: number }): Promise<void> {
+    const headers = requestHeaders(request.rawHeaders, names)
     const fingerprint = createFingerprintSource(() => ({ method: request.method ?? 'GET', path: request.url ?? '/', headers, body }), varyingHeaders)
+    const enteredAt = now()
     const refusalMs = options.guard.refusalMs(fingerprint)
     if (refusalMs !== null) return refuse(response, RelayRefusal.full, { roomAfterMs: refusalMs, isFatal: true })
-    const query = admissionQuery(request, server)
-    const admission = options.admission.decide(server, query)
-    if (admission.kind === 'refuse') return refuse(response, admission.isOverLimit ? RelayRefusal.overLimit : RelayRefusal.full, { roomAfterMs: admission.returnAfterMs })
+    const query = admissionQuery(request, named)
+    const turn = await takeSlot(request, named, { query, deadlineAt, signal })
+    if (turn.kind === 'refuse') return refuse(response, turn.isOverLimit ? RelayRefusal.overLimit : RelayRefusal.full, { roomAfterMs: turn.returnAfterMs })
+    if (turn.kind === 'unavailable') return refuse(response, RelayRefusal.leaving)
+    if (turn.kind === 'send' && turn.waitedMs > 0) await pollConnections()
+    if (turn.kind === 'aborted' || signal.aborted) {
+      if (turn.kind === 'send') turn.end()
+      response.destroy()
+      return record(request, { server: named, outcome: null, durationMs: now() - enteredAt })
+    }
+    // Servers may have ended under the request, or the server may have begun to leave, while it waited.
+    const lateRefusalMs = options.guard.refusalMs(fingerprint)
+    if (lateRefusalMs !== null) {
+      turn.end()
+      return refuse(response, RelayRefusal.full, { roomAfterMs: lateRefusalMs, isFatal: true })
+    }
+    const { server } = turn
     const inFlight = loads.inFlight(server.id)
     const expectedMs = loads.expectedMs(server)
     const end = loads.trackRequest(server)
@@ -133,19 +153,19 @@
       memory,
       deadlineMs: deadlineAt - sentAt,
       signal
-    }, { agent: options.agent, names, limits: options.limits, onLeaving: routingState.recordLeaving })
+    }, { agent: options.agent, names, limits: options.limits, ...(options.statements === undefined ? {} : { statements: options.statements }), onLeaving: routingState.recordLeaving })
     const durationMs = now() - sentAt
     end(toLoadOutcome(outcome, durationMs))
-    admission.end()
+    turn.end()
     reportAttempt(options.guard, { server, fingerprint, sentAt, outcome })
-    const responseBody = await sendOutcome(response, { outcome, server, query, memory, signal })
-    record(request, { server, outcome, durationMs, inFlight, expectedMs, fingerprint, responseBody })
+    const responseBody = await sendOutcome(response, { outcome, named, server, query, memory, signal })
+    record(request, { server, outcome, durationMs, waitedMs: turn.waitedMs, inFlight, expectedMs, fingerprint, responseBody })
   }
 
   /** Reports the outcome of a request to the host that sent it; returns the body of a response that was passed on. */
-  async function sendOutcome (response: ServerResponse, { outcome, server, query, memory, signal }: { readonly outcome: AttemptOutcome, readonly server: RoutedServer, readonly query: ServerAdmissionQuery, readonly memory: ResponseAccount, readonly signal: AbortSignal }): Promise<ResponseBodyRecord | undefined> {
+  async function sendOutcome (response: ServerResponse, { outcome, named, server, query, memory, signal }: { readonly outcome: AttemptOutcome, readonly named: RoutedServer, readonly server: RoutedServer, readonly query: ServerAdmissionQuery, readonly memory: ResponseAccount, readonly signal: AbortSignal }): Promise<ResponseBodyRecord | undefined> {
     if (outcome.kind === 'answer' || outcome.kind === 'stream') {
-      return (await forwardResponse(response, outcome, { closesConnection: false, isToHost: true, memory, signal })).body
+      return (await forwardResponse(response, outcome, { closesConnection: false, isToHost: true, ...(server.id === named.id ? {} : { server: server.id }), memory, signal })).body
     } else if (outcome.kind === 'unsent' || outcome.kind === 'not-admitted') {
       refuse(response, options.isIsolated() ? RelayRefusal.isolated : RelayRefusal.unreachable)
     } else if (outcome.kind === 'lost') {
@@ -153,13 +173,35 @@
       response.destroy()
     } else {
       // The request has reached the server, so this is the server's refusal and not one of the relay.
-      const roomAfterMs = !outcome.misdirected && loads.isFull(server.id) ? options.admission.returnAfterMs(server, query) : null
-      response.writeHead(outcome.status, { 'Content-Length': '0', [names.attemptId]: attemptIdOf(response.req), [names.notRun]: 'true', ...(roomAfterMs === null ? {} : { [RelayHeader.roomAfterMs]: String(Math.ceil(roomAfterMs)) }), ...(routingState.server(server.id)?.leaving === true ? { [names.leaving]: '1' } : {}) }).end()
+      const roomAfterMs = !outcome.misdirected && loads.isFull(server.id) ? returnAfterMs(server, query) : null
+      response.writeHead(outcome.status, { 'Content-Length': '0', [names.attemptId]: attemptIdOf(response.req), [names.notRun]: 'true', ...(server.id === named.id ? {} : { [RelayHeader.server]: server.id }), ...(roomAfterMs === null ? {} : { [RelayHeader.roomAfterMs]: String(Math.ceil(roomAfterMs)) }), ...(routingState.server(server.id)?.leaving === true ? { [names.leaving]: '1' } : {}) }).end()
+    }
+  }
+
+  function returnAfterMs (server: RoutedServer, query: ServerAdmissionQuery): number {
+    return query.isRelay && options.queues !== undefined ? options.queues.returnAfterMs({ server, callerRemainingMs: query.callerRemainingMs }) : options.admission.returnAfterMs(server, query)
+  }
+
+  /** Waits for a slot of the server or, as its relay, of another one in its group. */
+  async function takeSlot (request: IncomingMessage, server: RoutedServer, { query, deadlineAt, signal }: { readonly query: ServerAdmissionQuery, readonly deadlineAt: number, readonly signal: AbortSignal }): Promise<Turn> {
+    if (query.isRelay && options.queues !== undefined) {
+      return await options.queues.enter({
+        server,
+        tried: new Set(String(request.headers[RelayHeader.triedServers] ?? '').split(',')),
+        priority: numberOr(request.headers[RelayHeader.priority], UNSTATED_PRIORITY),
+        key: query.key,
+        goalAt: now() + numberOr(request.headers[RelayHeader.goalRemainingMs], query.isLate ? 0 : query.latencyGoalMs),
+        deadlineAt,
+        callerRemainingMs: query.callerRemainingMs,
+        signal
+      })
     }
+    const admission = options.admission.decide(server, query)
+    return admission.kind === 'refuse' ? admission : { kind: 'send', server, waitedMs: 0, end: admission.end }
   }
 
   /** Records a request; its outcome is `null` if it was not sent because the other host had disconnected. */
-  function record (request: IncomingMessage, { server, outcome, durationMs, inFlight = 0, expectedMs = 0, fingerprint, responseBody }: { readonly server: RoutedServer, readonly outcome: AttemptOutcome | null, readonly durationMs: number, readonly inFlight?: number, readonly expectedMs?: number, readonly fingerprint?: FingerprintSource, readonly responseBody?: ResponseBodyRecord | undefined }): void {
+  function record (request: IncomingMessage, { server, outcome, durationMs, waitedMs, inFlight = 0, expectedMs = 0, fingerprint, responseBody }: { readonly server: RoutedServer, readonly outcome: AttemptOutcome | null, readonly durationMs: number, readonly waitedMs?: number, readonly inFlight?: number, readonly expectedMs?: number, readonly fingerprint?: FingerprintSource, readonly responseBody?: ResponseBodyRecord | undefined }): void {
     const isAnswered = outcome?.kind === 'answer' || outcome?.kind === 'stream'
     options.onEnd({
       id: attemptIdOf(request),
@@ -169,6 +211,7 @@
       status: isAnswered ? outcome.status : 0,
       reason: outcome === null ? 'caller-left' : isAnswered ? 'served' : outcome.kind,
       durationMs,
+      ...(waitedMs === undefined || waitedMs === 0 ? {} : { waitedMs }),
       isCallerConnected: !request.socket.destroyed,
       isRelayed: true,
       ...(outcome?.kind === 'lost' && fingerprint !== undefined ? { fingerprint: fingerprint()?.exact ?? null } : {}),
@@ -198,6 +241,7 @@
   }
 }
 
-function withoutRelayHeaders (headers: readonly string[]): string[] {
-  return headers.filter((_, index) => !RELAY_HEADERS.has(headers[index - index % 2]?.toLowerCase() ?? ''))
+function numberOr (value: string | string[] | undefined, otherwise: number): number {
+  const number = value === undefined || value === '' ? NaN : Number(value)
+  return Number.isFinite(number) ? number : otherwise
 }
--- a/src/relay/relay_directory.ts
+++ b/src/relay/relay_directory.ts
@@ -32,16 +32,28 @@
   readonly now: () => number
   /** Isolation of this host from the servers; `null` if it reaches them. */
   readonly isolation: () => Isolation | null
+  /** Name of the group of servers that have the same relay; `null` for a server that is a group of its own. Default: every server is. */
+  readonly groupOf?: (server: RoutedServer) => string | null
   /** Called when requests through a relay can no longer be expected to get responses; `isIsolated` is whether it has refused one because it reaches no server. */
   readonly onRelayLost: (host: string, isIsolated: boolean) => void
 }
 
+/** What relays are ranked for, and the exponent of their weights. */
+interface RelaySubject { readonly subject: string, readonly exponent: number }
+
 /** Maximum number of relays that a request of an isolated host is sent to. */
 const MAXIMUM_RELAYS_TRIED = 3
 
 /** Time for which a relay that has refused for want of a path is not selected, in milliseconds: by then the leader has published the hosts that relay. */
 const ISOLATED_RELAY_MS = 1000
 
+/**
+ * Exponent of a host's weight where it relays for a group of servers: a group
+ * gets many times the requests of one server, so it goes to one of the largest
+ * hosts of the zone.
+ */
+const GROUP_WEIGHT_EXPONENT = 3
+
 /** Relay directory of one host. */
 export interface RelayDirectory extends PathSelector {
   /** Replaces the hosts that can relay requests. */
@@ -67,8 +79,13 @@
   let selectAgainAt = Infinity
 
   /** Lower scores come first: weighted rendezvous hashing, so that a host that joins or leaves changes the relays of few servers. */
-  function score (host: RelayHost, server: RoutedServer): number {
-    return -Math.log(rendezvousRank(host.host, server.id)) / host.weight
+  function score (host: RelayHost, { subject, exponent }: RelaySubject): number {
+    return -Math.log(rendezvousRank(host.host, subject)) / host.weight ** exponent
+  }
+
+  function subjectOf (server: RoutedServer): RelaySubject {
+    const group = options.groupOf?.(server) ?? null
+    return group === null ? { subject: server.id, exponent: 1 } : { subject: group, exponent: GROUP_WEIGHT_EXPONENT }
   }
 
   function isIsolated (host: RelayHost): boolean {
@@ -76,10 +93,11 @@
   }
 
   function selectFirst (hosts: readonly RelayHost[], server: RoutedServer): RelayHost | null {
+    const subject = subjectOf(server)
     let best: RelayHost | null = null
     let lowestScore = Infinity
     for (const host of hosts) {
-      const hostScore = score(host, server)
+      const hostScore = score(host, subject)
       if (hostScore < lowestScore) {
         best = host
         lowestScore = hostScore
@@ -97,10 +115,11 @@
 
   function relayOf (server: RoutedServer): RelayHost | null {
     if (now() >= selectAgainAt) resetSelection()
-    const cached = relays.get(server.id)
+    const group = options.groupOf?.(server) ?? server.id
+    const cached = relays.get(group)
     if (cached !== undefined) return cached
     const host = selectFirst((byZone.get(server.zone) ?? []).filter((candidate) => !isIsolated(candidate)), server)
-    relays.set(server.id, host)
+    relays.set(group, host)
     return host
   }
 
--- a/testing/fake_backend.ts
+++ b/testing/fake_backend.ts
@@ -6,7 +6,7 @@
 
 /** Header names for tests. */
 export const TEST_HEADER_NAMES: HeaderNames = {
-  attemptId: 'x-attempt', deadlineMs: 'x-deadline', targetServer: 'x-target', key: 'x-key', notRun: 'x-not-run', signature: 'x-signature', respondingServer: 'x-server', leaving: 'x-leaving', requestLimit: 'x-limit'
+  attemptId: 'x-attempt', deadlineMs: 'x-deadline', targetServer: 'x-target', key: 'x-key', notRun: 'x-not-run', signature: 'x-signature', respondingServer: 'x-server', leaving: 'x-leaving', requestLimit: 'x-limit', load: 'x-load'
 }
 
 /** A request that the backend received. */
