--- a/src/entry_host/entry_host_settings.ts
+++ b/src/entry_host/entry_host_settings.ts
@@ -1,4 +1,5 @@
 /** Settings of an entry host, which the platform adapter reads. */
+import type { WarmUpBound } from '../warm_up/mod.ts'
 
 /** Settings of an entry host. */
 export interface EntryHostSettings {
@@ -18,4 +19,6 @@
   readonly retryRatio: number
   readonly retrySlack: number
   readonly maximumGrantDurationMs: number
+  /** Bound on the requests of all hosts together to a cold server; `null` or absent if there is none. */
+  readonly warmUpBound?: WarmUpBound | null
 }
--- a/src/routing/routing_types.ts
+++ b/src/routing/routing_types.ts
@@ -31,6 +31,14 @@
   readonly targets: readonly RouteTarget[]
 }
 
+/** How the servers of a service warm up. */
+export interface ServiceWarmUp {
+  /** Time for which a server is cold after its start, in milliseconds. */
+  readonly durationMs: number
+  /** Requests per second that a cold server receives from all hosts together; above 0. */
+  readonly requestsPerSecond: number
+}
+
 /** Configuration of a service. */
 export interface RoutedService {
   readonly name: string
@@ -40,6 +48,8 @@
   readonly maximumConnections: number
   /** Time for which requests for keys granted without a handover are slow, in milliseconds. */
   readonly coldKeyMs: number
+  /** Warm-up of its servers; absent if they take any rate from their start. */
+  readonly warmUp?: ServiceWarmUp
 }
 
 /** Limits on the size and duration of requests. */
