--- a/src/gateway/choose_server.ts
+++ b/src/gateway/choose_server.ts
@@ -6,6 +6,7 @@
  * would overload it before they received each other's loads.
  */
 import { rendezvousRank, type RoutedServer } from '../routing/mod.ts'
+import { NO_WARM_UP, type WarmUpTracker } from '../warm_up/mod.ts'
 import type { ServerLoads } from './server_loads.ts'
 
 /** Options of {@link chooseServer}. */
@@ -15,6 +16,8 @@
   readonly limitOf: (server: RoutedServer) => number | null
   /** Whether the server has recently reached its limit. */
   readonly isExhausted: (server: string) => boolean
+  /** Cold servers and their request rates. Default: there are none. */
+  readonly warmUp?: Pick<WarmUpTracker, 'isCold' | 'requestsPerSecond'>
   /** Servers that the request has already been sent to. */
   readonly tried: ReadonlySet<string>
   /** Availability zone of this host. */
@@ -55,12 +58,14 @@
   const responsive = untried.filter((server) => !options.loads.isUnresponsive(server))
   const permitted = responsive.filter((server) => !options.isExhausted(server.id))
   const preferred = [permitted, responsive].find((group) => group.length > 0) ?? untried
-  const candidates = preferSameZone(selectSubset(preferred, options), options)
+  let candidates = preferSameZone(selectSubset(preferred, options), options)
   let best: RoutedServer | null = null
   let lowestCost = Infinity
   for (let sampled = 0; sampled < SAMPLED_SERVERS && candidates.length > 0; sampled++) {
     const [server] = candidates.splice(drawWeightedIndex(candidates, options), 1)
     if (server === undefined) break
+    // An idle cold server has the lowest cost. If it also competed in later draws, it would get more than its part.
+    if (sampled === 0) candidates = candidates.filter((candidate) => !isCold(candidate, options))
     const cost = estimateCost(server, options)
     if (cost < lowestCost) {
       best = server
@@ -93,13 +98,22 @@
   const sameZone = servers.filter((server) => server.zone === options.zone).slice(0, SAME_ZONE_SUBSET_SERVERS)
   const otherZones = servers.filter((server) => server.zone !== options.zone).slice(0, OTHER_ZONES_SUBSET_SERVERS)
   const subset = [...sameZone, ...otherZones]
-  return subset.some((server) => options.loads.inFlight(server.id) < server.slots) ? subset : servers
+  return subset.some((server) => hasFreeSlot(server, options)) ? subset : servers
+}
+
+function isCold (server: RoutedServer, { warmUp = NO_WARM_UP }: ChooseServerOptions): boolean {
+  return warmUp.isCold(server)
+}
+
+/** Whether the server has a free slot; that of a cold one may not be used at once. */
+function hasFreeSlot (server: RoutedServer, options: ChooseServerOptions): boolean {
+  return options.loads.inFlight(server.id) < server.slots && !isCold(server, options)
 }
 
 /** For a large body, selects the servers of this host's zone that have a free slot; otherwise, or if there are none, all servers. */
 function preferSameZone (servers: readonly RoutedServer[], options: ChooseServerOptions): RoutedServer[] {
   if (options.bodyBytes < LARGE_BODY_BYTES) return [...servers]
-  const sameZone = servers.filter((server) => server.zone === options.zone && options.loads.inFlight(server.id) < server.slots)
+  const sameZone = servers.filter((server) => server.zone === options.zone && hasFreeSlot(server, options))
   return sameZone.length > 0 ? sameZone : [...servers]
 }
 
@@ -114,7 +128,8 @@
 
 /** Draws the index of a server with a probability proportional to its capacity. */
 function drawWeightedIndex (servers: readonly RoutedServer[], options: ChooseServerOptions): number {
-  const weights = servers.map((server) => Math.min(server.slots / options.loads.workMs(server), (options.limitOf(server) ?? Infinity) / 1000))
+  const { loads, limitOf, warmUp = NO_WARM_UP } = options
+  const weights = servers.map((server) => Math.min(server.slots / loads.workMs(server), (limitOf(server) ?? Infinity) / 1000, (warmUp.requestsPerSecond(server) ?? Infinity) / 1000))
   let remaining = options.random() * weights.reduce((sum, weight) => sum + weight, 0)
   for (const [index, weight] of weights.entries()) {
     remaining -= weight
--- a/src/gateway/choose_server_test.ts
+++ b/src/gateway/choose_server_test.ts
@@ -26,11 +26,11 @@
   loads.applyViews(new Map(Object.entries(views).map(([id, view]) => [id, { inFlight: 0, workMs: 100, failureShare: 0, silent: false, admitShare: 1, ...view }])))
 }
 
-function count (servers: readonly RoutedServer[], loads: ServerLoads, options: { readonly bodyBytes?: number, readonly times?: number, readonly host?: string, readonly limits?: Readonly<Record<string, number>>, readonly exhausted?: readonly string[] } = {}): Map<string, number> {
+function count (servers: readonly RoutedServer[], loads: ServerLoads, options: { readonly bodyBytes?: number, readonly times?: number, readonly host?: string, readonly limits?: Readonly<Record<string, number>>, readonly coldRates?: Readonly<Record<string, number>>, readonly exhausted?: readonly string[] } = {}): Map<string, number> {
   const random = createRandom()
   const counts = new Map<string, number>()
   for (let time = 0; time < (options.times ?? 1000); time++) {
-    const chosen = chooseServer(servers, { loads, limitOf: (server) => options.limits?.[server.id] ?? null, isExhausted: (id) => options.exhausted?.includes(id) ?? false, tried: new Set(), zone: 'a', host: options.host ?? 'h1', bodyBytes: options.bodyBytes ?? 0, random })
+    const chosen = chooseServer(servers, { loads, limitOf: (server) => options.limits?.[server.id] ?? null, isExhausted: (id) => options.exhausted?.includes(id) ?? false, warmUp: { isCold: ({ id }) => options.coldRates?.[id] !== undefined, requestsPerSecond: ({ id }) => options.coldRates?.[id] ?? null }, tried: new Set(), zone: 'a', host: options.host ?? 'h1', bodyBytes: options.bodyBytes ?? 0, random })
     counts.set(chosen?.id ?? '', (counts.get(chosen?.id ?? '') ?? 0) + 1)
   }
   return counts
@@ -101,4 +101,23 @@
   assert.ok(count(servers, loads, { host: 'h1' }).size > 12)
 })
 
+test('chooseServer() sends a cold server no more than its part, when it is idle and the warm ones are busy', () => {
+  const loads = createServerLoads(() => 0)
+  setViews(loads, { s0: {}, s1: { inFlight: 6 }, s2: { inFlight: 6 }, s3: { inFlight: 6 } })
+  // The warm servers run 60 requests a second each.
+  const received = count(serversOf(4), loads, { coldRates: { s0: 5 }, times: 4000 }).get('s0') ?? 0
+  assert.ok(received > 0 && received < 4000 * 5 / 185 * 1.3, `${received} of 4000`)
+  assert.is(count(serversOf(2), loads, { coldRates: { s0: 5, s1: 5 } }).size, 2)
+})
+
+test('chooseServer() uses the rest of a large service, when only a cold server of its subset has a free slot', () => {
+  const servers = serversOf(40)
+  const loads = createServerLoads(() => 0)
+  const subset = [...count(servers, loads).keys()]
+  const [cold = '', ...busy] = subset
+  setViews(loads, Object.fromEntries(busy.map((id) => [id, { inFlight: 6 }])))
+  const counts = count(servers, loads, { coldRates: { [cold]: 5 } })
+  assert.ok(busy.reduce((sum, id) => sum + (counts.get(id) ?? 0), 0) < 100)
+})
+
 test.run()
--- a/src/gateway/create_gateway.ts
+++ b/src/gateway/create_gateway.ts
@@ -10,11 +10,11 @@
 import { clampRetryAfterMs } from './admission.ts'
 import { createAttemptLedger } from './attempt_ledger.ts'
 import { createAttemptRecord, type EndedAttempt } from './attempt_record.ts'
-import { bodyBytes, createBodyReader, discardBody, isBodyUnread } from './body_reader.ts'
+import { createBodyReader, discardBody, isBodyUnread } from './body_reader.ts'
 import { decideOnTimeout, DEFAULT_RETRY_AFTER_MS, type Exchange, type AttemptDecision } from './_exchange.ts'
 import { createCallerDeadlines } from './caller_deadlines.ts'
+import { createServerSelector } from './_server_selector.ts'
 import { requestHeaders } from './forwarded_headers.ts'
-import { chooseServer } from './choose_server.ts'
 import { decideNext, type NextStep } from './decide_next.ts'
 import type { GatewayOptions } from './gateway_options.ts'
 import { parseKey, toLoadOutcome } from './outcomes.ts'
@@ -60,6 +60,7 @@
   let pending = 0
   const bodyReader = createBodyReader()
   const callerDeadlines = createCallerDeadlines()
+  const serverSelector = createServerSelector(options)
   /** Headers that differ between attempts with the same content. */
   const varyingHeaders: ReadonlySet<string> = new Set([names.attemptId])
 
@@ -156,10 +157,8 @@
       if (loads.isUnresponsive(owner)) return { kind: 'refuse', reason: 'owner-silent', retryAfterMs: jitteredRetryAfterMs(exchange, DEFAULT_RETRY_AFTER_MS) }
       return owner
     }
-    const server = chooseServer(routingState.availableServers(exchange.service), { loads, limitOf: options.limits.limitOf, isExhausted: options.permits.isExhausted, tried: exchange.triedServers, zone: options.zone, host: options.host, bodyBytes: bodyBytes(exchange.body), random: options.random })
-    if (server !== null) return server
-    const reason = exchange.triedServers.size > 0 ? 'every-server-tried' : 'no-server'
-    return { kind: 'refuse', reason, retryAfterMs: jitteredRetryAfterMs(exchange, DEFAULT_RETRY_AFTER_MS) }
+    const choice = serverSelector.choose(exchange)
+    return 'reason' in choice ? { kind: 'refuse', reason: choice.reason, retryAfterMs: jitteredRetryAfterMs(exchange, choice.retryAfterMs) } : choice
   }
 
   /** Refuses a request under which servers have ended; `null` if it may be sent. */
@@ -176,7 +175,7 @@
     // Another server may have ended while the request waited for an owner.
     const lateRefusal = refuseFatal(exchange)
     if (lateRefusal !== null) return lateRefusal
-    const path = options.relays.select(server, { bodyBytes: bodyBytes(exchange.body), isLimited: options.limits.limitOf(server) !== null, triedRelays: exchange.triedRelays, triedDirectly: exchange.triedDirectly })
+    const path = serverSelector.selectPath(exchange, server)
     if (path.kind === 'none') return { kind: 'refuse', reason: 'no-path', retryAfterMs: jitteredRetryAfterMs(exchange, DEFAULT_RETRY_AFTER_MS) }
     return path.kind === 'direct' ? await attemptDirectly(exchange, server) : await attemptThroughRelay(exchange, server, path.relay)
   }
@@ -212,14 +211,14 @@
     if (isKeyed(exchange) && options.random() > loads.admitShare(server.id)) return { kind: 'refuse', reason: 'key-overloaded', retryAfterMs: clampRetryAfterMs(callerRemainingMs(exchange), callerRemainingMs(exchange)) }
     const admission = options.admission.decide(server, admissionQuery(exchange, server))
     if (admission.kind === 'refuse' && admission.isOverLimit && !isKeyed(exchange)) return tryAnotherServer(exchange, server, admission.returnAfterMs)
-    if (admission.kind === 'refuse') return { kind: 'refuse', reason: admission.isOverLimit ? 'over-limit' : 'no-room', retryAfterMs: retryAfterFullMs(exchange, admission.returnAfterMs) }
+    if (admission.kind === 'refuse') return { kind: 'refuse', reason: admission.isCold === true ? 'server-cold' : admission.isOverLimit ? 'over-limit' : 'no-room', retryAfterMs: retryAfterFullMs(exchange, admission.returnAfterMs) }
     const inFlight = loads.inFlight(server.id)
     const sentAt = now()
     const complete = loads.trackRequest(server)
     const outcome = await sendWithTimeout(exchange, { attempt: createAttempt(exchange, server), connections: { agent: options.agent, names, limits: options.limits, onLeaving: routingState.recordLeaving }, expectedMs })
     const durationMs = now() - sentAt
     complete(toLoadOutcome(outcome, durationMs))
-    admission.end()
+    admission.end(outcome)
     reportAttempt(options.guard, { server, fingerprint: exchange.fingerprint, sentAt, outcome })
     recordAttempt(exchange, { server: server.id, outcome, durationMs, inFlight, expectedMs })
     if (outcome.kind === 'unsent' && options.relays.isIsolated()) {
--- a/src/gateway/gateway_options.ts
+++ b/src/gateway/gateway_options.ts
@@ -2,6 +2,7 @@
 import type { Agent } from 'node:http'
 import type { RetryBudget } from '../dispatch/retry_budget.ts'
 import type { RequestGuard } from '../fatal_requests/mod.ts'
+import type { WarmUpTracker } from '../warm_up/mod.ts'
 import type { HeaderNames } from './header_names.ts'
 import type { PathSelector } from './relay_selector.ts'
 import type { RequestLimits } from './request_limits.ts'
@@ -20,6 +21,8 @@
   readonly limits: RequestLimits
   /** Permits for servers that have named a limit. */
   readonly permits: RequestPermits
+  /** Cold servers. Default: there are none. */
+  readonly warmUp?: Pick<WarmUpTracker, 'isCold' | 'coldForMs' | 'requestsPerSecond'>
   /** Admission control for requests that this host sends to servers itself. */
   readonly admission: ServerAdmission
   /** Memory for the responses of servers. */
--- a/src/gateway/outcomes.ts
+++ b/src/gateway/outcomes.ts
@@ -17,6 +17,11 @@
   return outcome.kind
 }
 
+/** Whether the request may have been received by its server; a response with status 421 comes from another server at the address. */
+export function hasReachedServer (outcome: AttemptOutcome): boolean {
+  return outcome.kind !== 'unsent' && outcome.kind !== 'not-admitted' && !(outcome.kind === 'not-run' && outcome.misdirected)
+}
+
 /** Converts an attempt outcome to the outcome that the server's load is updated with. */
 export function toLoadOutcome (outcome: AttemptOutcome, durationMs: number): LoadOutcome {
   if (outcome.kind === 'answer' || outcome.kind === 'stream') return outcome.status >= 500 ? { kind: 'failed' } : { kind: 'served', durationMs }
@@ -25,5 +30,5 @@
   // A reset shows that the address responds; only timeouts and refused connections count as lost.
   if (outcome.kind === 'unsent' && outcome.wasConnected === true) return { kind: 'failed' }
   if (outcome.kind === 'lost') return outcome.aborted ? { kind: 'abandoned', durationMs } : { kind: 'failed', isReset: outcome.isReset === true }
-  return { kind: 'lost', refused: outcome.refused }
+  return { kind: 'lost', refused: outcome.refused, ...(outcome.wasAborted === true ? { wasAborted: true } : {}) }
 }
--- a/src/gateway/send_attempt.ts
+++ b/src/gateway/send_attempt.ts
@@ -40,8 +40,8 @@
   | { readonly kind: 'not-run', readonly status: number, readonly misdirected: boolean, readonly roomAfterMs?: number }
   /** The relay reports that the server is full or has reached its limit (`isOverLimit`), or that servers end under the request (`isFatal`). `isUnsent` is whether it has certainly not sent the request to the server. `roomAfterMs` is the time after which the caller may return. */
   | { readonly kind: 'not-admitted', readonly isUnsent: boolean, readonly roomAfterMs: number, readonly isOverLimit?: boolean, readonly isFatal?: boolean }
-  /** The request has not been sent to the server. `atRelay` is set if the relay failed before the server was tried, `isRelayIsolated` if it reaches no server, `wasConnected` if the connection was closed after it had been established. */
-  | { readonly kind: 'unsent', readonly detail: string, readonly refused: boolean, readonly atRelay?: boolean, readonly wasConnected?: boolean, readonly isRelayIsolated?: boolean }
+  /** The request has not been sent to the server. `atRelay` is set if the relay failed before the server was tried, `isRelayIsolated` if it reaches no server, `wasConnected` if the connection was closed after it had been established, `wasAborted` if the router gave up before there was a connection. */
+  | { readonly kind: 'unsent', readonly detail: string, readonly refused: boolean, readonly atRelay?: boolean, readonly wasConnected?: boolean, readonly wasAborted?: boolean, readonly isRelayIsolated?: boolean }
   /** The request was sent and may have run. `isReset` is whether its connection was reset, so that nothing shows that the server responds. `partialBody` is set if a response of the server had begun. */
   | { readonly kind: 'lost', readonly detail: string, readonly aborted: boolean, readonly isReset?: boolean, readonly partialBody?: PartialBody }
 
@@ -107,7 +107,7 @@
       resolve(outcome?.kind === 'lost' && responseBody !== null ? { ...outcome, partialBody: { ...responseBody.mark, receivedBytes: responseBody.receivedBytes() } } : outcome)
     }
     function abort (): void {
-      settle(sent ? { kind: 'lost', detail: 'The router aborted the attempt', aborted: true } : { kind: 'unsent', detail: 'The router aborted the attempt', refused: false })
+      settle(sent ? { kind: 'lost', detail: 'The router aborted the attempt', aborted: true } : { kind: 'unsent', detail: 'The router aborted the attempt', refused: false, wasAborted: true })
       // Without a reset, data delayed by a partition would still reach the server later.
       if (sent && request.socket !== null) resetConnection(request.socket)
       request.destroy()
--- a/src/gateway/server_admission.ts
+++ b/src/gateway/server_admission.ts
@@ -10,9 +10,12 @@
  * wait: coming back while the key is still hot would use up their retries.
  */
 import type { RoutedServer } from '../routing/mod.ts'
+import { NO_WARM_UP, type WarmUpTracker } from '../warm_up/mod.ts'
 import { admit, maximumRetryAfterMs } from './admission.ts'
+import { hasReachedServer } from './outcomes.ts'
 import type { RequestLimits } from './request_limits.ts'
 import type { RequestPermits } from './request_permits.ts'
+import type { AttemptOutcome } from './send_attempt.ts'
 import type { ServerLoads } from './server_loads.ts'
 
 /** A request that is about to be sent to a server. */
@@ -32,11 +35,11 @@
   readonly maximumOccupancy?: number
 }
 
-/** The decision; `end` is called when an admitted request has ended. */
+/** The decision; `end` is called with its outcome when an admitted request has ended. Without an outcome, the request counts as received. */
 export type ServerAdmissionDecision =
-  | { readonly kind: 'admit', readonly end: () => void }
-  /** `returnAfterMs` is the time after which the caller may return, in milliseconds; `isOverLimit` is whether the limit that the server has named is the reason. */
-  | { readonly kind: 'refuse', readonly returnAfterMs: number, readonly isOverLimit: boolean }
+  | { readonly kind: 'admit', readonly end: (outcome?: AttemptOutcome) => void }
+  /** `returnAfterMs` is the time after which the caller may return, in milliseconds; `isOverLimit` is whether a limit on the request rate is the reason: one that the server has named or, with `isCold`, that of a cold server. */
+  | { readonly kind: 'refuse', readonly returnAfterMs: number, readonly isOverLimit: boolean, readonly isCold?: boolean }
 
 /** Admission control of the servers that one host sends to. */
 export interface ServerAdmission {
@@ -59,6 +62,8 @@
   readonly loads: ServerLoads
   readonly limits: Pick<RequestLimits, 'limitOf'>
   readonly permits: Pick<RequestPermits, 'take'>
+  /** Default: no server is ever cold. */
+  readonly warmUp?: Pick<WarmUpTracker, 'take' | 'returnTaken' | 'requestsPerSecond'>
   /** Monotonic time in milliseconds. */
   readonly now: () => number
 }
@@ -70,7 +75,7 @@
  * @returns The admission control.
  */
 export function createServerAdmission (options: ServerAdmissionOptions): ServerAdmission {
-  const { loads, limits, permits, now } = options
+  const { loads, limits, permits, warmUp = NO_WARM_UP, now } = options
   /** Requests in flight by server and key. */
   const keysInFlight = new Map<string, Map<number, number>>()
   /** When the next caller that a server has refused may return. */
@@ -107,7 +112,8 @@
     // A time that is no number would stay with the server's later callers.
     const at = Math.max(now() + (Number.isFinite(roomAfterMs) ? roomAfterMs : loads.workMs(server)), nextReturnAt.get(server.id) ?? 0)
     if (at - now() >= longestMs) return longestMs
-    nextReturnAt.set(server.id, at + Math.max(loads.workMs(server) / server.slots, 1000 / (limits.limitOf(server) ?? Infinity)))
+    const perSecond = Math.min(limits.limitOf(server) ?? Infinity, warmUp.requestsPerSecond(server) ?? Infinity)
+    nextReturnAt.set(server.id, at + Math.max(loads.workMs(server) / server.slots, 1000 / perSecond))
     return at - now()
   }
 
@@ -119,9 +125,22 @@
       const admission = admit({ isFull: loads.isFull(server.id), expectedMs: loads.expectedMs(server), workMs, latencyGoalMs: query.latencyGoalMs, remainingMs: query.remainingMs })
       if (admission.kind === 'refuse') return { kind: 'refuse', returnAfterMs: scheduleReturn(server, admission.roomAfterMs, query), isOverLimit: false }
       // Asked last, so that no permit is spent on a request that is not sent.
+      const takenAt = now()
+      const warmAfterMs = warmUp.take(server)
+      if (warmAfterMs !== null) return { kind: 'refuse', returnAfterMs: scheduleReturn(server, warmAfterMs, query), isOverLimit: true, isCold: true }
       const permitAfterMs = permits.take(server, query.isRelay)
-      if (permitAfterMs !== null) return { kind: 'refuse', returnAfterMs: scheduleReturn(server, permitAfterMs, query), isOverLimit: true }
-      return { kind: 'admit', end: trackKey(server, query.key) }
+      if (permitAfterMs !== null) {
+        warmUp.returnTaken(server, takenAt)
+        return { kind: 'refuse', returnAfterMs: scheduleReturn(server, permitAfterMs, query), isOverLimit: true }
+      }
+      const endKey = trackKey(server, query.key)
+      return {
+        kind: 'admit',
+        end (outcome) {
+          endKey()
+          if (outcome !== undefined && !hasReachedServer(outcome)) warmUp.returnTaken(server, takenAt)
+        }
+      }
     },
     returnAfterMs: (server, query) => scheduleReturn(server, loads.workMs(server), query)
   }
--- a/src/gateway/server_admission_test.ts
+++ b/src/gateway/server_admission_test.ts
@@ -126,4 +126,19 @@
   assert.is(new Set(returns.slice(0, 18)).size, 18)
 })
 
+test('decide() returns the permit of a cold server, when another limit refuses the request or it was not received', () => {
+  const taken: number[] = []
+  const warmUp = { take: () => taken.push(0) > 0 ? null : 0, returnTaken () { taken.pop() }, requestsPerSecond: () => 5 }
+  const loads = createServerLoads(() => 0)
+  const limited = createServerAdmission({ ...withoutLimits, permits: { take: () => 40 }, warmUp, loads, now: () => 0 })
+  assert.is(limited.decide(server, query).kind, 'refuse')
+  assert.is(taken.length, 0)
+  const admission = createServerAdmission({ ...withoutLimits, warmUp, loads, now: () => 0 })
+  for (const [outcome, left] of [[{ kind: 'unsent', detail: '', refused: true }, 0], [{ kind: 'not-run', status: 421, misdirected: true }, 0], [{ kind: 'not-run', status: 503, misdirected: false }, 1], [{ kind: 'lost', detail: '', aborted: true }, 2]] as const) {
+    const decision = admission.decide(server, query)
+    if (decision.kind === 'admit') decision.end(outcome)
+    assert.is(taken.length, left, outcome.kind)
+  }
+})
+
 test.run()
--- a/src/gateway/server_loads.ts
+++ b/src/gateway/server_loads.ts
@@ -4,6 +4,7 @@
  */
 import type { RoutedServer } from '../routing/mod.ts'
 import { PathResult, type ReachabilityMonitor } from '../reachability/mod.ts'
+import type { WarmUpTracker } from '../warm_up/mod.ts'
 import { createGroupFailureDetector } from './group_failure_detector.ts'
 
 /** Outcome of a request for the load of its server. */
@@ -15,8 +16,8 @@
   | { readonly kind: 'shed' }
   /** The router or the caller aborted the request before the server responded. */
   | { readonly kind: 'abandoned', readonly durationMs: number }
-  /** No connection could be made; `refused` is whether it was refused. */
-  | { readonly kind: 'lost', readonly refused: boolean }
+  /** No connection could be made; `refused` is whether it was refused, `wasAborted` whether the router gave up before that was known. */
+  | { readonly kind: 'lost', readonly refused: boolean, readonly wasAborted?: boolean }
   /** The outcome contains no information about the load of the server. */
   | { readonly kind: 'other' }
 
@@ -115,6 +116,17 @@
 /** Reachability of a host that is not monitored. */
 const ALWAYS_REACHABLE: Pick<ReachabilityMonitor, 'trackRequest' | 'isTrusted'> = { trackRequest: () => () => {}, isTrusted: () => true }
 
+/** Warm-up on a host without a tracker: as the list says. */
+const LISTED_WARM_UP: Pick<WarmUpTracker, 'isWarmingUp' | 'recordRefusedConnection'> = { isWarmingUp: (server) => server.warmUpLeftMs > 0, recordRefusedConnection: () => {} }
+
+/** Options of {@link createServerLoads}. */
+export interface ServerLoadsOptions {
+  /** Whether this host reaches servers. Default: always. */
+  readonly reachability?: Pick<ReachabilityMonitor, 'trackRequest' | 'isTrusted'>
+  /** Which servers warm up; told of connections that fail. Default: as the list says. */
+  readonly warmUp?: Pick<WarmUpTracker, 'isWarmingUp' | 'recordRefusedConnection'>
+}
+
 /** Number of consecutive lost requests after which a server counts as unresponsive. */
 const CONSECUTIVE_LOSS_LIMIT = 2
 
@@ -142,10 +154,11 @@
  *
  * @param now Monotonic time in milliseconds.
  * @param assumedWorkMs Assumed duration of a request to a service without measurements, in milliseconds. Default: 120 for every service.
- * @param reachability Whether this host reaches servers. Default: always.
+ * @param options Reachability and warm-up.
  * @returns The loads.
  */
-export function createServerLoads (now: () => number, assumedWorkMs: (service: string) => number = () => 120, reachability: Pick<ReachabilityMonitor, 'trackRequest' | 'isTrusted'> = ALWAYS_REACHABLE): ServerLoads {
+export function createServerLoads (now: () => number, assumedWorkMs: (service: string) => number = () => 120, options: ServerLoadsOptions = {}): ServerLoads {
+  const { reachability = ALWAYS_REACHABLE, warmUp = LISTED_WARM_UP } = options
   const states = new Map<string, ServerState>()
   /** Losses that are not reported yet: only a later response of any server shows that this host reaches servers, and that the loss concerns the one. */
   const unconfirmedLosses = new Map<ServerState, { lost: number, refused: number }>()
@@ -168,7 +181,7 @@
   function workMs (server: RoutedServer): number {
     const state = stateOf(server.id)
     const base = idleWorkMs(state, server)
-    return state.viewWorkMs === 0 && server.warmUpLeftMs > 0 ? base * WARM_UP_FACTOR : base
+    return state.viewWorkMs === 0 && warmUp.isWarmingUp(server) ? base * WARM_UP_FACTOR : base
   }
 
   function expectedMs (server: RoutedServer): number {
@@ -203,6 +216,11 @@
     if (state.consecutiveLosses >= CONSECUTIVE_LOSS_LIMIT) state.unresponsiveUntil = now() + UNRESPONSIVE_MS
   }
 
+  /** Whether the server may have restarted. A timeout says nothing about it while this host may be cut off. */
+  function isEvidenceOfRestart (outcome: LoadOutcome): boolean {
+    return outcome.kind === 'lost' && (outcome.refused || (outcome.wasAborted !== true && reachability.isTrusted()))
+  }
+
   function confirmLosses (): void {
     for (const [{ sample }, { lost, refused }] of unconfirmedLosses) {
       sample.lost += lost
@@ -247,6 +265,7 @@
         if (ended) return
         ended = true
         endPathRequest(toPathResult(outcome))
+        if (isEvidenceOfRestart(outcome)) warmUp.recordRefusedConnection(server)
         // The request has been discarded.
         if (!state.pending.delete(pending)) return
         state.ownInFlight--
--- a/src/relay/create_relay.ts
+++ b/src/relay/create_relay.ts
@@ -136,7 +136,7 @@
     }, { agent: options.agent, names, limits: options.limits, onLeaving: routingState.recordLeaving })
     const durationMs = now() - sentAt
     end(toLoadOutcome(outcome, durationMs))
-    admission.end()
+    admission.end(outcome)
     reportAttempt(options.guard, { server, fingerprint, sentAt, outcome })
     const responseBody = await sendOutcome(response, { outcome, server, query, memory, signal })
     record(request, { server, outcome, durationMs, inFlight, expectedMs, fingerprint, responseBody })
--- a/src/relay/isolated_host_test.ts
+++ b/src/relay/isolated_host_test.ts
@@ -49,7 +49,7 @@
   routingState.setOwners('orders', [{ from: 0, to: 65535, owner: { kind: 'owned', server: 's0' } }])
   let marked: Isolation | null = null
   const reachability = createReachabilityMonitor({ zone: 'a', servers: routingState.servers, probe: createConnectProbe(100), now, random: Math.random, onChange (isolation) { if (isolation !== null) loads.discardOwnRequests() } })
-  const loads = createServerLoads(now, () => 20, reachability)
+  const loads = createServerLoads(now, () => 20, { reachability })
   const limits = createRequestLimits({ now, onChange: () => {} })
   const permits = createRequestPermits({ limits, hostCount: () => 3, now, random: Math.random })
   const admission = createServerAdmission({ loads, limits, permits, now })
--- a/testing/with_gateway.ts
+++ b/testing/with_gateway.ts
@@ -14,6 +14,7 @@
 import { createServerAgent } from '../src/gateway/server_agent.ts'
 import { createServerLoads } from '../src/gateway/server_loads.ts'
 import { RequestKind, type Route, type RoutingConfiguration } from '../src/routing/mod.ts'
+import type { WarmUpTracker } from '../src/warm_up/mod.ts'
 import { callPort, type CallerResponse, type CallPortOptions } from './call_port.ts'
 import { createTestGuard } from './create_test_guard.ts'
 import { createFakeBackend, TEST_HEADER_NAMES, type BackendHandler, type FakeBackend } from './fake_backend.ts'
@@ -52,6 +53,8 @@
   readonly retries?: number
   /** Default: no relays. */
   readonly relays?: PathSelector
+  /** Default: no server is cold. */
+  readonly warmUp?: WarmUpTracker
   /** When the host stops. Default: never. */
   readonly stopsAt?: () => number
 }
@@ -71,13 +74,14 @@
   const records: RequestRecord[] = []
   const agent = createServerAgent()
   const now = (): number => performance.now()
-  const loads = createServerLoads(now)
+  const warmUp = options.warmUp === undefined ? {} : { warmUp: options.warmUp }
+  const loads = createServerLoads(now, undefined, warmUp)
   const limits = createRequestLimits({ now, onChange: () => {} })
   const permits = createRequestPermits({ limits, hostCount: () => 1, now, random: () => 0 })
   const responseMemory = createResponseMemory()
   const budget = createRetryBudget({ share: 0, maximum: options.retries ?? 5 })
   const gateway = createGateway({
-    routingState, loads, limits, permits, admission: createServerAdmission({ loads, limits, permits, now }), guard: createTestGuard(), responseMemory, agent, relays: options.relays ?? { select: () => ({ kind: 'direct' }), isRelay: () => true, isIsolated: () => false, recordIsolated: () => {} }, relayAgent: agent, names: TEST_HEADER_NAMES, host: 'h1', zone: 'a', retryBudgetOf: () => budget, now, random: () => 0, onKeyRequested: () => {}, onRequestEnd: (record) => { records.push(record) }, isLeaving: () => false, stopsAt: () => options.stopsAt?.() ?? Infinity
+    routingState, loads, limits, permits, ...warmUp, admission: createServerAdmission({ loads, limits, permits, now, ...warmUp }), guard: createTestGuard(), responseMemory, agent, relays: options.relays ?? { select: () => ({ kind: 'direct' }), isRelay: () => true, isIsolated: () => false, recordIsolated: () => {} }, relayAgent: agent, names: TEST_HEADER_NAMES, host: 'h1', zone: 'a', retryBudgetOf: () => budget, now, random: () => 0, onKeyRequested: () => {}, onRequestEnd: (record) => { records.push(record) }, isLeaving: () => false, stopsAt: () => options.stopsAt?.() ?? Infinity
   })
   const server: Server = createCallerServer({ limits: TEST_CONFIGURATION.limits, maximumConnections: 100, handle: gateway.handle, onError: () => {} })
   await new Promise<void>((resolve) => { server.listen(0, '127.0.0.1', resolve) })
