Notify hosts of servers that become cold again, and plan for their rate

Cause: the digest of the list has no warm-up, so a change of WarmupLeft alone was never published, and a host that connected could get a list kept from an earlier read, with warm-up that had long ended. A server that returned cold was planned with its full capacity. Ruled out: warm-up in the digest, which would send the list each second. Change: message cold-servers, also among the initial updates; the list for a host that connects is that of the last read; capacity of a cold server is its rate; log lines server-cold and server-warm at its relay; coldServers in /state. A probe that meets a refused connection after lost requests counts, too.

--- a/src/entry_host/_task_timing.ts
+++ b/src/entry_host/_task_timing.ts
@@ -6,6 +6,8 @@
   reachabilityIntervalMs: 50,
   /** Interval at which an isolated leader checks whether it can hand over; the first check gives other hosts time to find out whether they are isolated, too. */
   isolatedLeaderIntervalMs: 200,
+  /** Interval at which the end of the warm-up of servers is noticed, for the log. */
+  warmUpIntervalMs: 600,
   /** Time without a connection after which a probed server counts as not reached: many round trips within a region. */
   probeTimeoutMs: 200,
   /** Interval at which due grants and releases are started. */
--- a/src/entry_host/create_coordinator.ts
+++ b/src/entry_host/create_coordinator.ts
@@ -30,6 +30,8 @@
   readonly maximumGrantDurationMs: number
   /** Whether most of the hosts that reported before the store stopped responding still report. If not, the cause is a network partition and not the store. */
   readonly isMajorityReporting: () => boolean
+  /** Requests per second that a server may receive because it is cold; `null` if it is warm. Default: no server is cold. */
+  readonly coldRequestsPerSecond?: (server: RoutedServer) => number | null
   /** Since when this host certainly reaches servers; monotonic time in milliseconds, `Infinity` while it may not. Default: always. */
   readonly reachesServersSince?: () => number
   readonly publish: (update: Update) => void
@@ -166,9 +168,9 @@
       const view = views.get(server.id)
       const workMs = view !== undefined && view.workMs > 0 ? view.workMs : mean
       const successShare = Math.max(MINIMUM_CAPACITY_SHARE, 1 - (view?.failureShare ?? 0))
-      const limit = loads.requestLimit(server.id, now())
-      const limitPerMs = limit === null ? Infinity : limit * LIMIT_PLAN_SHARE / 1000
-      return { id: server.id, capacity: Math.min(server.slots / workMs * successShare, limitPerMs) }
+      // A server that has returned cold must not get its former share at once.
+      const limit = Math.min(loads.requestLimit(server.id, now()) ?? Infinity, options.coldRequestsPerSecond?.(server) ?? Infinity)
+      return { id: server.id, capacity: Math.min(server.slots / workMs * successShare, limit * LIMIT_PLAN_SHARE / 1000) }
     })
   }
 
--- a/src/entry_host/create_coordinator_test.ts
+++ b/src/entry_host/create_coordinator_test.ts
@@ -2,7 +2,7 @@
 import { suite } from 'uvu'
 import * as assert from 'uvu/assert'
 import { createFakeTable, type FakeTable } from '../../testing/fake_table.ts'
-import { createRoutingState, type RoutingState } from '../gateway/mod.ts'
+import { createRoutingState, type RoutingState, type ServerSample } from '../gateway/mod.ts'
 import { createLeadership, LEASE_KEY, LeaseTiming, type Leadership } from '../leadership/mod.ts'
 import { createLogger } from '../logging/mod.ts'
 import { decodePlanRecord, type GrantCall } from '../ownership/mod.ts'
@@ -17,6 +17,8 @@
   readonly routingState: RoutingState
   readonly coordinator: Coordinator
   readonly grants: readonly GrantCall[]
+  /** Requests per second of cold servers; empty at first. */
+  readonly coldRates: Map<string, number>
   /** Runs the coordinator for a time, in milliseconds; `onStep` is called each 50 ms. */
   run (forMs: number, onStep?: () => Promise<void>): Promise<void>
 }
@@ -46,6 +48,7 @@
   let now = 0
   const leadership = createLeadership({ table, logger, holder, address: `${holder}:1`, now: () => now, wallClock: () => now })
   const grants: GrantCall[] = []
+  const coldRates = new Map<string, number>()
   const coordinator = createCoordinator({
     routingState,
     leadership,
@@ -62,6 +65,7 @@
     now: () => now,
     maximumGrantDurationMs: 10_000,
     isMajorityReporting: () => true,
+    coldRequestsPerSecond: ({ id }) => coldRates.get(id) ?? null,
     publish: () => {},
     onOwnerChanges: routingState.setOwners
   })
@@ -71,6 +75,7 @@
     routingState,
     coordinator,
     grants,
+    coldRates,
     async run (forMs, onStep) {
       for (const endsAt = now + forMs; now < endsAt; now += 50) {
         if (now % 800 === 0) await leadership.renew()
@@ -90,8 +95,8 @@
   assert.is(routingState.ownerOf('lookups', 4711).kind, 'owned')
 })
 
-test('plan() moves most keys of a server away, when it names a limit far below its share of the requests', async () => {
-  const { routingState, coordinator, run } = await createSetup()
+/** Checks that most keys of `i-1` move away while its samples have the additional fields. */
+async function checkKeysMove ({ routingState, coordinator, run }: Setup, fields: Partial<ServerSample>): Promise<void> {
   await run(800)
   const keys = Array.from({ length: 500 }, (_, index) => index * 131)
   function ownedBy (server: string): number {
@@ -104,12 +109,23 @@
   const sample = { inFlight: 1, oldestMs: 50, served: 5, workMs: 500, failed: 0, shed: 0, lost: 0, refused: 0, wanted: 5 }
   // Without a limit each server runs 40 requests a second.
   await run(4000, async () => {
-    coordinator.onReport({ name: 'h1', zone: 'a' }, { kind: 'report', samples: [['i-1', { ...sample, limit: [5, 0] }], ['i-2', sample]], keys: [['lookups', keys.map((key) => [key, 1] as const)]] })
+    coordinator.onReport({ name: 'h1', zone: 'a' }, { kind: 'report', samples: [['i-1', { ...sample, ...fields }], ['i-2', sample]], keys: [['lookups', keys.map((key) => [key, 1] as const)]] })
     await coordinator.plan()
   })
   assert.ok(before > 200, `${before} keys before`)
   assert.ok(ownedBy('i-1') < keys.length * 0.2, `${ownedBy('i-1')} keys after`)
   assert.ok(ownedBy('i-2') > keys.length * 0.7, `${ownedBy('i-2')} keys at the other server`)
+}
+
+test('plan() moves most keys of a server away, when it names a limit far below its share of the requests', async () => {
+  await checkKeysMove(await createSetup(), { limit: [5, 0] })
+})
+
+// Guards against a server of a zone that returns and gets its former load at once.
+test('plan() counts the capacity of a cold server as its request rate, when that is far below its share of the requests', async () => {
+  const setup = await createSetup()
+  setup.coldRates.set('i-1', 5)
+  await checkKeysMove(setup, {})
 })
 
 // Guards against keys that are granted by a plan that the store has lost: the next leader would not know of the grants.
--- a/src/entry_host/create_entry_host.ts
+++ b/src/entry_host/create_entry_host.ts
@@ -15,6 +15,7 @@
 import { createConnectProbe, createReachabilityMonitor, type Isolation } from '../reachability/mod.ts'
 import { createRelay, createRelayDirectory } from '../relay/mod.ts'
 import { createPeerServer, createLeaderConnection, OPTIONAL_KINDS } from '../replication/mod.ts'
+import { INITIAL_LIMITS, RELAY_IDLE_CONNECTIONS, RELAY_LIMITS, RESERVED_SOCKETS } from './_connection_limits.ts'
 import { listen, pause } from './_listen.ts'
 import { TaskTiming } from './_task_timing.ts'
 import { trackControl } from './_tracked_control.ts'
@@ -35,6 +36,7 @@
 import { createRetryBudgets, type RetryBudgetsState } from './retry_budgets.ts'
 import { createStoreReader, type PublishedState } from './store_reader.ts'
 import { createUpdateHandler } from './update_handler.ts'
+import { createWarmUp } from './create_warm_up.ts'
 
 /** Options of {@link createEntryHost}. */
 export interface EntryHostOptions {
@@ -59,21 +61,9 @@
   retryBudgets (): RetryBudgetsState
 }
 
-/** Limits that apply until the first configuration is read. */
-const INITIAL_LIMITS = { headerBytes: 16_384, bodyBytes: 64 * 1024 * 1024, headerTimeoutMs: 3000, idleTimeoutMs: 15_000 } as const
-
 /** Duration of grants while the store is unavailable, in milliseconds: covers an outage of nine seconds, less the time to detect it. */
 const OUTAGE_GRANT_DURATION_MS = 8500
 
-/** Maximum number of idle connections kept to one relay: requests for several of its servers may arrive at once. */
-const RELAY_IDLE_CONNECTIONS = 8
-
-/** Limits of requests from other hosts: these have already checked the header and body of the caller's request, and their connections stay open. */
-const RELAY_LIMITS = { headerBytes: 128 * 1024, bodyBytes: Infinity, headerTimeoutMs: 10_000, idleTimeoutMs: 300_000 } as const
-
-/** Sockets reserved for the store, other hosts and operators. */
-const RESERVED_SOCKETS = 400
-
 /** Time after the stop signal during which the load balancer still sends new connections, in milliseconds: two failed health checks one second apart. */
 const BALANCER_DETECTION_MS = 2300
 
@@ -102,12 +92,13 @@
   })
   const isIsolated = (): boolean => reachability.isolation() !== null
   const reachesServersSince = (): number => reachability.isTrusted() ? reachability.trustedSince() : Infinity
-  const loads = createServerLoads(now, routingState.assumedWorkMs, reachability)
+  const warmUp = createWarmUp({ routingState, relays: () => relays, bound: settings.warmUpBound, isLeading: () => leadershipController.isLeading(), publish (update) { peerServer.publish(update) }, logger, now })
+  const loads = createServerLoads(now, routingState.assumedWorkMs, { reachability, warmUp: warmUp.tracker })
   const hostCount = createHostCount(now)
   const budgets = createRetryBudgets({ ratio: settings.retryRatio, slack: settings.retrySlack, hostCount, random: Math.random, ...createRetryBudgetLog(logger, now) })
   const limits = createRequestLimits({ now, onChange: createLimitLog(logger) })
   const permits = createRequestPermits({ limits, hostCount: hostCount.sharing, now, random: Math.random })
-  const admission = createServerAdmission({ loads, limits, permits, now })
+  const admission = createServerAdmission({ loads, limits, permits, warmUp: warmUp.tracker, now })
   const responseMemory = createResponseMemory({ onEnded: createEndedResponseLog(logger, now) })
   const agent = createServerAgent()
   const relayAgent = new Agent({ keepAlive: true, maxFreeSockets: RELAY_IDLE_CONNECTIONS, scheduling: 'lifo' })
@@ -118,7 +109,7 @@
     table: options.table, logger, holder, address: `${settings.ip}:${settings.peerPort}`, hostCount, now, wallClock: () => Date.now()
   })
   const protection = createRequestProtection({
-    routingState, probe, verifyReachability: reachability.verify, table: options.table, leadership, isLeading: () => leadershipController.isLeading(), publish (message) { peerServer.publish(message) }, send (message) { leaderConnection.send(message) }, logger, now
+    routingState, probe, verifyReachability: reachability.verify, table: options.table, leadership, isLeading: () => leadershipController.isLeading(), publish (message) { peerServer.publish(message) }, send (message) { leaderConnection.send(message) }, onServerRefusing: warmUp.tracker.recordRefusedConnection, logger, now
   })
   const { guard, exchange: evidence, refusalStore } = protection
   const requestLog = createRequestLog(logger, now)
@@ -137,6 +128,7 @@
     logger,
     now,
     reachesServersSince,
+    coldRequestsPerSecond: warmUp.tracker.requestsPerSecond,
     maximumGrantDurationMs: Math.min(settings.maximumGrantDurationMs, OUTAGE_GRANT_DURATION_MS),
     isMajorityReporting: hostReportTracker.isMajorityReporting,
     publish: (update) => { peerServer.publish(update) },
@@ -147,7 +139,7 @@
     initialUpdates: (connected) => [
       { kind: 'identity', holder, accepts: OPTIONAL_KINDS },
       ...evidence.initialUpdates(),
-      ...(leadershipController.isLeading() ? [...coordinator.initialUpdates(connected), ...statePublisher.relaysUpdates()] : [])
+      ...(leadershipController.isLeading() ? [...coordinator.initialUpdates(connected), ...warmUp.initialUpdates(), ...statePublisher.relaysUpdates()] : [])
     ],
     onReport (reportingHost, report) {
       hostReportTracker.recordReport(reportingHost.name)
@@ -178,9 +170,13 @@
       loads,
       reader: () => reader,
       evidence,
+      warmUp: warmUp.tracker,
       logger,
       onConfigurationChanged: applyConfiguration,
-      onServersChanged () { guard.onListed(routingState.servers()) },
+      onServersChanged () {
+        warmUp.onServersReceived()
+        guard.onListed(routingState.servers())
+      },
       onFailure: reportFailure,
       now
     }),
@@ -196,6 +192,7 @@
     now,
     isLeading: () => leadershipController.isLeading(),
     onConfigurationChanged: applyConfiguration,
+    onServersRead: warmUp.onServersRead,
     onServersChanged
   })
 
@@ -231,6 +228,7 @@
     loads,
     limits,
     permits,
+    warmUp: warmUp.tracker,
     admission,
     guard,
     responseMemory,
@@ -331,6 +329,7 @@
 
   const timers = [
     setInterval(() => { coordinator.tick() }, TaskTiming.grantIntervalMs),
+    setInterval(warmUp.tracker.tick, TaskTiming.warmUpIntervalMs),
     setInterval(() => { reachability.check().catch(reportFailure) }, TaskTiming.reachabilityIntervalMs),
     setInterval(() => { leadershipController.releaseIfIsolated().catch(reportFailure) }, TaskTiming.isolatedLeaderIntervalMs),
     setInterval(() => { renewLease().catch(reportFailure) }, TaskTiming.loadIntervalMs),
@@ -392,6 +391,7 @@
       loopDelayMs: loopDelayMonitor.delayMs(),
       retryBudgets: budgets.describe(),
       limits: [...limits.observations()],
+      coldServers: warmUp.tracker.describe(),
       views: [...coordinator.views()]
     })
   }
--- a/src/entry_host/create_request_protection.ts
+++ b/src/entry_host/create_request_protection.ts
@@ -1,11 +1,12 @@
 /** Protects servers from requests that end them: the guard of a host, its exchange with other hosts, and the stored refusals. */
-import { createRequestGuard, NO_EVIDENCE, type RequestGuard } from '../fatal_requests/mod.ts'
+import { createRequestGuard, EndEvidence, NO_EVIDENCE, type RequestGuard } from '../fatal_requests/mod.ts'
 import type { RoutingState } from '../gateway/mod.ts'
 import type { Leadership } from '../leadership/mod.ts'
 import type { Logger } from '../logging/mod.ts'
 import type { TableService } from '../ports/mod.ts'
 import type { ConnectProbe } from '../reachability/mod.ts'
 import type { EvidenceMessage } from '../replication/mod.ts'
+import type { RoutedServer } from '../routing/mod.ts'
 import { createEvidenceExchange, type EvidenceExchange } from './evidence_exchange.ts'
 import { createEndLog, createRefusalLog } from './fatal_request_log.ts'
 import { createRefusalStore, type RefusalStore } from './refusal_store.ts'
@@ -24,6 +25,8 @@
   readonly publish: (message: EvidenceMessage) => void
   /** Sends a message to the leader. */
   readonly send: (message: EvidenceMessage) => void
+  /** Called when a probe has found that a server ended under requests. */
+  readonly onServerRefusing: (server: RoutedServer) => void
   readonly logger: Logger
   /** Monotonic time in milliseconds. */
   readonly now: () => number
@@ -48,12 +51,16 @@
  */
 export function createRequestProtection (options: RequestProtectionOptions): RequestProtection {
   const { routingState, logger, now } = options
+  const logEnd = createEndLog(logger)
   const guard = createRequestGuard({
     probe: options.probe,
     verifyReachability: options.verifyReachability,
     // A server that is not listed any more has left without saying so.
     isLeaving: (server) => routingState.server(server.id)?.leaving !== false,
-    onChecked: createEndLog(logger),
+    onChecked (check) {
+      logEnd(check)
+      if (check.evidence === EndEvidence.refused) options.onServerRefusing(check.server)
+    },
     onEvidence (found) { exchange.add(found) },
     now,
     ...createRefusalLog(logger)
--- a/src/entry_host/create_request_protection_test.ts
+++ b/src/entry_host/create_request_protection_test.ts
@@ -25,6 +25,7 @@
     isLeading: () => false,
     publish: () => {},
     send (message) { sent.push(message) },
+    onServerRefusing: () => {},
     logger,
     now
   })
--- a/src/entry_host/initial_updates.ts
+++ b/src/entry_host/initial_updates.ts
@@ -34,7 +34,7 @@
  */
 export function createInitialUpdates (routingState: Pick<RoutingState, 'configuration' | 'servers' | 'serversDigest'>): InitialUpdates {
   let configuration: Extract<Update, { readonly kind: 'configuration' }> | null = null
-  let servers: { readonly digest: string, readonly update: Update } | null = null
+  let servers: Extract<Update, { readonly kind: 'servers' }> | null = null
   let owners: { readonly at: number, readonly updates: Update[] } | null = null
 
   function configurationUpdate (version: number): Update[] {
@@ -45,10 +45,11 @@
   }
 
   function serversUpdate (digest: string): Update[] {
-    const current = routingState.serversDigest()
-    if (current === digest) return []
-    if (servers?.digest !== current) servers = { digest: current, update: { kind: 'servers', servers: routingState.servers() } }
-    return [servers.update]
+    if (routingState.serversDigest() === digest) return []
+    // A list with the same digest may be older, and say of servers that they are cold which have long been warm.
+    const current = routingState.servers()
+    if (servers?.servers !== current) servers = { kind: 'servers', servers: current }
+    return [servers]
   }
 
   return {
--- a/src/entry_host/store_reader.ts
+++ b/src/entry_host/store_reader.ts
@@ -37,6 +37,8 @@
   /** Whether this host leads; its list of servers then also says what their responses have shown. */
   readonly isLeading: () => boolean
   readonly onConfigurationChanged: () => void
+  /** Called after each read of the servers, also if only their warm-up has changed; before `onServersChanged`. */
+  readonly onServersRead: () => void
   readonly onServersChanged: () => void
 }
 
@@ -79,6 +81,7 @@
     const digest = routingState.serversDigest()
     routingState.setServers(present)
     if (options.isLeading() && routingState.adoptLeaving()) serverList.record(routingState.servers(), now())
+    options.onServersRead()
     if (routingState.serversDigest() === digest) return
     for (const server of present) {
       if (before.get(server.id)?.leaving !== server.leaving) logger.info({ server: server.id, service: server.service, address: server.address, leaving: server.leaving, bornAt: server.bornAt }, 'server-listed')
--- a/src/entry_host/update_handler.ts
+++ b/src/entry_host/update_handler.ts
@@ -4,6 +4,7 @@
 import type { Logger } from '../logging/mod.ts'
 import type { RelayDirectory } from '../relay/mod.ts'
 import type { Update } from '../replication/mod.ts'
+import type { WarmUpTracker } from '../warm_up/mod.ts'
 import type { LeadershipController } from './create_leadership_controller.ts'
 import { decodeOwner, decodeViews } from './encode_updates.ts'
 import type { EvidenceExchange } from './evidence_exchange.ts'
@@ -23,6 +24,7 @@
   readonly loads: Pick<ServerLoads, 'applyViews'>
   readonly reader: () => Pick<StoreReader, 'readPublished' | 'recordServers'>
   readonly evidence: Pick<EvidenceExchange, 'receive' | 'sendAll'>
+  readonly warmUp: Pick<WarmUpTracker, 'recordNotices'>
   readonly logger: Logger
   readonly onConfigurationChanged: () => void
   readonly onServersChanged: () => void
@@ -72,6 +74,7 @@
     else if (update.kind === 'successor') controller.onSuccessor(update.lease)
     else if (update.kind === 'relays') options.relays.setHosts(update.hosts)
     else if (update.kind === 'fatal-requests') options.evidence.receive(update)
+    else if (update.kind === 'cold-servers') options.warmUp.recordNotices(update.servers)
     else if (update.kind === 'owners') {
       routingState.setOwners(update.service, update.changes.map(([from, to, owner]) => ({ from, to, owner: decodeOwner(owner, now()) })))
     } else if (update.kind === 'beat') {
--- a/src/replication/messages.ts
+++ b/src/replication/messages.ts
@@ -6,6 +6,7 @@
 import type { ObservedLease } from '../leadership/mod.ts'
 import type { ListChange } from '../list_change/mod.ts'
 import type { RelayHost } from '../relay/mod.ts'
+import type { ColdServerNotice } from '../warm_up/mod.ts'
 import type { ConfigurationChange, RoutedServer, RoutingConfiguration } from '../routing/mod.ts'
 import { decodeMessage, encodeMessage } from './encode_message.ts'
 
@@ -40,6 +41,8 @@
   | { readonly kind: 'servers', readonly servers: readonly RoutedServer[] }
   /** `from` and `to` are digests of the lists before and after the change. */
   | { readonly kind: 'servers-change', readonly from: string, readonly to: string, readonly change: ListChange<RoutedServer> }
+  /** Servers that have become cold again, which changes neither the list nor its digest; earlier builds ignore it. */
+  | { readonly kind: 'cold-servers', readonly servers: readonly ColdServerNotice[] }
   /** Hosts that relay requests. */
   | { readonly kind: 'relays', readonly hosts: readonly RelayHost[] }
   | { readonly kind: 'owners', readonly service: string, readonly changes: ReadonlyArray<readonly [from: number, to: number, owner: WireOwner]> }
