--- a/src/warm_up/warm_up_tracker.ts
+++ b/src/warm_up/warm_up_tracker.ts
@@ -112,14 +112,23 @@
 export function createWarmUpTracker (options: WarmUpTrackerOptions): WarmUpTracker {
   const { now, warmUpOf } = options
   const runs = new Map<string, ColdRun>()
+  /** The same by the entry, which is looked up for every server at each request. */
+  const runsByEntry = new WeakMap<RoutedServer, ColdRun>()
   const windows = new Map<string, SendWindow>()
   const coldRecords = new Map<string, ColdRecord>()
   let hasList = false
+  /** Latest of the times in all runs until when an entry says that a server is cold, and from when the warm-up time counts: usually no server is cold, which is then found out without a look at each run. */
+  let latestStatedUntil = -Infinity
+  let latestMarkAt = -Infinity
 
   function keyOf ({ id, bornAt }: Pick<RoutedServer, 'id' | 'bornAt'>): string {
     return `${bornAt} ${id}`
   }
 
+  function runOf (server: RoutedServer): ColdRun | undefined {
+    return runsByEntry.get(server) ?? runs.get(keyOf(server))
+  }
+
   function openRun (run: Pick<RoutedServer, 'id' | 'bornAt'>): ColdRun {
     const key = keyOf(run)
     const known = runs.get(key)
@@ -133,10 +142,10 @@
     return run.server === null ? undefined : warmUpOf(run.server.service)
   }
 
-  /** The period in which the run is cold; `null` if it is warm. */
+  /** The period in which the run is cold; `null` if it is warm, or not listed. */
   function currentPeriod (run: ColdRun): ColdPeriod | null {
     const warmUp = warmUpOfRun(run)
-    return warmUp !== undefined && coldUntil(run, warmUp.durationMs) > now() ? coldPeriod(run, warmUp.durationMs) : null
+    return warmUp !== undefined && run.unlistedAt === Infinity && coldUntil(run, warmUp.durationMs) > now() ? coldPeriod(run, warmUp.durationMs) : null
   }
 
   /** Reports a run that has become cold or warm; returns its record while it is cold. */
@@ -161,17 +170,29 @@
   function applyEntry (run: ColdRun, server: RoutedServer): void {
     const isNewRun = run.server === null && hasList
     run.server = server
+    runsByEntry.set(server, run)
     run.unlistedAt = Infinity
-    if (isNewRun) run.startedAt = now()
+    if (isNewRun) mark(run, 'startedAt')
     if (server.warmUpLeftMs !== run.statedMs) {
       run.statedMs = server.warmUpLeftMs
-      run.statedUntil = Math.max(run.statedUntil, now() + server.warmUpLeftMs)
+      extendStated(run, server.warmUpLeftMs)
     }
     // Other hosts receive the list itself with a new run.
     if (isNewRun) run.noticedUntil = sharedUntil(run)
     update(run)
   }
 
+  function extendStated (run: ColdRun, leftMs: number): void {
+    run.statedUntil = Math.max(run.statedUntil, now() + leftMs)
+    latestStatedUntil = Math.max(latestStatedUntil, run.statedUntil)
+  }
+
+  /** Records that a run may be cold for the warm-up time of its service from now on. */
+  function mark (run: ColdRun, time: 'startedAt' | 'unreachableAt' | 'zoneReturnedAt'): void {
+    run[time] = now()
+    latestMarkAt = run[time]
+  }
+
   function sharedUntil (run: ColdRun): number {
     return sharedColdPeriod(run, warmUpOfRun(run)?.durationMs ?? 0).until
   }
@@ -186,10 +207,11 @@
 
   function discardOldRuns (listed: ReadonlySet<string>): void {
     for (const [key, run] of runs) {
-      if (!listed.has(key)) run.unlistedAt = Math.min(run.unlistedAt, now())
-      if (now() - run.unlistedAt <= UNLISTED_RETENTION_MS) continue
-      runs.delete(key)
+      if (listed.has(key)) continue
+      run.unlistedAt = Math.min(run.unlistedAt, now())
+      // A run that has ended does not become warm; another one may have its id.
       coldRecords.delete(key)
+      if (now() - run.unlistedAt > UNLISTED_RETENTION_MS) runs.delete(key)
     }
     const ids = new Set([...runs.values()].map((run) => run.id))
     for (const id of windows.keys()) if (!ids.has(id)) windows.delete(id)
@@ -206,14 +228,16 @@
 
   function coldForMs (server: RoutedServer): number {
     const warmUp = warmUpOf(server.service)
-    const run = runs.get(keyOf(server))
-    return run === undefined || warmUp === undefined ? 0 : Math.max(0, coldUntil(run, warmUp.durationMs) - now())
+    if (warmUp === undefined || now() >= Math.max(latestStatedUntil, latestMarkAt + warmUp.durationMs)) return 0
+    const run = runOf(server)
+    return run === undefined ? 0 : Math.max(0, coldUntil(run, warmUp.durationMs) - now())
   }
 
   /** Time until this host may send to a cold server, in milliseconds; 0 if it may now. */
   function waitMs (server: RoutedServer, warmUp: ServiceWarmUp): number {
-    if (!options.isRelay(server)) return coldForMs(server)
-    return Math.min(coldForMs(server), windowOf(server).waitMs(hostRate(warmUp, options.bound), now()))
+    const remainingMs = coldForMs(server)
+    if (remainingMs === 0 || !options.isRelay(server)) return remainingMs
+    return Math.min(remainingMs, windowOf(server).waitMs(hostRate(warmUp, options.bound), now()))
   }
 
   return {
@@ -224,15 +248,15 @@
       discardOldRuns(new Set(servers.map(keyOf)))
     },
     recordRefusedConnection (server) {
-      const run = runs.get(keyOf(server))
+      const run = runOf(server)
       if (run === undefined) return
-      run.unreachableAt = now()
+      mark(run, 'unreachableAt')
       update(run)
     },
     recordZoneReturned (zone) {
       for (const run of runs.values()) {
         if (run.server?.zone !== zone) continue
-        run.zoneReturnedAt = now()
+        mark(run, 'zoneReturnedAt')
         // Each host learns from the configuration that the evacuation has ended.
         run.noticedUntil = Math.max(run.noticedUntil, sharedUntil(run))
         update(run)
@@ -242,14 +266,14 @@
       for (const [id, bornAt, leftMs] of notices) {
         if (!Number.isFinite(leftMs)) continue
         const run = openRun({ id, bornAt })
-        run.statedUntil = Math.max(run.statedUntil, now() + Math.min(MAXIMUM_STATED_MS, leftMs))
+        extendStated(run, Math.min(MAXIMUM_STATED_MS, leftMs))
         run.noticedUntil = Math.max(run.noticedUntil, run.statedUntil)
         update(run)
       }
     },
     isCold: (server) => coldForMs(server) > 0,
     coldForMs,
-    isWarmingUp: (server) => coldForMs(server) > 0 || (runs.get(keyOf(server))?.statedUntil ?? -Infinity) > now(),
+    isWarmingUp: (server) => coldForMs(server) > 0 || (runOf(server)?.statedUntil ?? -Infinity) > now(),
     requestsPerSecond (server) {
       const warmUp = warmUpOf(server.service)
       return warmUp === undefined || coldForMs(server) === 0 ? null : hostRate(warmUp, options.bound)
@@ -257,9 +281,9 @@
     take (server) {
       const warmUp = warmUpOf(server.service)
       if (warmUp === undefined) return null
-      const run = runs.get(keyOf(server))
+      const run = runOf(server)
       const record = run === undefined ? null : update(run)
-      const remainingMs = record === null ? 0 : waitMs(server, warmUp)
+      const remainingMs = waitMs(server, warmUp)
       if (remainingMs > 0) {
         if (record !== null) record.refused++
         return remainingMs
--- a/src/warm_up/warm_up_tracker_test.ts
+++ b/src/warm_up/warm_up_tracker_test.ts
@@ -91,7 +91,9 @@
   const restarted = serverOf('s0', { bornAt: 2, warmUpLeftMs: 2400 })
   host?.tracker.onListed([restarted])
   assert.ok(mostInSecond(sendLoad(hosts, [restarted], { clock, forMs: 2900 })) <= TOLERATED)
-  assert.equal(host?.changes.map(({ isCold, reason }) => [isCold, reason]).slice(0, 2), [[true, 'unreachable'], [true, 'started']])
+  clock.now += 600
+  host?.tracker.tick()
+  assert.equal(host?.changes.map(({ server: { bornAt }, isCold, reason }) => [bornAt, isCold, reason]), [[1, true, 'unreachable'], [2, true, 'started'], [2, false, 'started']])
 })
 
 test('take() sends nothing to a server until a second has passed, when it turns cold while it gets traffic', () => {
--- a/tools/_mutation_list.ts
+++ b/tools/_mutation_list.ts
@@ -18,6 +18,7 @@
 const DISCONNECTS = 'src/gateway/caller_disconnect_test.ts'
 const RELAY = 'src/relay/create_relay_test.ts'
 const PERMITS = 'src/gateway/request_permits_test.ts'
+const COLD = 'src/warm_up/warm_up_tracker_test.ts'
 const LIMITS = 'src/gateway/request_limits_test.ts'
 const LOADS = 'src/entry_host/load_aggregator_test.ts'
 const SERVER_LOADS = 'src/gateway/server_loads_test.ts'
@@ -70,6 +71,11 @@
   { name: 'each host keeps the whole limit', file: 'src/gateway/request_permits.ts', find: 'DIRECT_SHARE / Math.max(1, options.hostCount())', replace: '1', test: PERMITS },
   { name: 'a new relay starts with all permits', file: 'src/gateway/request_permits.ts', find: 'tokens: isRelay ? 0 : options.random()', replace: 'tokens: isRelay ? 100 : options.random()', test: PERMITS },
   { name: 'idle hosts keep a whole permit', file: 'src/gateway/request_permits.ts', find: '(isRelay || now() - bucket.updatedAt <= DIRECT_IDLE_MS)', replace: 'true', test: PERMITS },
+  { name: 'the window of a cold server is shorter than a second', file: 'src/warm_up/_send_window.ts', find: 'WINDOW_MS = 1100', replace: 'WINDOW_MS = 900', test: COLD },
+  { name: 'a late return of a permit removes another request', file: 'src/warm_up/_send_window.ts', find: 'if (now - addedAt >= WINDOW_MS) return false', replace: '', test: COLD },
+  { name: 'every host sends to cold servers', file: 'src/warm_up/warm_up_tracker.ts', find: 'remainingMs === 0 || !options.isRelay(server)', replace: 'remainingMs === 0', test: COLD },
+  { name: 'requests to a warm server do not count once it is cold', file: 'src/warm_up/warm_up_tracker.ts', find: '      windowOf(server).add(now())', replace: '      if (record !== null) windowOf(server).add(now())', test: COLD },
+  { name: 'an old entry is news', file: 'src/warm_up/warm_up_tracker.ts', find: 'if (server.warmUpLeftMs !== run.statedMs)', replace: 'if (server.warmUpLeftMs >= 0)', test: COLD },
   { name: 'an earlier response ends a limit', file: 'src/gateway/request_limits.ts', find: '&& sentAt >= state.observedAt', replace: '', test: LIMITS },
   { name: 'an older report of a limit replaces a newer one', file: 'src/entry_host/load_aggregator.ts', find: 'if (now - ageMs < load.limitObservedAt) return', replace: '', test: LOADS },
   { name: 'a loss counts before another server has responded', file: 'src/gateway/server_loads.ts', find: 'losses.lost++', replace: 'state.sample.lost++', test: SERVER_LOADS },
