Test which failed connections count as a restart

Cause: the rule in the loads had a test for refused connections only. Change: a test of timeouts, of a host that is cut off, of attempts that the router aborts and of resets. Nothing else changes; nothing was ruled out.

--- a/src/gateway/server_loads_test.ts
+++ b/src/gateway/server_loads_test.ts
@@ -130,4 +130,15 @@
   assert.is(loads.isUnresponsive(server), false)
 })
 
+// Guards against servers that are limited as cold because a caller has left, or this host is cut off.
+test('trackRequest() takes a server for restarted, when it refuses a connection, or lets one time out while this host reaches servers', () => {
+  for (const [isTrusted, outcome, expected] of [[true, { refused: true }, 1], [false, { refused: true }, 1], [true, { refused: false }, 1], [false, { refused: false }, 0], [true, { refused: false, wasAborted: true }, 0]] as const) {
+    const restarted: string[] = []
+    const loads = createServerLoads(() => 0, undefined, { reachability: { trackRequest: () => () => {}, isTrusted: () => isTrusted }, warmUp: { isWarmingUp: () => false, recordRefusedConnection ({ id }) { restarted.push(id) } } })
+    loads.trackRequest(server)({ kind: 'lost', ...outcome })
+    loads.trackRequest(server)({ kind: 'failed', isReset: true })
+    assert.is(restarted.length, expected)
+  }
+})
+
 test.run()
