--- a/src/entry_host/create_host_queues.ts
+++ b/src/entry_host/create_host_queues.ts
@@ -2,6 +2,7 @@
 import type { RequestLimits, RequestPermits, RoutingState, ServerLoads, ServerStatements } from '../gateway/mod.ts'
 import type { RelayDirectory, RelayGroups } from '../relay/mod.ts'
 import type { RoutedServer } from '../routing/mod.ts'
+import type { WarmUpTracker } from '../warm_up/mod.ts'
 import { createServerQueues, type ServerQueues } from '../server_queue/mod.ts'
 
 /** Options of {@link createHostQueues}. */
@@ -12,6 +13,7 @@
   readonly limits: Pick<RequestLimits, 'limitOf'>
   readonly permits: Pick<RequestPermits, 'take'>
   readonly relays: Pick<RelayDirectory, 'isRelay'>
+  readonly warmUp: Pick<WarmUpTracker, 'take' | 'returnTaken' | 'requestsPerSecond'>
   readonly groups: RelayGroups
   /** Monotonic time in milliseconds. */
   readonly now: () => number
@@ -24,7 +26,7 @@
  * @returns The queues.
  */
 export function createHostQueues (options: HostQueuesOptions): ServerQueues {
-  const { routingState, loads, relays, groups } = options
+  const { routingState, loads, relays, groups, warmUp } = options
 
   /** The servers of a group that this host relays for; servers that are leaving get no more requests. */
   function members (server: RoutedServer): readonly RoutedServer[] {
@@ -43,7 +45,15 @@
     failureShare: (server) => loads.failureShare(server.id),
     isAvoided: (server) => loads.isUnresponsive(server) || loads.isFull(server.id),
     foreignRequests: options.statements.foreignRequests,
-    maximumRate: (server) => options.limits.limitOf(server) ?? Infinity,
-    takePermission: (server) => options.permits.take(server, true)
+    maximumRate: (server) => Math.min(options.limits.limitOf(server) ?? Infinity, warmUp.requestsPerSecond(server) ?? Infinity),
+    takePermission (server) {
+      const takenAt = options.now()
+      const coldForMs = warmUp.take(server)
+      if (coldForMs !== null) return coldForMs
+      const permitAfterMs = options.permits.take(server, true)
+      if (permitAfterMs !== null) warmUp.returnTaken(server, takenAt)
+      return permitAfterMs
+    },
+    returnPermission: warmUp.returnTaken
   })
 }
--- a/src/entry_host/describe_host.ts
+++ b/src/entry_host/describe_host.ts
@@ -5,6 +5,7 @@
 import type { ServerQueues } from '../server_queue/mod.ts'
 import type { Coordinator } from './create_coordinator.ts'
 import type { RequestProtection } from './create_request_protection.ts'
+import type { WarmUpTracker } from '../warm_up/mod.ts'
 import type { RetryBudgets } from './retry_budgets.ts'
 import type { StoreReader } from './store_reader.ts'
 
@@ -20,6 +21,7 @@
   readonly limits: Pick<RequestLimits, 'observations'>
   readonly queues: Pick<ServerQueues, 'describe' | 'counts'>
   readonly responseMemory: Pick<ResponseMemory, 'bytes'>
+  readonly warmUp: Pick<WarmUpTracker, 'describe'>
   readonly protection: Pick<RequestProtection, 'describe'>
   readonly isLeading: () => boolean
   readonly pending: () => number
@@ -49,6 +51,7 @@
     loopDelayMs: parts.loopDelayMs(),
     retryBudgets: parts.budgets.describe(),
     limits: [...parts.limits.observations()],
+    coldServers: parts.warmUp.describe(),
     queues: { ...parts.queues.counts(), waiting: parts.queues.describe() },
     views: [...parts.coordinator.views()]
   }
--- a/src/gateway/_find_server.ts
+++ b/src/gateway/_find_server.ts
@@ -1,12 +1,11 @@
 /** Finds the server of a request: the owner of its key, or one that is chosen for it. */
 import type { RoutedServer } from '../routing/mod.ts'
 import { clampRetryAfterMs } from './admission.ts'
-import { bodyBytes } from './body_reader.ts'
-import { chooseServer } from './choose_server.ts'
 import { DEFAULT_RETRY_AFTER_MS, type AttemptDecision, type Exchange } from './_exchange.ts'
 import type { ExchangeTimes } from './_exchange_times.ts'
 import type { GatewayOptions } from './gateway_options.ts'
 import { pollConnections } from './poll_connections.ts'
+import type { ServerSelector } from './_server_selector.ts'
 
 /** Finds servers for the requests of one gateway. */
 export interface ServerFinder {
@@ -16,6 +15,12 @@
   find (exchange: Exchange): Promise<RoutedServer | AttemptDecision>
 }
 
+/** Parts of the gateway that the finder uses. */
+export interface ServerFinderOptions {
+  readonly times: ExchangeTimes
+  readonly serverSelector: ServerSelector
+}
+
 /** Maximum wait for the owner of a key, as a share of the latency goal. */
 const OWNER_WAIT_SHARE = 0.6
 
@@ -26,10 +31,10 @@
  * Creates the finder.
  *
  * @param options Options of the gateway.
- * @param times Times of its requests.
+ * @param finderOptions Times of its requests, and the selector of their servers.
  * @returns The finder.
  */
-export function createServerFinder (options: GatewayOptions, times: ExchangeTimes): ServerFinder {
+export function createServerFinder (options: GatewayOptions, { times, serverSelector }: ServerFinderOptions): ServerFinder {
   const { routingState, loads, now } = options
   const { remainingMs, callerRemainingMs, jitteredRetryAfterMs } = times
 
@@ -68,10 +73,8 @@
         if (loads.isUnresponsive(owner)) return { kind: 'refuse', reason: 'owner-silent', retryAfterMs: jitteredRetryAfterMs(exchange, DEFAULT_RETRY_AFTER_MS) }
         return owner
       }
-      const server = chooseServer(routingState.availableServers(exchange.service), { loads, limitOf: options.limits.limitOf, isExhausted: options.permits.isExhausted, tried: exchange.triedServers, zone: options.zone, host: options.host, bodyBytes: bodyBytes(exchange.body), random: options.random })
-      if (server !== null) return server
-      const reason = exchange.triedServers.size > 0 ? 'every-server-tried' : 'no-server'
-      return { kind: 'refuse', reason, retryAfterMs: jitteredRetryAfterMs(exchange, DEFAULT_RETRY_AFTER_MS) }
+      const choice = serverSelector.choose(exchange)
+      return 'reason' in choice ? { kind: 'refuse', reason: choice.reason, retryAfterMs: jitteredRetryAfterMs(exchange, choice.retryAfterMs) } : choice
     }
   }
 }
--- a/src/gateway/create_gateway.ts
+++ b/src/gateway/create_gateway.ts
@@ -10,11 +10,12 @@
 import { clampRetryAfterMs } from './admission.ts'
 import { createAttemptLedger } from './attempt_ledger.ts'
 import { createAttemptRecord, type EndedAttempt } from './attempt_record.ts'
-import { bodyBytes, createBodyReader, discardBody, isBodyUnread } from './body_reader.ts'
+import { createBodyReader, discardBody, isBodyUnread } from './body_reader.ts'
 import { decideOnTimeout, DEFAULT_RETRY_AFTER_MS, type Exchange, type AttemptDecision } from './_exchange.ts'
 import { createExchangeTimes } from './_exchange_times.ts'
 import { createServerFinder } from './_find_server.ts'
 import { createCallerDeadlines } from './caller_deadlines.ts'
+import { createServerSelector } from './_server_selector.ts'
 import { requestHeaders } from './forwarded_headers.ts'
 import { decideNext, type NextStep } from './decide_next.ts'
 import type { GatewayOptions } from './gateway_options.ts'
@@ -59,7 +60,8 @@
   let pending = 0
   const times = createExchangeTimes(options)
   const { remainingMs, callerRemainingMs, goalRemainingMs, jitteredRetryAfterMs } = times
-  const finder = createServerFinder(options, times)
+  const serverSelector = createServerSelector(options)
+  const finder = createServerFinder(options, { times, serverSelector })
   const { isKeyed } = finder
   const bodyReader = createBodyReader()
   const callerDeadlines = createCallerDeadlines()
@@ -127,7 +129,7 @@
     // Another server may have ended while the request waited for an owner.
     const lateRefusal = refuseFatal(exchange)
     if (lateRefusal !== null) return lateRefusal
-    const path = options.relays.select(server, { bodyBytes: bodyBytes(exchange.body), isLimited: options.limits.limitOf(server) !== null, triedRelays: exchange.triedRelays, triedDirectly: exchange.triedDirectly })
+    const path = serverSelector.selectPath(exchange, server)
     if (path.kind === 'none') return { kind: 'refuse', reason: 'no-path', retryAfterMs: jitteredRetryAfterMs(exchange, DEFAULT_RETRY_AFTER_MS) }
     return path.kind === 'direct' ? await attemptDirectly(exchange, server) : await attemptThroughRelay(exchange, server, path.relay)
   }
@@ -176,7 +178,7 @@
     if (turn.kind === 'aborted') return decideOnTimeout(exchange)
     if (turn.kind === 'unavailable') return tryAnotherServer(exchange, named, 0)
     if (turn.kind === 'refuse' && turn.isOverLimit && !isKeyed(exchange)) return tryAnotherServer(exchange, named, turn.returnAfterMs)
-    if (turn.kind === 'refuse') return { kind: 'refuse', reason: turn.isOverLimit ? 'over-limit' : 'no-room', retryAfterMs: retryAfterFullMs(exchange, turn.returnAfterMs) }
+    if (turn.kind === 'refuse') return { kind: 'refuse', reason: turn.isCold === true ? 'server-cold' : turn.isOverLimit ? 'over-limit' : 'no-room', retryAfterMs: retryAfterFullMs(exchange, turn.returnAfterMs) }
     if (turn.waitedMs > 0) await pollConnections()
     const lateRefusal = exchange.abort.signal.aborted ? decideOnTimeout(exchange) : refuseFatal(exchange)
     if (lateRefusal !== null) {
@@ -191,7 +193,7 @@
     const outcome = await sendWithTimeout(exchange, { attempt: createAttempt(exchange, server), connections: { agent: options.agent, names, limits: options.limits, ...(options.statements === undefined ? {} : { statements: options.statements }), onLeaving: routingState.recordLeaving }, expectedMs })
     const durationMs = now() - sentAt
     complete(toLoadOutcome(outcome, durationMs))
-    turn.end()
+    turn.end(outcome)
     reportAttempt(options.guard, { server, fingerprint: exchange.fingerprint, sentAt, outcome })
     recordAttempt(exchange, { server: server.id, outcome, durationMs, inFlight, expectedMs })
     if (outcome.kind === 'unsent' && options.relays.isIsolated()) {
--- a/src/relay/create_relay.ts
+++ b/src/relay/create_relay.ts
@@ -156,7 +156,7 @@
     }, { agent: options.agent, names, limits: options.limits, ...(options.statements === undefined ? {} : { statements: options.statements }), onLeaving: routingState.recordLeaving })
     const durationMs = now() - sentAt
     end(toLoadOutcome(outcome, durationMs))
-    turn.end()
+    turn.end(outcome)
     reportAttempt(options.guard, { server, fingerprint, sentAt, outcome })
     const responseBody = await sendOutcome(response, { outcome, named, server, query, memory, signal })
     record(request, { server, outcome, durationMs, waitedMs: turn.waitedMs, inFlight, expectedMs, fingerprint, responseBody })
--- a/src/server_queue/create_server_queues.ts
+++ b/src/server_queue/create_server_queues.ts
@@ -7,6 +7,7 @@
  * servers of a group share one queue, so that a request goes to whichever of
  * them has a free slot.
  */
+import { hasReachedServer, type AttemptOutcome } from '../gateway/mod.ts'
 import type { RoutedServer } from '../routing/mod.ts'
 import { rankSlots, type SlotCandidate } from './choose_slot.ts'
 import { decideEntry } from './decide_entry.ts'
@@ -26,10 +27,10 @@
 
 /** What a request got. */
 export type Turn =
-  /** A slot of the server; `end` frees it, and must be called once. */
-  | { readonly kind: 'send', readonly server: RoutedServer, readonly waitedMs: number, readonly end: () => void }
+  /** A slot of the server; `end` frees it, and must be called once, without an outcome if the request was not sent. */
+  | { readonly kind: 'send', readonly server: RoutedServer, readonly waitedMs: number, readonly end: (outcome?: AttemptOutcome) => void }
   /** No slot in time; `returnAfterMs` is the time after which the caller may return, in milliseconds. */
-  | { readonly kind: 'refuse', readonly returnAfterMs: number, readonly isOverLimit: boolean }
+  | { readonly kind: 'refuse', readonly returnAfterMs: number, readonly isOverLimit: boolean, readonly isCold?: boolean }
   /** No server of the group takes requests any more. */
   | { readonly kind: 'unavailable' }
   /** The signal was aborted. */
@@ -84,6 +85,8 @@
   readonly maximumRate: (server: RoutedServer) => number
   /** Asks to send one request now; returns the time to wait for permission, in milliseconds, or `null` if it may be sent. */
   readonly takePermission: (server: RoutedServer) => number | null
+  /** Returns a permission that was taken at `takenAt` for a request that did not reach the server. Default: permissions are not returned. */
+  readonly returnPermission?: (server: RoutedServer, takenAt: number) => void
 }
 
 /** Share of the slots that one key leaves to the other keys of its server while requests for those wait. */
@@ -181,13 +184,15 @@
     queue.inFlight.set(server.id, (queue.inFlight.get(server.id) ?? 0) + 1)
     if (request.key !== null) queue.keysInFlight.set(request.key, (queue.keysInFlight.get(request.key) ?? 0) + 1)
     let hasEnded = false
+    const takenAt = now()
     return {
       kind: 'send',
       server,
       waitedMs: now() - request.enteredAt,
-      end () {
+      end (outcome) {
         if (hasEnded) return
         hasEnded = true
+        if (outcome === undefined || !hasReachedServer(outcome)) options.returnPermission?.(server, takenAt)
         decrement(queue.inFlight, server.id)
         if (request.key !== null) decrement(queue.keysInFlight, request.key)
         dispatch(queue)
