Evacuations of a zone: which are in force, and their effect on routing state

Cause: operators order by a row that nothing is sent to the servers of a zone. Ruled out: marking servers in the list, since its digest and the record of servers that leave would change and the order could not be withdrawn.

--- a/src/gateway/routing_state.ts
+++ b/src/gateway/routing_state.ts
@@ -11,7 +11,7 @@
   service (name: string): RoutedService | undefined
   /** Assumed duration of a request to the service while there are no measurements, in milliseconds. */
   assumedWorkMs (service: string): number
-  /** A listed server; it is leaving if the list or a response of its own says so. */
+  /** A listed server; it is leaving if the list or a response of its own says so, or its zone is evacuated. */
   server (id: string): RoutedServer | undefined
   /** Servers of a service that accept new requests. */
   availableServers (service: string): readonly RoutedServer[]
@@ -19,6 +19,10 @@
   servers (): readonly RoutedServer[]
   /** Digest of the server list, for comparing lists. */
   serversDigest (): string
+  /** Availability zones whose servers get no requests, because operators have ordered so. */
+  evacuatedZones (): ReadonlySet<string>
+  /** Whether the server counts as leaving because of its zone; it may return as it was. */
+  isEvacuated (server: Pick<RoutedServer, 'zone'>): boolean
   ownerOf (service: string, key: number): KeyOwner
   /** Whether owners of the service's keys have been set. */
   hasOwners (service: string): boolean
@@ -26,10 +30,12 @@
   applyConfiguration (configuration: RoutingConfiguration): boolean
   /** Replaces the list of servers. */
   setServers (servers: readonly RoutedServer[]): void
+  /** Replaces the evacuated zones. The list of servers and its digest stay as they are. */
+  setEvacuations (zones: readonly string[]): void
   /** Records that a run of a server is leaving, because a response of its own says so. */
   recordLeaving (server: ServerRun): void
-  /** Time since the server was found to be leaving, in milliseconds; 0 if it is not. */
-  leavingForMs (server: ServerRun): number
+  /** Time since the server was found to be leaving, or its zone to be evacuated, in milliseconds; 0 if neither applies. */
+  leavingForMs (server: ServerRun & Pick<RoutedServer, 'zone'>): number
   /** Listed servers that are leaving though the list does not say so. */
   unlistedLeaving (): readonly ServerRun[]
   /** Changes the list of servers to say which of them are leaving; returns whether it has changed. */
@@ -69,7 +75,10 @@
  * @returns The routing state.
  */
 export function createRoutingState (options: RoutingStateOptions = {}): RoutingState {
-  const leavingServers = createLeavingServers(options.now ?? (() => performance.now()))
+  const now = options.now ?? (() => performance.now())
+  const leavingServers = createLeavingServers(now)
+  /** When each evacuation became known, by zone. */
+  let evacuatedSince: ReadonlyMap<string, number> = new Map()
   let listed: readonly RoutedServer[] = []
   const owners = createOwnerMap()
   let configuration: RoutingConfiguration | null = null
@@ -85,6 +94,10 @@
     return !server.leaving && leavingServers.has(server) ? { ...server, leaving: true } : server
   }
 
+  function isEvacuated ({ zone }: Pick<RoutedServer, 'zone'>): boolean {
+    return evacuatedSince.has(zone)
+  }
+
   function listServers (updated: readonly RoutedServer[]): void {
     listed = updated
     const text = updated.map((server) => `${server.id}/${server.bornAt}/${server.address}/${String(server.leaving)}`).sort().join()
@@ -94,7 +107,7 @@
   }
 
   function indexServers (): void {
-    servers = new Map(listed.map((server) => [server.id, withLeaving(server)]))
+    servers = new Map(listed.map((server) => [server.id, isEvacuated(server) ? { ...server, leaving: true } : withLeaving(server)]))
     available = new Map()
     for (const server of servers.values()) {
       if (server.leaving) continue
@@ -113,6 +126,8 @@
     availableServers: (service) => available.get(service) ?? [],
     servers: () => listed,
     serversDigest: () => digest,
+    evacuatedZones: () => new Set(evacuatedSince.keys()),
+    isEvacuated,
     ownerOf: owners.ownerOf,
     hasOwners: owners.has,
     applyConfiguration (candidate) {
@@ -128,13 +143,17 @@
       for (const server of updated) if (server.leaving && server.bornAt !== 0) leavingServers.record(server)
       listServers(updated)
     },
+    setEvacuations (zones) {
+      evacuatedSince = new Map(zones.map((zone) => [zone, evacuatedSince.get(zone) ?? now()]))
+      indexServers()
+    },
     recordLeaving (server) {
       if (!leavingServers.record(server)) return
       indexServers()
       const current = servers.get(server.id)
       if (current?.bornAt === server.bornAt) options.onLeaving?.(current)
     },
-    leavingForMs: leavingServers.sinceMs,
+    leavingForMs: (server) => Math.max(leavingServers.sinceMs(server), now() - (evacuatedSince.get(server.zone) ?? now())),
     unlistedLeaving: () => listed.filter((server) => !server.leaving && leavingServers.has(server)).map(({ id, bornAt }) => ({ id, bornAt })),
     adoptLeaving () {
       const updated = listed.map(withLeaving)
--- a/src/gateway/routing_state_test.ts
+++ b/src/gateway/routing_state_test.ts
@@ -45,6 +45,33 @@
   assert.is(routingState.assumedWorkMs('unrouted'), 120)
 })
 
+// Guards against an evacuation that can't be withdrawn, because the record of servers that leave by themselves or the published list has picked it up.
+test('setEvacuations() makes the servers of a zone leaving until it is withdrawn, and changes neither the list nor what is known of servers that leave', () => {
+  let now = 0
+  const routingState = createRoutingState({ now: () => now })
+  const listed = ['a', 'b'].map((zone) => ({ id: `i-${zone}`, bornAt: 1, service: 's', address: `${zone}:80`, zone, slots: 1, leaving: false, warmUpLeftMs: 0 }))
+  routingState.setServers(listed)
+  const digest = routingState.serversDigest()
+  routingState.setEvacuations(['a', 'nowhere'])
+  now = 700
+  routingState.setEvacuations(['a'])
+  const evacuated = routingState.server('i-a')
+  assert.is(evacuated?.leaving, true)
+  assert.equal(routingState.availableServers('s').map(({ id }) => id), ['i-b'])
+  assert.equal(listed.map((server) => [routingState.isEvacuated(server), routingState.leavingForMs(server)]), [[true, 700], [false, 0]])
+  assert.not(routingState.adoptLeaving())
+  assert.equal(routingState.unlistedLeaving(), [])
+  assert.equal(routingState.servers(), listed)
+  assert.is(routingState.serversDigest(), digest)
+  // A list that arrives during the evacuation does not end it.
+  routingState.setServers(listed.map((server) => ({ ...server })))
+  assert.equal([...routingState.evacuatedZones()], ['a'])
+  assert.is(routingState.server('i-a')?.leaving, true)
+  routingState.setEvacuations([])
+  assert.equal(listed.map(({ id }) => routingState.server(id)), listed)
+  assert.is(routingState.availableServers('s').length, 2)
+})
+
 test('waitForOwnerChange() resolves at the next change, or at its timeout without one', async () => {
   const routingState = createRoutingState()
   const startedAt = performance.now()
--- a/src/replication/messages.ts
+++ b/src/replication/messages.ts
@@ -28,11 +28,20 @@
 }
 
 /** Kinds of messages that earlier builds do not know. A host states those that it accepts in its first message, and gets no others of them. */
-export const OPTIONAL_KINDS = ['fatal-requests'] as const
+export const OPTIONAL_KINDS = ['fatal-requests', 'evacuations'] as const
+
+/** Evacuated zones, with the position of each row, and the position of the store at which all of them were read. */
+export interface EvacuationsMessage {
+  readonly kind: 'evacuations'
+  readonly era: number
+  readonly revision: number
+  readonly zones: ReadonlyArray<readonly [zone: string, era: number, revision: number]>
+}
 
 /** Message from the leading host. */
 export type Update =
   | EvidenceMessage
+  | EvacuationsMessage
   /** First message from every host: the identifier of its process, which shows whether an earlier process has ended, and the optional kinds of messages that it accepts. */
   | { readonly kind: 'identity', readonly holder: string, readonly accepts?: readonly string[] }
   | { readonly kind: 'configuration', readonly configuration: RoutingConfiguration }
--- a/src/replication/peer_server.ts
+++ b/src/replication/peer_server.ts
@@ -4,7 +4,7 @@
 import type { Logger } from '../logging/mod.ts'
 import type { RelayHost } from '../relay/mod.ts'
 import { encodeMessage } from './encode_message.ts'
-import { readMessages, type EvidenceMessage, type Report, type Update } from './messages.ts'
+import { OPTIONAL_KINDS, readMessages, type EvidenceMessage, type Report, type Update } from './messages.ts'
 
 /** A host that has connected and identified itself. */
 export interface ConnectedHost {
@@ -76,7 +76,7 @@
   }
 
   function isAccepted (host: ConnectedHost, update: Update): boolean {
-    return update.kind !== 'fatal-requests' || host.accepts.includes(update.kind)
+    return !(OPTIONAL_KINDS as readonly string[]).includes(update.kind) || host.accepts.includes(update.kind)
   }
 
   function closeConnection (socket: Socket): void {
