Check a server's zone again just before a request is sent

Cause: a request may wait for its body, a relay or a connection after its server was chosen; the head of a streamed upload leaves with the first bytes of its body, up to the timeout of the route later. Ruled out: aborting requests that have been written (unknown outcome); sending the head of an upload at once (it would take a slot while the caller waits). Change: sendAttempt() waits for the beginning of a streamed body and reports 'unsent' if the zone is evacuated by then; the relay checks after it has read the body and refuses as for a leaving server; a relay no longer says that a server of an evacuated zone is leaving, as other hosts would remember that after its return.

--- a/src/gateway/create_gateway.ts
+++ b/src/gateway/create_gateway.ts
@@ -216,7 +216,7 @@
     const inFlight = loads.inFlight(server.id)
     const sentAt = now()
     const complete = loads.trackRequest(server)
-    const outcome = await sendWithTimeout(exchange, { attempt: createAttempt(exchange, server), connections: { agent: options.agent, names, limits: options.limits, onLeaving: routingState.recordLeaving }, expectedMs })
+    const outcome = await sendWithTimeout(exchange, { attempt: createAttempt(exchange, server), connections: { agent: options.agent, names, limits: options.limits, onLeaving: routingState.recordLeaving, isEvacuated: routingState.isEvacuated }, expectedMs })
     const durationMs = now() - sentAt
     complete(toLoadOutcome(outcome, durationMs))
     admission.end()
@@ -236,7 +236,7 @@
     const completions = [relay.trackRequest(exchange.id, expectedMs), loads.trackRelayedRequest(server, relay.host)]
     const outcome = await sendWithTimeout(exchange, {
       attempt: { ...createAttempt(exchange, server), relay: { address: relay.address, goalMs: exchange.route.latencyGoalMs, callerRemainingMs: callerRemainingMs(exchange), isLate: isLate(exchange, server) } },
-      connections: { agent: options.relayAgent, names, limits: options.limits, onLeaving: routingState.recordLeaving, connectTimeoutMs: RELAY_CONNECT_TIMEOUT_MS },
+      connections: { agent: options.relayAgent, names, limits: options.limits, onLeaving: routingState.recordLeaving, isEvacuated: routingState.isEvacuated, connectTimeoutMs: RELAY_CONNECT_TIMEOUT_MS },
       expectedMs
     })
     for (const complete of completions) complete(!(outcome.kind === 'lost' || (outcome.kind === 'unsent' && outcome.atRelay === true)))
--- a/src/gateway/outcomes.ts
+++ b/src/gateway/outcomes.ts
@@ -22,6 +22,7 @@
   if (outcome.kind === 'answer' || outcome.kind === 'stream') return outcome.status >= 500 ? { kind: 'failed' } : { kind: 'served', durationMs }
   if (outcome.kind === 'not-run') return { kind: outcome.misdirected ? 'other' : 'shed' }
   if (outcome.kind === 'not-admitted') return { kind: 'other' }
+  if (outcome.kind === 'unsent' && outcome.isEvacuated === true) return { kind: 'other' }
   // A reset shows that the address responds; only timeouts and refused connections count as lost.
   if (outcome.kind === 'unsent' && outcome.wasConnected === true) return { kind: 'failed' }
   if (outcome.kind === 'lost') return outcome.aborted ? { kind: 'abandoned', durationMs } : { kind: 'failed', isReset: outcome.isReset === true }
--- a/src/gateway/send_attempt.ts
+++ b/src/gateway/send_attempt.ts
@@ -40,8 +40,8 @@
   | { readonly kind: 'not-run', readonly status: number, readonly misdirected: boolean, readonly roomAfterMs?: number }
   /** The relay reports that the server is full or has reached its limit (`isOverLimit`), or that servers end under the request (`isFatal`). `isUnsent` is whether it has certainly not sent the request to the server. `roomAfterMs` is the time after which the caller may return. */
   | { readonly kind: 'not-admitted', readonly isUnsent: boolean, readonly roomAfterMs: number, readonly isOverLimit?: boolean, readonly isFatal?: boolean }
-  /** The request has not been sent to the server. `atRelay` is set if the relay failed before the server was tried, `isRelayIsolated` if it reaches no server, `wasConnected` if the connection was closed after it had been established. */
-  | { readonly kind: 'unsent', readonly detail: string, readonly refused: boolean, readonly atRelay?: boolean, readonly wasConnected?: boolean, readonly isRelayIsolated?: boolean }
+  /** The request has not been sent to the server. `atRelay` is set if the relay failed before the server was tried, `isRelayIsolated` if it reaches no server, `wasConnected` if the connection was closed after it had been established, `isEvacuated` if the zone of the server was evacuated before the request could be sent. */
+  | { readonly kind: 'unsent', readonly detail: string, readonly refused: boolean, readonly isEvacuated?: boolean, readonly atRelay?: boolean, readonly wasConnected?: boolean, readonly isRelayIsolated?: boolean }
   /** The request was sent and may have run. `isReset` is whether its connection was reset, so that nothing shows that the server responds. `partialBody` is set if a response of the server had begun. */
   | { readonly kind: 'lost', readonly detail: string, readonly aborted: boolean, readonly isReset?: boolean, readonly partialBody?: PartialBody }
 
@@ -53,6 +53,8 @@
   readonly limits: Pick<RequestLimits, 'record'>
   /** Called when a response shows that the server is leaving. Default: no callback. */
   readonly onLeaving?: (server: RoutedServer) => void
+  /** Whether the server's zone is evacuated; checked just before the request is sent. Default: never. */
+  readonly isEvacuated?: (server: RoutedServer) => boolean
   /** Timeout for connecting, in milliseconds. Default: 400, many round trips within a region. */
   readonly connectTimeoutMs?: number
 }
@@ -123,11 +125,21 @@
     function send (): void {
       // The attempt may have been aborted while the connection was established.
       if (settled || request.destroyed) return
+      if (options.isEvacuated?.(attempt.server) === true) {
+        settle({ kind: 'unsent', detail: 'The zone of the server is evacuated', refused: false, isEvacuated: true })
+        request.destroy()
+        return
+      }
       sent = true
       sentAt = performance.now()
       if (attempt.body === null || Buffer.isBuffer(attempt.body)) request.end(attempt.body ?? undefined)
       else pipeline(attempt.body.stream, request, () => {})
     }
+    /** Sends once a streamed body has begun: the head leaves with its first bytes, and the server's zone may be evacuated by then. */
+    function sendWithBody (): void {
+      if (attempt.body !== null && !Buffer.isBuffer(attempt.body) && attempt.body.stream.readableLength === 0) attempt.body.stream.once('readable', send)
+      else send()
+    }
     function onConnected (): void {
       connected = true
       clearTimeout(connectTimer)
@@ -146,12 +158,12 @@
           request.destroy()
           return
         }
-        return send()
+        return sendWithBody()
       }
       socket.once('connect', () => {
         onConnected()
         // The caller may have left while the process waited for the connection.
-        pollConnections().then(send, (error: unknown) => { request.destroy(error instanceof Error ? error : new Error(String(error))) })
+        pollConnections().then(sendWithBody, (error: unknown) => { request.destroy(error instanceof Error ? error : new Error(String(error))) })
       })
     })
     request.on('information', () => {
--- a/src/relay/create_relay.ts
+++ b/src/relay/create_relay.ts
@@ -112,6 +112,8 @@
 
   /** Sends a request to its server if that has room, and reports the outcome. */
   async function sendToServer (request: IncomingMessage, response: ServerResponse, { server, body, memory, signal, deadlineAt }: { readonly server: RoutedServer, readonly body: RequestBody, readonly memory: ResponseAccount, readonly signal: AbortSignal, readonly deadlineAt: number }): Promise<void> {
+    // The order may have come while the body was read.
+    if (routingState.isEvacuated(server)) return refuse(response, RelayRefusal.leaving)
     const headers = withoutRelayHeaders(requestHeaders(request.rawHeaders, names))
     const fingerprint = createFingerprintSource(() => ({ method: request.method ?? 'GET', path: request.url ?? '/', headers, body }), varyingHeaders)
     const refusalMs = options.guard.refusalMs(fingerprint)
@@ -133,7 +135,7 @@
       memory,
       deadlineMs: deadlineAt - sentAt,
       signal
-    }, { agent: options.agent, names, limits: options.limits, onLeaving: routingState.recordLeaving })
+    }, { agent: options.agent, names, limits: options.limits, onLeaving: routingState.recordLeaving, isEvacuated: routingState.isEvacuated })
     const durationMs = now() - sentAt
     end(toLoadOutcome(outcome, durationMs))
     admission.end()
@@ -147,14 +149,14 @@
     if (outcome.kind === 'answer' || outcome.kind === 'stream') {
       return (await forwardResponse(response, outcome, { closesConnection: false, isToHost: true, memory, signal })).body
     } else if (outcome.kind === 'unsent' || outcome.kind === 'not-admitted') {
-      refuse(response, options.isIsolated() ? RelayRefusal.isolated : RelayRefusal.unreachable)
+      refuse(response, outcome.kind === 'unsent' && outcome.isEvacuated === true ? RelayRefusal.leaving : options.isIsolated() ? RelayRefusal.isolated : RelayRefusal.unreachable)
     } else if (outcome.kind === 'lost') {
       // The other host must not mistake this for a response of the server: the request may have run.
       response.destroy()
     } else {
       // The request has reached the server, so this is the server's refusal and not one of the relay.
       const roomAfterMs = !outcome.misdirected && loads.isFull(server.id) ? options.admission.returnAfterMs(server, query) : null
-      response.writeHead(outcome.status, { 'Content-Length': '0', [names.attemptId]: attemptIdOf(response.req), [names.notRun]: 'true', ...(roomAfterMs === null ? {} : { [RelayHeader.roomAfterMs]: String(Math.ceil(roomAfterMs)) }), ...(routingState.server(server.id)?.leaving === true ? { [names.leaving]: '1' } : {}) }).end()
+      response.writeHead(outcome.status, { 'Content-Length': '0', [names.attemptId]: attemptIdOf(response.req), [names.notRun]: 'true', ...(roomAfterMs === null ? {} : { [RelayHeader.roomAfterMs]: String(Math.ceil(roomAfterMs)) }), ...(routingState.server(server.id)?.leaving === true && !routingState.isEvacuated(server) ? { [names.leaving]: '1' } : {}) }).end()
     }
   }
 
