Read evacuations with the configuration, spread them and move the keys

Cause: every host has to know of an evacuation within the bound, and calls to the store are priced. Ruled out: a second read; a field of each heartbeat; publishing changes only, since a host that has read for itself may know of a row that the leader has never seen, and would keep to it for ever. Change: one range read from config to before evacuate0; other rows are skipped and the cached configuration is independent of them. The leader publishes the list when it changes, first to hosts that connect, and with each complete heartbeat. The coordinator gives servers of evacuated zones no grant, plans at once, and again if a plan is being stored. describe() moved to a module of its own and shows the evacuations.

--- a/src/entry_host/create_coordinator.ts
+++ b/src/entry_host/create_coordinator.ts
@@ -48,7 +48,7 @@
   tick (): void
   /** Plans the services whose keys should move; stores all changed plans in one write. */
   plan (): Promise<void>
-  /** Applies the current servers of the routing state. */
+  /** Applies the current servers and evacuated zones of the routing state; a plan in progress is followed by another one at once. */
   onServersChanged (): void
   onReport (host: ReportingHost, report: Extract<Report, { readonly kind: 'report' }>): void
   onHostLeft (host: string): void
@@ -97,6 +97,8 @@
   let active = false
   const nextToken = createFencingTokens(leadership.heldPosition)
   let planning = false
+  /** Whether servers have changed since the plan in progress was computed. */
+  let isPlanOutdated = false
 
   function assumedWorkMsOf (server: string): number | undefined {
     const service = routingState.server(server)?.service
@@ -144,8 +146,9 @@
     return [...rangeControllers].map(([service, rangeController]) => encodeOwnersUpdate({ service, changes: rangeController.snapshot() }, now()))
   }
 
+  /** Servers of a service; those of evacuated zones are leaving. */
   function serversOf (service: string): RoutedServer[] {
-    return routingState.servers().filter((server) => server.service === service)
+    return routingState.servers().filter((server) => server.service === service).map((server) => routingState.server(server.id) ?? server)
   }
 
   /** Server at each address, across all services. */
@@ -209,6 +212,10 @@
     return rangeControllers.has(service) && (storedEras.get(service) ?? FIRST_ERA) < coveredEra(service)
   }
 
+  function mayPlan (): boolean {
+    return active && leadership.isLeading() && !leadership.isStoreUnavailable()
+  }
+
   async function plan (): Promise<void> {
     const plans = new Map<string, readonly PlannedRange[]>()
     for (const service of keyedServices()) {
@@ -259,15 +266,19 @@
       for (const rangeController of rangeControllers.values()) rangeController.tick()
     },
     async plan () {
-      if (!active || planning || !leadership.isLeading() || leadership.isStoreUnavailable()) return
+      if (planning || !mayPlan()) return
       planning = true
       try {
-        await plan()
+        do {
+          isPlanOutdated = false
+          await plan()
+        } while (isPlanOutdated && mayPlan())
       } finally {
         planning = false
       }
     },
     onServersChanged () {
+      isPlanOutdated = true
       for (const [service, rangeController] of rangeControllers) rangeController.setServers(serversOf(service), serverIdsByAddress())
     },
     onReport (host, report) {
--- a/src/entry_host/create_entry_host.ts
+++ b/src/entry_host/create_entry_host.ts
@@ -4,6 +4,7 @@
  * the connection to the leader and, on the leading host, the coordinator.
  */
 import { Agent, createServer } from 'node:http'
+import { createEvacuationControl } from '../evacuation/mod.ts'
 import {
   createCallerServer, createGateway, createRequestLimits, createRequestPermits, createResponseMemory, createRoutingState, createServerAdmission, createServerAgent, createServerLoads, type HeaderNames, type RequestRecord
 } from '../gateway/mod.ts'
@@ -19,6 +20,7 @@
 import { TaskTiming } from './_task_timing.ts'
 import { trackControl } from './_tracked_control.ts'
 import { createCoordinator } from './create_coordinator.ts'
+import { describeHost } from './describe_host.ts'
 import type { EntryHostSettings } from './entry_host_settings.ts'
 import { createEndedResponseLog } from './ended_response_log.ts'
 import { createHostCount } from './host_count.ts'
@@ -103,6 +105,7 @@
   const isIsolated = (): boolean => reachability.isolation() !== null
   const reachesServersSince = (): number => reachability.isTrusted() ? reachability.trustedSince() : Infinity
   const loads = createServerLoads(now, routingState.assumedWorkMs, reachability)
+  const evacuations = createEvacuationControl({ routingState, loads, logger, now, onChanged: onServersChanged })
   const hostCount = createHostCount(now)
   const budgets = createRetryBudgets({ ratio: settings.retryRatio, slack: settings.retrySlack, hostCount, random: Math.random, ...createRetryBudgetLog(logger, now) })
   const limits = createRequestLimits({ now, onChange: createLimitLog(logger) })
@@ -147,7 +150,7 @@
     initialUpdates: (connected) => [
       { kind: 'identity', holder, accepts: OPTIONAL_KINDS },
       ...evidence.initialUpdates(),
-      ...(leadershipController.isLeading() ? [...coordinator.initialUpdates(connected), ...statePublisher.relaysUpdates()] : [])
+      ...(leadershipController.isLeading() ? [...statePublisher.evacuationsUpdates(), ...coordinator.initialUpdates(connected), ...statePublisher.relaysUpdates()] : [])
     ],
     onReport (reportingHost, report) {
       hostReportTracker.recordReport(reportingHost.name)
@@ -178,6 +181,7 @@
       loads,
       reader: () => reader,
       evidence,
+      evacuations,
       logger,
       onConfigurationChanged: applyConfiguration,
       onServersChanged () { guard.onListed(routingState.servers()) },
@@ -192,6 +196,7 @@
     table: options.table,
     routingState,
     leadership,
+    evacuations,
     logger,
     now,
     isLeading: () => leadershipController.isLeading(),
@@ -200,7 +205,7 @@
   })
 
   const statePublisher = createStatePublisher({
-    host: settings.host, zone: settings.zone, routingState, loads, limits, coordinator, leadership, peerServer, leaderConnection, reader, relays, evidence, budgets, hostCount, leaderMonitor, isLeading: () => leadershipController.isLeading(), now
+    host: settings.host, zone: settings.zone, routingState, loads, limits, coordinator, leadership, peerServer, leaderConnection, reader, relays, evidence, evacuations, budgets, hostCount, leaderMonitor, isLeading: () => leadershipController.isLeading(), now
   })
   const leadershipController = createLeadershipController({
     holder,
@@ -277,7 +282,7 @@
     response.writeHead(routingState.routes() !== null && !leaving ? 200 : 503, { 'Content-Length': '0' }).end()
   })
 
-  /** As the leader, plans for the changed list of servers and publishes it. */
+  /** As the leader, plans for the changed list of servers or the changed evacuations, and publishes them. */
   function onServersChanged (): void {
     guard.onListed(routingState.servers())
     if (!leadershipController.isLeading()) return
@@ -378,21 +383,8 @@
     },
     liftRefusal: protection.lift,
     retryBudgets: budgets.describe,
-    describe: () => ({
-      host: settings.host,
-      leading: leadershipController.isLeading(),
-      lease: leadership.lease(),
-      leaderHeardMs: Math.round(now() - leaderConnection.lastMessageAt()),
-      storeAgeMs: Math.round(reader.ageMs()),
-      version: routingState.configuration()?.version ?? null,
-      servers: routingState.servers(),
-      pending: gateway.pending(),
-      responseBytes: responseMemory.bytes(),
-      refusedRequests: protection.describe(),
-      loopDelayMs: loopDelayMonitor.delayMs(),
-      retryBudgets: budgets.describe(),
-      limits: [...limits.observations()],
-      views: [...coordinator.views()]
+    describe: () => describeHost({
+      host: settings.host, leadershipController, leadership, leaderConnection, reader, routingState, evacuations, gateway, responseMemory, protection, loopDelayMonitor, budgets, limits, coordinator, now
     })
   }
 }
--- a/src/entry_host/create_state_publisher.ts
+++ b/src/entry_host/create_state_publisher.ts
@@ -3,6 +3,7 @@
  * which publishes the totals to all hosts together with changes of the
  * configuration, the list of servers and the relays.
  */
+import type { EvacuationControl } from '../evacuation/mod.ts'
 import type { RequestLimits, RoutingState, ServerLoads, ServerSample } from '../gateway/mod.ts'
 import type { Leadership } from '../leadership/mod.ts'
 import type { RelayDirectory } from '../relay/mod.ts'
@@ -31,6 +32,7 @@
   readonly reader: Pick<StoreReader, 'ageMs'>
   readonly relays: RelayDirectory
   readonly evidence: Pick<EvidenceExchange, 'publishAll'>
+  readonly evacuations: Pick<EvacuationControl, 'updates' | 'changedUpdates' | 'reset'>
   readonly budgets: Pick<RetryBudgets, 'recordHosts'>
   readonly hostCount: Pick<HostCount, 'known'>
   readonly leaderMonitor: LeaderMonitor
@@ -45,10 +47,12 @@
   countKeyRequest (service: string, key: number): void
   /** Sends loads if the interval has passed: to the leader or, as the leader, to all hosts. */
   sendLoads (): void
-  /** As the leader, publishes the changes of configuration and servers since the last call. */
+  /** As the leader, publishes the changes of evacuations, configuration and servers since the last call. */
   publishChanges (): void
   /** Resets the record of published state and publishes what this host knows of fatal requests; called when it becomes leader. */
   reset (): void
+  /** Evacuated zones, for a host that has just connected: the first of its updates, so that it sends nothing to their servers. */
+  evacuationsUpdates (): readonly Update[]
   /** Published relays, for a host that has just connected. */
   relaysUpdates (): Update[]
 }
@@ -100,6 +104,8 @@
     loads.applyViews(coordinator.views())
     const complete = ++heartbeats % HEARTBEATS_PER_COMPLETE_VIEW === 0
     publishRelays()
+    // A host that has read the store itself may know of evacuations that have ended without this host knowing of them.
+    if (complete) for (const update of options.evacuations.updates()) peerServer.publish(update)
     peerServer.publish({
       kind: 'beat',
       storeAgeMs: Math.round(options.reader.ageMs()),
@@ -130,14 +136,17 @@
       } else options.leaderConnection.send(report)
     },
     publishChanges () {
+      for (const update of options.evacuations.changedUpdates()) peerServer.publish(update)
       for (const update of [updates.nextConfiguration(), updates.nextServers()]) if (update !== null) peerServer.publish(update)
     },
     reset () {
       updates = createPublishedUpdates(routingState)
+      options.evacuations.reset()
       relayPublication = createRelayPublication(now())
       publishedRelays = null
       options.evidence.publishAll()
     },
+    evacuationsUpdates: options.evacuations.updates,
     relaysUpdates: () => publishedRelays === null ? [] : [publishedRelays]
   }
 }
--- a/src/entry_host/store_reader.ts
+++ b/src/entry_host/store_reader.ts
@@ -1,4 +1,5 @@
 /** Reads the configuration and servers from the platform, and the lease and plans from the store while the leader is unreachable. */
+import type { Evacuation, EvacuationControl } from '../evacuation/mod.ts'
 import type { RoutingState } from '../gateway/routing_state.ts'
 import type { Leadership } from '../leadership/mod.ts'
 import { LEASE_KEY } from '../leadership/mod.ts'
@@ -12,8 +13,8 @@
 
 /** Port for the state that operators and backend servers publish. */
 export interface PublishedState {
-  /** Reads the newest configuration; `null` if there is no usable one. */
-  readConfiguration (): Promise<Result<PublishedValue<RoutingConfiguration | null>, TableError>>
+  /** Reads the newest configuration, `null` if there is no usable one, and the evacuations. */
+  readConfiguration (): Promise<Result<PublishedConfiguration, TableError>>
   /** Reads the list of backend servers; entries that do not name a server are skipped. */
   readServers (): Promise<Result<PublishedValue<readonly RoutedServer[]>, TableError>>
 }
@@ -24,6 +25,13 @@
   readonly value: Value
 }
 
+/** The newest configuration, and the evacuations that were read in the same call. */
+export interface PublishedConfiguration extends PublishedValue<RoutingConfiguration | null> {
+  /** Revision of the store at which they were read; 0 if it is unknown. */
+  readonly revision: number
+  readonly evacuations: readonly Evacuation[]
+}
+
 /** Options of {@link createStoreReader}. */
 export interface StoreReaderOptions {
   /** Availability zone of this host; logged, since the zones that cannot reach the store identify a partition. */
@@ -32,6 +40,7 @@
   readonly table: TableService
   readonly routingState: RoutingState
   readonly leadership: Leadership
+  readonly evacuations: Pick<EvacuationControl, 'onRead'>
   readonly logger: Logger
   readonly now: () => number
   /** Whether this host leads; its list of servers then also says what their responses have shown. */
@@ -107,6 +116,8 @@
       const [configuration, servers] = await Promise.all([options.published.readConfiguration(), options.published.readServers()])
       const failure = configuration.ok ? (servers.ok ? null : servers.error) : configuration.error
       recordAvailability(failure === null, failure?.kind === 'unavailable' ? failure.detail : '')
+      // Before the servers, none of which may be used for a moment.
+      if (configuration.ok) options.evacuations.onRead({ readAt: { era: configuration.value.era, revision: configuration.value.revision }, evacuations: configuration.value.evacuations })
       if (servers.ok) applyServers(servers.value)
       const candidate = configuration.ok ? configuration.value.value : null
       if (candidate !== null && routingState.applyConfiguration(candidate)) {
--- a/src/entry_host/update_handler.ts
+++ b/src/entry_host/update_handler.ts
@@ -1,5 +1,6 @@
 /** Applies the messages of the leading host on a host that follows it. */
 import type { RoutingState, ServerLoads } from '../gateway/mod.ts'
+import type { EvacuationControl } from '../evacuation/mod.ts'
 import type { Leadership } from '../leadership/mod.ts'
 import type { Logger } from '../logging/mod.ts'
 import type { RelayDirectory } from '../relay/mod.ts'
@@ -23,6 +24,7 @@
   readonly loads: Pick<ServerLoads, 'applyViews'>
   readonly reader: () => Pick<StoreReader, 'readPublished' | 'recordServers'>
   readonly evidence: Pick<EvidenceExchange, 'receive' | 'sendAll'>
+  readonly evacuations: Pick<EvacuationControl, 'onMessage'>
   readonly logger: Logger
   readonly onConfigurationChanged: () => void
   readonly onServersChanged: () => void
@@ -72,6 +74,7 @@
     else if (update.kind === 'successor') controller.onSuccessor(update.lease)
     else if (update.kind === 'relays') options.relays.setHosts(update.hosts)
     else if (update.kind === 'fatal-requests') options.evidence.receive(update)
+    else if (update.kind === 'evacuations') options.evacuations.onMessage(update)
     else if (update.kind === 'owners') {
       routingState.setOwners(update.service, update.changes.map(([from, to, owner]) => ({ from, to, owner: decodeOwner(owner, now()) })))
     } else if (update.kind === 'beat') {
--- a/src/replication/peer_server_test.ts
+++ b/src/replication/peer_server_test.ts
@@ -9,6 +9,7 @@
 
 const EVIDENCE: EvidenceMessage = { kind: 'fatal-requests', ends: [], completions: [['a', 5]], refusals: [] }
 
+const EVACUATIONS: Update = { kind: 'evacuations', era: 1, revision: 2, zones: [['a', 1, 2]] }
 const RESIGNED: Update = { kind: 'resigned', holder: 'h1' }
 
 interface Setup {
@@ -59,10 +60,10 @@
 test('publish() leaves out a host of a build that does not accept the kind of message', async () => {
   await withPeerServer(async ({ peerServer, port }) => {
     const [earlier, later] = [await connectRaw(port), await connectRaw(port, OPTIONAL_KINDS)]
-    for (const update of [EVIDENCE, RESIGNED]) peerServer.publish(update)
+    for (const update of [EVIDENCE, EVACUATIONS, RESIGNED]) peerServer.publish(update)
     await pause()
     assert.equal(earlier.kinds(), ['identity', 'resigned'])
-    assert.equal(later.kinds(), ['identity', 'fatal-requests', 'fatal-requests', 'resigned'])
+    assert.equal(later.kinds(), ['identity', 'fatal-requests', 'fatal-requests', 'evacuations', 'resigned'])
     for (const { socket } of [earlier, later]) socket.destroy()
   })
 })
