--- a/soak/backend.ts
+++ b/soak/backend.ts
@@ -22,6 +22,8 @@
   readonly server: Server
   /** Monotonic time after which the server must get no new requests, in milliseconds; Infinity while the server is listed as ready. */
   drainDeadline: number
+  /** Monotonic time after which the server must get no requests since its zone is evacuated, in milliseconds; Infinity while it is not. */
+  evacuationDeadline: number
   /** Whether it says in its responses that it is leaving. */
   saysLeaving: boolean
   /** How it spoils some of its responses; `null` if it does not. */
@@ -159,6 +161,7 @@
     try {
       if (response.destroyed) return
       if (now() > backend.drainDeadline) checker.reportViolation(Guarantees.leaving, `${id} gets ${attempt} ${Math.round(now() - backend.drainDeadline)} ms after the drain deadline`)
+      if (now() > backend.evacuationDeadline) checker.reportViolation(Guarantees.evacuated, `${id} gets ${attempt} ${Math.round(now() - backend.evacuationDeadline)} ms after the bound`)
       checker.recordStarted(attempt, id, body)
       const fatal = request.headers[FATAL_HEADER]
       if (fatal !== undefined) {
@@ -192,6 +195,7 @@
     id,
     keyed: options.keyed,
     drainDeadline: Infinity,
+    evacuationDeadline: Infinity,
     saysLeaving: false,
     responseFault: null,
     limitPerSecond: null,
--- a/soak/guarantee_checker.ts
+++ b/soak/guarantee_checker.ts
@@ -2,7 +2,7 @@
 
 /** Names of the guarantees; the values appear in the lines of failed runs. */
 export const Guarantees = {
-  oneOwner: 'one-owner', tokensRise: 'tokens-rise', once: 'at-most-once', notRun: 'not-run-is-true', completeResponse: 'whole-answer', onlySentRequests: 'only-what-was-asked', leaving: 'leaving-server', graceful: 'graceful-shutdown', served: 'served-again', memory: 'bounded-memory', callersLeft: 'callers-left', limit: 'request-limit', fatalRequest: 'fatal-request', retryBudget: 'retry-budget'
+  oneOwner: 'one-owner', tokensRise: 'tokens-rise', once: 'at-most-once', notRun: 'not-run-is-true', completeResponse: 'whole-answer', onlySentRequests: 'only-what-was-asked', leaving: 'leaving-server', evacuated: 'evacuated-zone', graceful: 'graceful-shutdown', served: 'served-again', memory: 'bounded-memory', callersLeft: 'callers-left', limit: 'request-limit', fatalRequest: 'fatal-request', retryBudget: 'retry-budget'
 } as const
 /** One of the values of {@link Guarantees}. */
 export type GuaranteeName = typeof Guarantees[keyof typeof Guarantees]
--- a/soak/recovery_checks.ts
+++ b/soak/recovery_checks.ts
@@ -1,6 +1,7 @@
 /** Checks of a soak run that are made after the last fault, without other faults. */
 import { countWithin } from '../testing/count_within.ts'
 import { pause, pickRandom, writeServerEntry, type Environment } from './environment.ts'
+import { checkEvacuation } from './evacuation_check.ts'
 import { checkFatalRequests } from './fatal_requests.ts'
 import { Guarantees, type GuaranteeChecker } from './guarantee_checker.ts'
 import { HOST_MEMORY_MB, type SoakHost } from './hosts.ts'
@@ -56,6 +57,7 @@
   await checkLimit(environment)
   await checkSaidLeaving(environment)
   await checkDraining(environment)
+  await checkEvacuation(environment)
   await checkFatalRequests(environment)
   await checkGracefulShutdown(environment)
 }
