--- a/src/entry_host/create_entry_host.ts
+++ b/src/entry_host/create_entry_host.ts
@@ -4,7 +4,7 @@
  * the connection to the leader and, on the leading host, the coordinator.
  */
 import { Agent, createServer } from 'node:http'
-import { createEvacuationControl } from '../evacuation/mod.ts'
+import { createEvacuationControl, type EvacuationDescription } from '../evacuation/mod.ts'
 import {
   createCallerServer, createGateway, createRequestLimits, createRequestPermits, createResponseMemory, createRoutingState, createServerAdmission, createServerAgent, createServerLoads, type HeaderNames, type RequestRecord
 } from '../gateway/mod.ts'
@@ -59,6 +59,8 @@
   describe (): unknown
   /** Retry budgets of the host, for metrics. */
   retryBudgets (): RetryBudgetsState
+  /** Evacuations in force on this host, for metrics. */
+  evacuations (): readonly EvacuationDescription[]
 }
 
 /** Limits that apply until the first configuration is read. */
@@ -383,6 +385,7 @@
     },
     liftRefusal: protection.lift,
     retryBudgets: budgets.describe,
+    evacuations: evacuations.describe,
     describe: () => describeHost({
       host: settings.host, leadershipController, leadership, leaderConnection, reader, routingState, evacuations, gateway, responseMemory, protection, loopDelayMonitor, budgets, limits, coordinator, now
     })
