Property: one owner of a key while zones are evacuated and return

Cause: a server of an evacuated zone stops leaving in the same run, which no property had; a server that leaves by itself never does. Change: a property of its own; the fake servers can stop leaving.

--- a/src/ownership/range_controller_test.ts
+++ b/src/ownership/range_controller_test.ts
@@ -328,6 +328,38 @@
   }), propertyParameters(25))
 })
 
+const evacuationStep = fc.record({
+  lengthMs: fc.integer({ min: 50, max: 3500 }),
+  action: fc.oneof(
+    fc.record({ kind: fc.constantFrom('evacuate', 'return'), servers: fc.subarray(IDS, { minLength: 1 }) }),
+    fc.record({ kind: fc.constant('behaviour'), servers: fc.subarray(IDS), behaviour: fc.constantFrom(...behaviours) }),
+    fc.record({ kind: fc.constant('new-leader'), servers: fc.constant([]) })
+  )
+})
+
+// Guards against a second owner: unlike a server that leaves by itself, one whose zone is evacuated returns in the same run.
+test('tick() never lets two servers hold a key, when zones are evacuated and return while calls and leaders fail', async () => {
+  await fc.assert(fc.asyncProperty(fc.array(evacuationStep, { minLength: 1, maxLength: 10 }), async (steps) => {
+    const simulation = createSimulation()
+    const behaviourByServer = new Map<string, CallBehaviour>()
+    simulation.servers.setCallBehaviour((id) => behaviourByServer.get(id) ?? CallBehaviour.carriedOut)
+    await run(simulation, 1000)
+    for (const { action, lengthMs } of steps) {
+      for (const id of action.servers) {
+        if ('behaviour' in action) behaviourByServer.set(id, action.behaviour)
+        else simulation.servers.setLeaving(id, action.kind === 'evacuate')
+      }
+      if (action.kind === 'new-leader') startLeader(simulation)
+      await run(simulation, lengthMs)
+    }
+    behaviourByServer.clear()
+    for (const id of IDS) simulation.servers.setLeaving(id, false)
+    await run(simulation, 13_000)
+    assert.not(currentOwners(simulation).includes(''))
+    assert.equal(simulation.servers.violations, [])
+  }), propertyParameters(25))
+})
+
 test('isFixed() keeps a hot key with the server that it was moved to, when the measured speeds of busy servers vary between plans', async () => {
   const simulation = createSimulation()
   await run(simulation, 1500)
--- a/testing/fake_owned_servers.ts
+++ b/testing/fake_owned_servers.ts
@@ -22,7 +22,8 @@
   /** Restarts a server, which then holds no keys. */
   restart (id: string): void
   list (): RoutedServer[]
-  setLeaving (id: string): void
+  /** Sets whether a server counts as leaving; one whose zone is evacuated may return with the keys that it holds. Default: it leaves. */
+  setLeaving (id: string, isLeaving?: boolean): void
   remove (id: string): void
   add (id: string): void
   /** Identifiers of the servers that hold a key now. */
@@ -141,9 +142,9 @@
     list: () => [...servers.values()].map((server) => ({
       id: server.id, bornAt: server.bornAt, service: 'lookups', address: `10.0.0.1:${server.id.slice(1)}`, zone: 'a', slots: 4, leaving: server.leaving, warmUpLeftMs: 0
     })),
-    setLeaving (id) {
+    setLeaving (id, isLeaving = true) {
       const server = servers.get(id)
-      if (server !== undefined) server.leaving = true
+      if (server !== undefined) server.leaving = isLeaving
     },
     remove (id) { servers.delete(id) },
     add,
