--- a/src/entry_host/create_entry_host.ts
+++ b/src/entry_host/create_entry_host.ts
@@ -4,6 +4,7 @@
  * the connection to the leader and, on the leading host, the coordinator.
  */
 import { Agent, createServer } from 'node:http'
+import { createEvacuationControl, type EvacuationDescription } from '../evacuation/mod.ts'
 import {
   createCallerServer, createGateway, createRequestLimits, createRequestPermits, createResponseMemory, createRoutingState, createServerAdmission, createServerAgent, createServerLoads, createServerStatements, type HeaderNames, type RequestRecord
 } from '../gateway/mod.ts'
@@ -61,6 +62,8 @@
   describe (): unknown
   /** Retry budgets of the host, for metrics. */
   retryBudgets (): RetryBudgetsState
+  /** Evacuations in force on this host, for metrics. */
+  evacuations (): readonly EvacuationDescription[]
 }
 
 /** Duration of grants while the store is unavailable, in milliseconds: covers an outage of nine seconds, less the time to detect it. */
@@ -96,6 +99,7 @@
   const reachesServersSince = (): number => reachability.isTrusted() ? reachability.trustedSince() : Infinity
   const warmUp = createWarmUp({ routingState, relays: () => relays, bound: settings.warmUpBound, isLeading: () => leadershipController.isLeading(), publish (update) { peerServer.publish(update) }, logger, now })
   const loads = createServerLoads(now, routingState.assumedWorkMs, { reachability, warmUp: warmUp.tracker })
+  const evacuations = createEvacuationControl({ routingState, loads, logger, now, onChanged: onServersChanged, onZoneReturned: warmUp.tracker.recordZoneReturned })
   const hostCount = createHostCount(now)
   const budgets = createRetryBudgets({ ratio: settings.retryRatio, slack: settings.retrySlack, hostCount, random: Math.random, ...createRetryBudgetLog(logger, now) })
   const limits = createRequestLimits({ now, onChange: createLimitLog(logger) })
@@ -144,7 +148,7 @@
     initialUpdates: (connected) => [
       { kind: 'identity', holder, accepts: OPTIONAL_KINDS },
       ...evidence.initialUpdates(),
-      ...(leadershipController.isLeading() ? [...coordinator.initialUpdates(connected), ...warmUp.initialUpdates(), ...statePublisher.relaysUpdates()] : [])
+      ...(leadershipController.isLeading() ? [...statePublisher.evacuationsUpdates(), ...coordinator.initialUpdates(connected), ...warmUp.initialUpdates(), ...statePublisher.relaysUpdates()] : [])
     ],
     onReport (reportingHost, report) {
       hostReportTracker.recordReport(reportingHost.name)
@@ -176,6 +180,7 @@
       reader: () => reader,
       evidence,
       warmUp: warmUp.tracker,
+      evacuations,
       logger,
       onConfigurationChanged: applyConfiguration,
       onServersChanged () {
@@ -193,6 +198,7 @@
     table: options.table,
     routingState,
     leadership,
+    evacuations,
     logger,
     now,
     isLeading: () => leadershipController.isLeading(),
@@ -202,7 +208,7 @@
   })
 
   const statePublisher = createStatePublisher({
-    host: settings.host, zone: settings.zone, routingState, loads, limits, coordinator, leadership, peerServer, leaderConnection, reader, relays, evidence, budgets, hostCount, leaderMonitor, isLeading: () => leadershipController.isLeading(), now
+    host: settings.host, zone: settings.zone, routingState, loads, limits, coordinator, leadership, peerServer, leaderConnection, reader, relays, evidence, evacuations, budgets, hostCount, leaderMonitor, isLeading: () => leadershipController.isLeading(), now
   })
   const leadershipController = createLeadershipController({
     holder,
@@ -282,7 +288,7 @@
     response.writeHead(routingState.routes() !== null && !leaving ? 200 : 503, { 'Content-Length': '0' }).end()
   })
 
-  /** As the leader, plans for the changed list of servers and publishes it. */
+  /** As the leader, plans for the changed list of servers or the changed evacuations, and publishes them. */
   function onServersChanged (): void {
     guard.onListed(routingState.servers())
     if (!leadershipController.isLeading()) return
@@ -384,8 +390,9 @@
     },
     liftRefusal: protection.lift,
     retryBudgets: budgets.describe,
+    evacuations: evacuations.describe,
     describe: () => describeHost({
-      host: settings.host, routingState, leadership, leaderConnection, reader, coordinator, budgets, limits, queues, responseMemory, protection, warmUp: warmUp.tracker, isLeading: leadershipController.isLeading, pending: gateway.pending, loopDelayMs: loopDelayMonitor.delayMs, now
+      host: settings.host, routingState, leadership, leaderConnection, reader, coordinator, budgets, limits, queues, responseMemory, protection, evacuations, warmUp: warmUp.tracker, isLeading: leadershipController.isLeading, pending: gateway.pending, loopDelayMs: loopDelayMonitor.delayMs, now
     })
   }
 }
--- a/src/entry_host/describe_host.ts
+++ b/src/entry_host/describe_host.ts
@@ -1,4 +1,5 @@
 /** Describes the state of a host for its operators. */
+import type { EvacuationControl } from '../evacuation/mod.ts'
 import type { RequestLimits, ResponseMemory, RoutingState } from '../gateway/mod.ts'
 import type { Leadership } from '../leadership/mod.ts'
 import type { LeaderConnection } from '../replication/mod.ts'
@@ -22,6 +23,7 @@
   readonly queues: Pick<ServerQueues, 'describe' | 'counts'>
   readonly responseMemory: Pick<ResponseMemory, 'bytes'>
   readonly warmUp: Pick<WarmUpTracker, 'describe'>
+  readonly evacuations: Pick<EvacuationControl, 'describe'>
   readonly protection: Pick<RequestProtection, 'describe'>
   readonly isLeading: () => boolean
   readonly pending: () => number
@@ -51,6 +53,7 @@
     loopDelayMs: parts.loopDelayMs(),
     retryBudgets: parts.budgets.describe(),
     limits: [...parts.limits.observations()],
+    evacuations: parts.evacuations.describe(),
     coldServers: parts.warmUp.describe(),
     queues: { ...parts.queues.counts(), waiting: parts.queues.describe() },
     views: [...parts.coordinator.views()]
--- a/src/gateway/create_gateway.ts
+++ b/src/gateway/create_gateway.ts
@@ -190,7 +190,7 @@
     const inFlight = loads.inFlight(server.id)
     const sentAt = now()
     const complete = loads.trackRequest(server)
-    const outcome = await sendWithTimeout(exchange, { attempt: createAttempt(exchange, server), connections: { agent: options.agent, names, limits: options.limits, ...(options.statements === undefined ? {} : { statements: options.statements }), onLeaving: routingState.recordLeaving }, expectedMs })
+    const outcome = await sendWithTimeout(exchange, { attempt: createAttempt(exchange, server), connections: { agent: options.agent, names, limits: options.limits, ...(options.statements === undefined ? {} : { statements: options.statements }), onLeaving: routingState.recordLeaving, isEvacuated: routingState.isEvacuated }, expectedMs })
     const durationMs = now() - sentAt
     complete(toLoadOutcome(outcome, durationMs))
     turn.end(outcome)
@@ -217,7 +217,7 @@
         }
       },
       connections: {
-        agent: options.relayAgent, names, limits: options.limits, serverOf: routingState.server, onServer (id) { server = routingState.server(id) ?? named }, onLeaving: routingState.recordLeaving, connectTimeoutMs: RELAY_CONNECT_TIMEOUT_MS
+        agent: options.relayAgent, names, limits: options.limits, serverOf: routingState.server, onServer (id) { server = routingState.server(id) ?? named }, onLeaving: routingState.recordLeaving, isEvacuated: routingState.isEvacuated, connectTimeoutMs: RELAY_CONNECT_TIMEOUT_MS
       },
       expectedMs: Math.max(expectedMs, remainingMs(exchange) * RELAY_WAIT_SHARE / ATTEMPT_TIMEOUT_FACTOR)
     })
--- a/src/relay/create_relay.ts
+++ b/src/relay/create_relay.ts
@@ -117,6 +117,8 @@
 
   /** Sends a request to its server if that has room, and reports the outcome. */
   async function sendToServer (request: IncomingMessage, response: ServerResponse, { server: named, body, memory, signal, deadlineAt }: { readonly server: RoutedServer, readonly body: RequestBody, readonly memory: ResponseAccount, readonly signal: AbortSignal, readonly deadlineAt: number }): Promise<void> {
+    // The order may have come while the body was read.
+    if (routingState.isEvacuated(named)) return refuse(response, RelayRefusal.leaving)
     const headers = requestHeaders(request.rawHeaders, names)
     const fingerprint = createFingerprintSource(() => ({ method: request.method ?? 'GET', path: request.url ?? '/', headers, body }), varyingHeaders)
     const enteredAt = now()
@@ -153,7 +155,7 @@
       memory,
       deadlineMs: deadlineAt - sentAt,
       signal
-    }, { agent: options.agent, names, limits: options.limits, ...(options.statements === undefined ? {} : { statements: options.statements }), onLeaving: routingState.recordLeaving })
+    }, { agent: options.agent, names, limits: options.limits, ...(options.statements === undefined ? {} : { statements: options.statements }), onLeaving: routingState.recordLeaving, isEvacuated: routingState.isEvacuated })
     const durationMs = now() - sentAt
     end(toLoadOutcome(outcome, durationMs))
     turn.end(outcome)
@@ -167,14 +169,14 @@
     if (outcome.kind === 'answer' || outcome.kind === 'stream') {
       return (await forwardResponse(response, outcome, { closesConnection: false, isToHost: true, ...(server.id === named.id ? {} : { server: server.id }), memory, signal })).body
     } else if (outcome.kind === 'unsent' || outcome.kind === 'not-admitted') {
-      refuse(response, options.isIsolated() ? RelayRefusal.isolated : RelayRefusal.unreachable)
+      refuse(response, outcome.kind === 'unsent' && outcome.isEvacuated === true ? RelayRefusal.leaving : options.isIsolated() ? RelayRefusal.isolated : RelayRefusal.unreachable)
     } else if (outcome.kind === 'lost') {
       // The other host must not mistake this for a response of the server: the request may have run.
       response.destroy()
     } else {
       // The request has reached the server, so this is the server's refusal and not one of the relay.
       const roomAfterMs = !outcome.misdirected && loads.isFull(server.id) ? returnAfterMs(server, query) : null
-      response.writeHead(outcome.status, { 'Content-Length': '0', [names.attemptId]: attemptIdOf(response.req), [names.notRun]: 'true', ...(server.id === named.id ? {} : { [RelayHeader.server]: server.id }), ...(roomAfterMs === null ? {} : { [RelayHeader.roomAfterMs]: String(Math.ceil(roomAfterMs)) }), ...(routingState.server(server.id)?.leaving === true ? { [names.leaving]: '1' } : {}) }).end()
+      response.writeHead(outcome.status, { 'Content-Length': '0', [names.attemptId]: attemptIdOf(response.req), [names.notRun]: 'true', ...(server.id === named.id ? {} : { [RelayHeader.server]: server.id }), ...(roomAfterMs === null ? {} : { [RelayHeader.roomAfterMs]: String(Math.ceil(roomAfterMs)) }), ...(routingState.server(server.id)?.leaving === true && !routingState.isEvacuated(server) ? { [names.leaving]: '1' } : {}) }).end()
     }
   }
 
