Fill other zones in smaller steps, and return what they cannot take

A zone without servers pushed the requests of another one out of its own zone.

A quarter of the free slots is filled, and a fifth of the excess returned, by each step; what exceeds the slots by the own demand alone returns faster. The division of a demand without servers counts zones as if they kept their own.

--- a/src/zone_balance/_adjust_shares.ts
+++ b/src/zone_balance/_adjust_shares.ts
@@ -22,11 +22,14 @@
 /** Part of a difference that one step corrects: the rest waits for figures that confirm it. */
 const STEP_SHARE = 0.5
 
-/** The same for demand that returns: returning too early has requests refused, returning late only costs bytes. */
+/** The same for free slots that are filled: with half of them, random peaks of the demand overfilled zones close to their capacity. */
+const RECEIVING_STEP_SHARE = 0.25
+
+/** The same for demand that returns: what returns too early is refused, what returns late only costs bytes. */
 const RETURN_STEP_SHARE = 0.2
 
 /** The same for the division of a demand that cannot be seen, so that its changes appear in the figures only after several steps. */
-const DIVISION_STEP_SHARE = 0.15
+const DIVISION_STEP_SHARE = 0.3
 
 /** Utilisation above which zones count as equally full: twice the slots is what relays admit. */
 const MAXIMUM_UTILISATION = 2
@@ -75,7 +78,8 @@
   const excess = expectedLoad(state) - (state.isSlow ? 0 : state.load.slots)
   const received = receivedLoad(states, zone)
   if (excess <= 0 || received <= 0) return
-  const factor = 1 - STEP_SHARE * Math.min(1, excess / received)
+  // The more the own demand alone exceeds the slots, the less of the excess is a queue that ends by itself.
+  const factor = 1 - Math.min(STEP_SHARE, RETURN_STEP_SHARE * excess / received)
   for (const [from, source] of states) if (isUsable(source)) lowerShares(states, from, { factor, to: zone, elapsedMs: options.elapsedMs })
 }
 
@@ -100,7 +104,7 @@
 /** Requests per millisecond that the zone may begin to receive in this step. */
 function roomPerMs (state: ZoneState): number {
   if (!isUsable(state) || leavingShare(state) > EXPORTING_SHARE) return 0
-  return STEP_SHARE * Math.max(0, receivingLoad(state) - expectedLoad(state)) / state.load.workMs
+  return RECEIVING_STEP_SHARE * Math.max(0, receivingLoad(state) - expectedLoad(state)) / state.load.workMs
 }
 
 /** Lets the excess of all zones leave into the free slots of others, within the room that there is for all of them. */
@@ -121,14 +125,16 @@
   }
 }
 
-/** Relative load of a zone that receives the demand of one without servers. */
-function utilisation (state: ZoneState): number {
-  return expectedLoad(state) / Math.max(1, state.load.slots)
+/** Load of a zone, relative to its slots, if zones with servers kept their demand: what a zone without servers sends must not push out the demand of others. */
+function utilisation (states: ZoneStates, state: ZoneState): number {
+  const { zone, workMs, slots } = state.load
+  const kept = expectedLoad(state) + leavingShare(state) * state.demandPerMs * workMs - receivedLoad(states, zone, isUsable)
+  return Math.max(0, kept) / Math.max(1, slots)
 }
 
 /** Initial weight of a zone that receives the demand of one without servers: its free throughput. */
-function initialWeight (state: ZoneState): number {
-  return state.load.slots / Math.max(1, state.load.workMs) * Math.max(HYSTERESIS_SHARE, 1 - utilisation(state))
+function initialWeight (states: ZoneStates, state: ZoneState): number {
+  return state.load.slots / Math.max(1, state.load.workMs) * Math.max(HYSTERESIS_SHARE, 1 - utilisation(states, state))
 }
 
 /** Divides the whole demand of a zone without responsive servers among the others, and moves it towards those with a lower utilisation. */
@@ -140,7 +146,7 @@
   // Without any servers of its own, a zone tries others even if they did not respond.
   const targets = usable.length > 0 || own.load.servers > 0 ? usable : others
   const isDivided = own.shares.size === targets.length && targets.every(([name]) => own.shares.has(name)) && leavingShare(own) > MAXIMUM_SHARE
-  const weights = targets.map(([name, state]) => isDivided ? (own.shares.get(name) ?? 0) * Math.exp(-DIVISION_STEP_SHARE * Math.min(MAXIMUM_UTILISATION, utilisation(state))) : initialWeight(state))
+  const weights = targets.map(([name, state]) => isDivided ? (own.shares.get(name) ?? 0) * Math.exp(-DIVISION_STEP_SHARE * Math.min(MAXIMUM_UTILISATION, utilisation(states, state))) : initialWeight(states, state))
   const total = weights.reduce((sum, weight) => sum + weight, 0)
   for (const [index, [name]] of targets.entries()) setShare(states, { from: zone, to: name, share: Math.max(NEGLIGIBLE_SHARE, (weights[index] ?? 0) / total) })
 }
--- a/src/zone_balance/_zone_state.ts
+++ b/src/zone_balance/_zone_state.ts
@@ -41,10 +41,10 @@
   return Math.max(0, smoothedLoad + unseenPerMs * load.workMs)
 }
 
-/** Requests at the zone that the hosts of other zones have sent. */
-export function receivedLoad (states: ZoneStates, zone: string): number {
+/** Requests at the zone that the hosts of other zones have sent; `isCounted` limits these zones. */
+export function receivedLoad (states: ZoneStates, zone: string, isCounted: (state: ZoneState) => boolean = () => true): number {
   let perMs = 0
-  for (const state of states.values()) perMs += (state.shares.get(zone) ?? 0) * state.demandPerMs
+  for (const state of states.values()) if (isCounted(state)) perMs += (state.shares.get(zone) ?? 0) * state.demandPerMs
   return perMs * (states.get(zone)?.load.workMs ?? 0)
 }
 
