Choose servers in the zone that the balance has drawn

A fixed factor of 1.25 on the expected latency decided whether a request without a key left its zone: hosts sent requests away beside free slots, to the same few servers for as long as figures are old.

chooseServer() now takes servers of the chosen zone, else of the own zone, else of any. Large bodies still take a free slot of their own zone first. A request that was refused takes a free slot in any zone: until shares have followed a burst, it would be refused beside free servers. Ruled out: the same for first attempts, which all hosts would make at once on old figures.

The second half of 'keeps uploads in their zone' asserted what the factor did when all servers of the zone are full; it now asserts the same of shares that were computed from these loads, and in addition that none leaves before. Three tests are new: the chosen zone only, the order of zones, refused requests.

--- a/src/gateway/choose_server.ts
+++ b/src/gateway/choose_server.ts
@@ -1,9 +1,10 @@
 /**
  * Chooses a server for a request without a key.
  *
- * A few responsive servers are sampled at random, and the one with the lowest
- * expected latency is chosen. If many hosts all chose the best server, they
- * would overload it before they received each other's loads.
+ * The balance between zones chooses the zone. A few responsive servers of it
+ * are sampled at random, and the one with the lowest expected latency is
+ * chosen. If many hosts all chose the best server, they would overload it before
+ * they received each other's loads.
  */
 import { rendezvousRank, type RoutedServer } from '../routing/mod.ts'
 import type { ServerLoads } from './server_loads.ts'
@@ -21,6 +22,8 @@
   readonly zone: string
   /** Length of the request's body, in bytes. */
   readonly bodyBytes: number
+  /** Chooses the zone that the request is sent to while servers there accept it; `null` leaves the choice open. */
+  readonly chooseZone: () => string | null
   /** Random number from 0 to 1. */
   readonly random: () => number
   /** Name of this host; each host uses its own subset of the servers of a large service. */
@@ -30,9 +33,6 @@
 /** Number of servers that are sampled and compared. */
 const SAMPLED_SERVERS = 3
 
-/** Share that is added to the expected latency of a server in another zone, since traffic between zones has a cost. */
-const CROSS_ZONE_PENALTY = 0.25
-
 /** Number of servers of a service above which a host uses only a subset of them. */
 const LARGE_SERVICE_SERVERS = 20
 
@@ -55,7 +55,7 @@
   const responsive = untried.filter((server) => !options.loads.isUnresponsive(server))
   const permitted = responsive.filter((server) => !options.isExhausted(server.id))
   const preferred = [permitted, responsive].find((group) => group.length > 0) ?? untried
-  const candidates = preferSameZone(selectSubset(preferred, options), options)
+  const candidates = [...selectSubset(selectZone(preferred, options), options)]
   let best: RoutedServer | null = null
   let lowestCost = Infinity
   for (let sampled = 0; sampled < SAMPLED_SERVERS && candidates.length > 0; sampled++) {
@@ -83,6 +83,31 @@
   return ranked
 }
 
+/**
+ * Selects the servers of the chosen zone, else those of this host's zone, else
+ * all. A large body stays in this host's zone while a server there has a free
+ * slot. A request that a server has already refused goes to the next of these
+ * groups that has a free slot: until the shares of the zones have followed a
+ * burst, it would otherwise be refused again beside free servers.
+ */
+function selectZone (servers: readonly RoutedServer[], options: ChooseServerOptions): readonly RoutedServer[] {
+  const hasFreeSlot = (server: RoutedServer): boolean => options.loads.inFlight(server.id) < server.slots
+  const serversIn = (zone: string | null): readonly RoutedServer[] => servers.filter((server) => server.zone === zone)
+  const sameZone = serversIn(options.zone)
+  if (options.bodyBytes >= LARGE_BODY_BYTES) {
+    const free = sameZone.filter(hasFreeSlot)
+    if (free.length > 0) return free
+  }
+  const groups = [serversIn(options.chooseZone()), sameZone, servers]
+  if (options.tried.size > 0) {
+    for (const group of groups) {
+      const free = group.filter(hasFreeSlot)
+      if (free.length > 0) return free
+    }
+  }
+  return groups.find((group) => group.length > 0) ?? servers
+}
+
 /**
  * Selects this host's subset of the servers of a large service, so that
  * connections are reused before their idle timeout. Returns all servers while
@@ -96,20 +121,12 @@
   return subset.some((server) => options.loads.inFlight(server.id) < server.slots) ? subset : servers
 }
 
-/** For a large body, selects the servers of this host's zone that have a free slot; otherwise, or if there are none, all servers. */
-function preferSameZone (servers: readonly RoutedServer[], options: ChooseServerOptions): RoutedServer[] {
-  if (options.bodyBytes < LARGE_BODY_BYTES) return [...servers]
-  const sameZone = servers.filter((server) => server.zone === options.zone && options.loads.inFlight(server.id) < server.slots)
-  return sameZone.length > 0 ? sameZone : [...servers]
-}
-
 function estimateCost (server: RoutedServer, options: ChooseServerOptions): number {
   const { loads } = options
   const failureFactor = 1 + 4 * loads.failureShare(server.id)
-  const zoneFactor = server.zone === options.zone ? 1 : 1 + CROSS_ZONE_PENALTY
   // The utilisation breaks ties between servers with free slots.
   const utilisation = (loads.inFlight(server.id) + 1) / server.slots
-  return loads.expectedMs(server) * failureFactor * zoneFactor * (1 + utilisation * 0.5)
+  return loads.expectedMs(server) * failureFactor * (1 + utilisation * 0.5)
 }
 
 /** Draws the index of a server with a probability proportional to its capacity. */
--- a/src/gateway/choose_server_test.ts
+++ b/src/gateway/choose_server_test.ts
@@ -4,6 +4,7 @@
 import type { RoutedServer } from '../routing/mod.ts'
 import { chooseServer } from './choose_server.ts'
 import { createServerLoads, type ServerLoads } from './server_loads.ts'
+import { createZoneBalance, sumZoneLoads } from '../zone_balance/mod.ts'
 
 const test = suite('chooseServer')
 
@@ -26,11 +27,11 @@
   loads.applyViews(new Map(Object.entries(views).map(([id, view]) => [id, { inFlight: 0, workMs: 100, failureShare: 0, silent: false, admitShare: 1, ...view }])))
 }
 
-function count (servers: readonly RoutedServer[], loads: ServerLoads, options: { readonly bodyBytes?: number, readonly times?: number, readonly host?: string, readonly limits?: Readonly<Record<string, number>>, readonly exhausted?: readonly string[] } = {}): Map<string, number> {
+function count (servers: readonly RoutedServer[], loads: ServerLoads, options: { readonly bodyBytes?: number, readonly times?: number, readonly host?: string, readonly limits?: Readonly<Record<string, number>>, readonly exhausted?: readonly string[], readonly tried?: readonly string[], readonly chooseZone?: () => string | null } = {}): Map<string, number> {
   const random = createRandom()
   const counts = new Map<string, number>()
   for (let time = 0; time < (options.times ?? 1000); time++) {
-    const chosen = chooseServer(servers, { loads, limitOf: (server) => options.limits?.[server.id] ?? null, isExhausted: (id) => options.exhausted?.includes(id) ?? false, tried: new Set(), zone: 'a', host: options.host ?? 'h1', bodyBytes: options.bodyBytes ?? 0, random })
+    const chosen = chooseServer(servers, { loads, limitOf: (server) => options.limits?.[server.id] ?? null, isExhausted: (id) => options.exhausted?.includes(id) ?? false, tried: new Set(options.tried), zone: 'a', host: options.host ?? 'h1', bodyBytes: options.bodyBytes ?? 0, chooseZone: options.chooseZone ?? (() => 'a'), random })
     counts.set(chosen?.id ?? '', (counts.get(chosen?.id ?? '') ?? 0) + 1)
   }
   return counts
@@ -67,8 +68,44 @@
   const loads = createServerLoads(() => 0)
   setViews(loads, { s0: {}, s3: {} })
   assert.equal([...count(servers, loads, { bodyBytes: 60_000 }).keys()].sort(), ['s0', 's3'])
+  const balance = createZoneBalance({ zone: 'a' })
+  const request = { bodyBytes: 60_000, latencyGoalMs: 333, remainingMs: 1000 }
+  const random = createRandom()
+  const chooseZone = (): string | null => balance.chooseZone('orders', request, random())
+  assert.equal([...count(servers, loads, { bodyBytes: 60_000, chooseZone }).keys()].sort(), ['s0', 's3'])
   setViews(loads, { s0: { inFlight: 6 }, s3: { inFlight: 6 } })
-  assert.ok(count(servers, loads, { bodyBytes: 60_000 }).size > 2)
+  for (let now = 0; now < 10_000; now += 440) balance.update('orders', sumZoneLoads(servers, { loads }), now)
+  assert.ok(count(servers, loads, { bodyBytes: 60_000, chooseZone }).size > 2)
+})
+
+test('chooseServer() sends requests to the chosen zone only, when servers of another zone have a lower expected latency', () => {
+  const servers = serversOf(6, ['a', 'b', 'c'])
+  const loads = createServerLoads(() => 0)
+  setViews(loads, { s0: { inFlight: 5 }, s1: { workMs: 300 }, s3: { inFlight: 5 }, s4: { workMs: 300 } })
+  assert.equal([...count(servers, loads).keys()].sort(), ['s0', 's3'])
+  assert.equal([...count(servers, loads, { chooseZone: () => 'b' }).keys()].sort(), ['s1', 's4'])
+})
+
+test('chooseServer() tries the servers of other zones, when those of the chosen and the own zone have been tried or are unresponsive', () => {
+  const servers = serversOf(6, ['a', 'b', 'c'])
+  const loads = createServerLoads(() => 0)
+  setViews(loads, { s3: { silent: true } })
+  assert.equal([...count(servers, loads, { tried: ['s0'] }).keys()].sort(), ['s1', 's2', 's4', 's5'])
+  assert.equal([...count(servers, loads, { tried: ['s1', 's4'], chooseZone: () => 'b' }).keys()].sort(), ['s0'])
+  setViews(loads, { s0: { silent: true }, s3: { silent: true } })
+  assert.equal([...count(servers, loads).keys()].sort(), ['s1', 's2', 's4', 's5'])
+  assert.ok(count(servers, loads, { chooseZone: () => null }).size > 0)
+})
+
+test('chooseServer() finds a free slot in another zone, when a request was refused in its own, which is full, and only then', () => {
+  const servers = serversOf(6, ['a', 'b', 'c'])
+  const loads = createServerLoads(() => 0)
+  const full = { inFlight: 6 }
+  setViews(loads, { s0: full, s1: full, s2: full, s3: full, s4: full, s5: {} })
+  assert.equal([...count(servers, loads).keys()].sort(), ['s0', 's3'])
+  assert.equal([...count(servers, loads, { tried: ['s0'] }).keys()], ['s5'])
+  setViews(loads, { s5: full })
+  assert.equal([...count(servers, loads, { tried: ['s0'] }).keys()], ['s3'])
 })
 
 test('chooseServer() samples a server less often, when the server has named a limit below its speed', () => {
@@ -87,7 +124,7 @@
 })
 
 test('chooseServer() returns null, when every server has been tried', () => {
-  assert.is(chooseServer(serversOf(1), { loads: createServerLoads(() => 0), limitOf: () => null, isExhausted: () => false, tried: new Set(['s0']), zone: 'a', host: 'h1', bodyBytes: 0, random: createRandom() }), null)
+  assert.is(chooseServer(serversOf(1), { loads: createServerLoads(() => 0), limitOf: () => null, isExhausted: () => false, tried: new Set(['s0']), zone: 'a', host: 'h1', bodyBytes: 0, chooseZone: () => 'a', random: createRandom() }), null)
 })
 
 test('chooseServer() uses a subset of 12 servers that differs between hosts, when a service is large and the subset has free slots', () => {
--- a/src/gateway/create_gateway.ts
+++ b/src/gateway/create_gateway.ts
@@ -156,7 +156,8 @@
       if (loads.isUnresponsive(owner)) return { kind: 'refuse', reason: 'owner-silent', retryAfterMs: jitteredRetryAfterMs(exchange, DEFAULT_RETRY_AFTER_MS) }
       return owner
     }
-    const server = chooseServer(routingState.availableServers(exchange.service), { loads, limitOf: options.limits.limitOf, isExhausted: options.permits.isExhausted, tried: exchange.triedServers, zone: options.zone, host: options.host, bodyBytes: bodyBytes(exchange.body), random: options.random })
+    const request = { bodyBytes: bodyBytes(exchange.body), latencyGoalMs: exchange.route.latencyGoalMs, remainingMs: remainingMs(exchange) }
+    const server = chooseServer(routingState.availableServers(exchange.service), { loads, limitOf: options.limits.limitOf, isExhausted: options.permits.isExhausted, tried: exchange.triedServers, zone: options.zone, host: options.host, bodyBytes: request.bodyBytes, chooseZone: () => options.chooseZone === undefined ? options.zone : options.chooseZone(exchange.service, request, options.random()), random: options.random })
     if (server !== null) return server
     const reason = exchange.triedServers.size > 0 ? 'every-server-tried' : 'no-server'
     return { kind: 'refuse', reason, retryAfterMs: jitteredRetryAfterMs(exchange, DEFAULT_RETRY_AFTER_MS) }
--- a/src/gateway/gateway_options.ts
+++ b/src/gateway/gateway_options.ts
@@ -2,6 +2,7 @@
 import type { Agent } from 'node:http'
 import type { RetryBudget } from '../dispatch/retry_budget.ts'
 import type { RequestGuard } from '../fatal_requests/mod.ts'
+import type { ZoneBalance } from '../zone_balance/mod.ts'
 import type { HeaderNames } from './header_names.ts'
 import type { PathSelector } from './relay_selector.ts'
 import type { RequestLimits } from './request_limits.ts'
@@ -34,6 +35,8 @@
   readonly names: HeaderNames
   readonly host: string
   readonly zone: string
+  /** Chooses the zone of requests without a key. Default: the zone of the host. */
+  readonly chooseZone?: ZoneBalance['chooseZone']
   readonly retryBudgetOf: (service: string) => RetryBudget
   readonly now: () => number
   readonly random: () => number
