Update the shares of zones with each heartbeat

The balance needs the loads of zones as all hosts see them, and hosts have no processor time to sum them for each request.

zone_shares.ts sums the servers once for each heartbeat and service, on followers after the views of a heartbeat and on the leader after it has published them. It logs zone-shares-changed when the share that leaves changes by a tenth, begins or ends, at most once a second and service, and describe() has the shares. Ruled out: lines by the leader for all zones, since hosts decide for themselves.

--- a/src/entry_host/create_entry_host.ts
+++ b/src/entry_host/create_entry_host.ts
@@ -15,6 +15,7 @@
 import { createConnectProbe, createReachabilityMonitor, type Isolation } from '../reachability/mod.ts'
 import { createRelay, createRelayDirectory } from '../relay/mod.ts'
 import { createPeerServer, createLeaderConnection, OPTIONAL_KINDS } from '../replication/mod.ts'
+import { INITIAL_LIMITS, RELAY_LIMITS } from './_connection_limits.ts'
 import { listen, pause } from './_listen.ts'
 import { TaskTiming } from './_task_timing.ts'
 import { trackControl } from './_tracked_control.ts'
@@ -35,6 +36,7 @@
 import { createRetryBudgets, type RetryBudgetsState } from './retry_budgets.ts'
 import { createStoreReader, type PublishedState } from './store_reader.ts'
 import { createUpdateHandler } from './update_handler.ts'
+import { createZoneShares } from './zone_shares.ts'
 
 /** Options of {@link createEntryHost}. */
 export interface EntryHostOptions {
@@ -59,18 +61,12 @@
   retryBudgets (): RetryBudgetsState
 }
 
-/** Limits that apply until the first configuration is read. */
-const INITIAL_LIMITS = { headerBytes: 16_384, bodyBytes: 64 * 1024 * 1024, headerTimeoutMs: 3000, idleTimeoutMs: 15_000 } as const
-
 /** Duration of grants while the store is unavailable, in milliseconds: covers an outage of nine seconds, less the time to detect it. */
 const OUTAGE_GRANT_DURATION_MS = 8500
 
 /** Maximum number of idle connections kept to one relay: requests for several of its servers may arrive at once. */
 const RELAY_IDLE_CONNECTIONS = 8
 
-/** Limits of requests from other hosts: these have already checked the header and body of the caller's request, and their connections stay open. */
-const RELAY_LIMITS = { headerBytes: 128 * 1024, bodyBytes: Infinity, headerTimeoutMs: 10_000, idleTimeoutMs: 300_000 } as const
-
 /** Sockets reserved for the store, other hosts and operators. */
 const RESERVED_SOCKETS = 400
 
@@ -103,6 +99,7 @@
   const isIsolated = (): boolean => reachability.isolation() !== null
   const reachesServersSince = (): number => reachability.isTrusted() ? reachability.trustedSince() : Infinity
   const loads = createServerLoads(now, routingState.assumedWorkMs, reachability)
+  const zoneShares = createZoneShares({ zone: settings.zone, routingState, loads, logger, now })
   const hostCount = createHostCount(now)
   const budgets = createRetryBudgets({ ratio: settings.retryRatio, slack: settings.retrySlack, hostCount, random: Math.random, ...createRetryBudgetLog(logger, now) })
   const limits = createRequestLimits({ now, onChange: createLimitLog(logger) })
@@ -176,6 +173,7 @@
       leaderMonitor,
       budgets,
       loads,
+      zoneShares,
       reader: () => reader,
       evidence,
       logger,
@@ -200,7 +198,7 @@
   })
 
   const statePublisher = createStatePublisher({
-    host: settings.host, zone: settings.zone, routingState, loads, limits, coordinator, leadership, peerServer, leaderConnection, reader, relays, evidence, budgets, hostCount, leaderMonitor, isLeading: () => leadershipController.isLeading(), now
+    host: settings.host, zone: settings.zone, routingState, loads, limits, coordinator, leadership, peerServer, leaderConnection, reader, relays, evidence, budgets, hostCount, leaderMonitor, zoneShares, isLeading: () => leadershipController.isLeading(), now
   })
   const leadershipController = createLeadershipController({
     holder,
@@ -240,6 +238,7 @@
     names: options.names,
     host: settings.host,
     zone: settings.zone,
+    chooseZone: zoneShares.chooseZone,
     retryBudgetOf: budgets.forService,
     now,
     random: Math.random,
@@ -391,6 +390,7 @@
       refusedRequests: protection.describe(),
       loopDelayMs: loopDelayMonitor.delayMs(),
       retryBudgets: budgets.describe(),
+      zoneShares: zoneShares.describe(),
       limits: [...limits.observations()],
       views: [...coordinator.views()]
     })
--- a/src/entry_host/create_state_publisher.ts
+++ b/src/entry_host/create_state_publisher.ts
@@ -16,6 +16,7 @@
 import type { HostCount } from './host_count.ts'
 import type { RetryBudgets } from './retry_budgets.ts'
 import type { StoreReader } from './store_reader.ts'
+import type { ZoneShares } from './zone_shares.ts'
 
 /** Options of {@link createStatePublisher}. */
 export interface StatePublisherOptions {
@@ -34,6 +35,7 @@
   readonly budgets: Pick<RetryBudgets, 'recordHosts'>
   readonly hostCount: Pick<HostCount, 'known'>
   readonly leaderMonitor: LeaderMonitor
+  readonly zoneShares: Pick<ZoneShares, 'update'>
   readonly isLeading: () => boolean
   /** Monotonic time in milliseconds. */
   readonly now: () => number
@@ -98,6 +100,7 @@
     coordinator.adjustShares()
     options.budgets.recordHosts(peerServer.hosts().length + 1)
     loads.applyViews(coordinator.views())
+    options.zoneShares.update()
     const complete = ++heartbeats % HEARTBEATS_PER_COMPLETE_VIEW === 0
     publishRelays()
     peerServer.publish({
--- a/src/entry_host/update_handler.ts
+++ b/src/entry_host/update_handler.ts
@@ -11,6 +11,7 @@
 import { applyPublishedUpdate, type PublishedUpdate } from './published_updates.ts'
 import type { RetryBudgets } from './retry_budgets.ts'
 import type { StoreReader } from './store_reader.ts'
+import type { ZoneShares } from './zone_shares.ts'
 
 /** Options of {@link createUpdateHandler}. */
 export interface UpdateHandlerOptions {
@@ -21,6 +22,7 @@
   readonly leaderMonitor: Pick<LeaderMonitor, 'recordHeartbeat'>
   readonly budgets: Pick<RetryBudgets, 'recordHosts'>
   readonly loads: Pick<ServerLoads, 'applyViews'>
+  readonly zoneShares: Pick<ZoneShares, 'update'>
   readonly reader: () => Pick<StoreReader, 'readPublished' | 'recordServers'>
   readonly evidence: Pick<EvidenceExchange, 'receive' | 'sendAll'>
   readonly logger: Logger
@@ -79,6 +81,7 @@
       options.leaderMonitor.recordHeartbeat(update, address)
       options.budgets.recordHosts(update.hosts, address)
       options.loads.applyViews(decodeViews(update.views), update.complete)
+      options.zoneShares.update()
     } else if (isPublished(update)) applyPublished(update)
     // Later builds may send kinds that this one does not know.
     else logger.debug({ kind: (update as { readonly kind?: unknown }).kind }, 'update-unknown')
