Merge cross-zone balancing; reports count requests that wait at a relay

Cause of the second change: with queues at relays, reports said only what a server ran, so that hosts took a server with a long queue for one with a short one. Reports count waiting requests as in flight again.

Ruled out: lost slots, since latency recovers after the load; stated load of servers, since it is used for 150 ms only.

--- a/src/entry_host/create_entry_host.ts
+++ b/src/entry_host/create_entry_host.ts
@@ -28,6 +28,7 @@
 import { createHostCount } from './host_count.ts'
 import { createHostReportTracker } from './host_report_tracker.ts'
 import { createLeadershipController } from './create_leadership_controller.ts'
+import { isSmallHost } from './is_small_host.ts'
 import { createLeaderMonitor } from './leader_monitor.ts'
 import { createLimitLog } from './limit_log.ts'
 import { createLoopDelayMonitor } from './loop_delay_monitor.ts'
@@ -40,6 +41,7 @@
 import { createStoreReader, type PublishedState } from './store_reader.ts'
 import { createUpdateHandler } from './update_handler.ts'
 import { createWarmUp } from './create_warm_up.ts'
+import { createZoneShares } from './zone_shares.ts'
 
 /** Options of {@link createEntryHost}. */
 export interface EntryHostOptions {
@@ -75,12 +77,6 @@
 /** Margin between the exit of the process and the time at which the platform kills it, in milliseconds. */
 const EXIT_MARGIN_MS = 700
 
-/** Processor share below which a host delays its claim to lead. */
-const SMALL_PROCESSOR_SHARE = 0.3
-
-/** Link speed below which a host delays its claim to lead, in megabits per second: a faster link sends a change to all hosts within a fraction of a second. */
-const SMALL_LINK_MEGABITS = 50
-
 /**
  * Starts an entry host.
  *
@@ -100,6 +96,7 @@
   const warmUp = createWarmUp({ routingState, relays: () => relays, bound: settings.warmUpBound, isLeading: () => leadershipController.isLeading(), publish (update) { peerServer.publish(update) }, logger, now })
   const loads = createServerLoads(now, routingState.assumedWorkMs, { reachability, warmUp: warmUp.tracker })
   const evacuations = createEvacuationControl({ routingState, loads, logger, now, onChanged: onServersChanged, onZoneReturned: warmUp.tracker.recordZoneReturned })
+  const zoneShares = createZoneShares({ zone: settings.zone, routingState, loads, warmUp: warmUp.tracker, logger, now })
   const hostCount = createHostCount(now)
   const budgets = createRetryBudgets({ ratio: settings.retryRatio, slack: settings.retrySlack, hostCount, random: Math.random, ...createRetryBudgetLog(logger, now) })
   const limits = createRequestLimits({ now, onChange: createLimitLog(logger) })
@@ -177,6 +174,7 @@
       leaderMonitor,
       budgets,
       loads,
+      zoneShares,
       reader: () => reader,
       evidence,
       warmUp: warmUp.tracker,
@@ -208,13 +206,13 @@
   })
 
   const statePublisher = createStatePublisher({
-    host: settings.host, zone: settings.zone, routingState, loads, limits, coordinator, leadership, peerServer, leaderConnection, reader, relays, evidence, evacuations, budgets, hostCount, leaderMonitor, isLeading: () => leadershipController.isLeading(), now
+    host: settings.host, zone: settings.zone, routingState, loads, limits, coordinator, leadership, peerServer, leaderConnection, reader, relays, evidence, evacuations, budgets, hostCount, leaderMonitor, zoneShares, queues, isLeading: () => leadershipController.isLeading(), now
   })
   const leadershipController = createLeadershipController({
     holder,
     address: `${settings.ip}:${settings.peerPort}`,
     // Hosts with little processor time or a slow link lead only if no other host claims the lease first.
-    isSmall: settings.processorShare < SMALL_PROCESSOR_SHARE || settings.linkMegabits < SMALL_LINK_MEGABITS,
+    isSmall: isSmallHost(settings),
     isFirstStart: settings.isFirstStart,
     host: settings.host,
     zone: settings.zone,
@@ -251,6 +249,7 @@
     names: options.names,
     host: settings.host,
     zone: settings.zone,
+    chooseZone: zoneShares.chooseZone,
     retryBudgetOf: budgets.forService,
     now,
     random: Math.random,
@@ -392,7 +391,7 @@
     retryBudgets: budgets.describe,
     evacuations: evacuations.describe,
     describe: () => describeHost({
-      host: settings.host, routingState, leadership, leaderConnection, reader, coordinator, budgets, limits, queues, responseMemory, protection, evacuations, warmUp: warmUp.tracker, isLeading: leadershipController.isLeading, pending: gateway.pending, loopDelayMs: loopDelayMonitor.delayMs, now
+      host: settings.host, routingState, leadership, leaderConnection, reader, coordinator, budgets, limits, queues, responseMemory, protection, evacuations, zoneShares, warmUp: warmUp.tracker, isLeading: leadershipController.isLeading, pending: gateway.pending, loopDelayMs: loopDelayMonitor.delayMs, now
     })
   }
 }
--- a/src/entry_host/create_state_publisher.ts
+++ b/src/entry_host/create_state_publisher.ts
@@ -8,6 +8,7 @@
 import type { Leadership } from '../leadership/mod.ts'
 import type { RelayDirectory } from '../relay/mod.ts'
 import type { PeerServer, LeaderConnection, Report, Update } from '../replication/mod.ts'
+import type { ServerQueues } from '../server_queue/mod.ts'
 import { TaskTiming } from './_task_timing.ts'
 import type { EvidenceExchange } from './evidence_exchange.ts'
 import type { Coordinator } from './create_coordinator.ts'
@@ -17,6 +18,7 @@
 import type { HostCount } from './host_count.ts'
 import type { RetryBudgets } from './retry_budgets.ts'
 import type { StoreReader } from './store_reader.ts'
+import type { ZoneShares } from './zone_shares.ts'
 
 /** Options of {@link createStatePublisher}. */
 export interface StatePublisherOptions {
@@ -36,6 +38,8 @@
   readonly budgets: Pick<RetryBudgets, 'recordHosts'>
   readonly hostCount: Pick<HostCount, 'known'>
   readonly leaderMonitor: LeaderMonitor
+  readonly zoneShares: Pick<ZoneShares, 'update'>
+  readonly queues: Pick<ServerQueues, 'waitingByServer'>
   readonly isLeading: () => boolean
   /** Monotonic time in milliseconds. */
   readonly now: () => number
@@ -82,7 +86,7 @@
     const keys = [...keyCounts].map(([service, counts]) => [service, [...counts]] as const)
     keyCounts.clear()
     const observations = limits.observations()
-    const samples = [...loads.takeSamples()].map(([server, sample]): readonly [string, ServerSample] => {
+    const samples = [...loads.takeSamples(options.queues.waitingByServer())].map(([server, sample]): readonly [string, ServerSample] => {
       const observation = observations.get(server)
       return [server, observation === undefined ? sample : { ...sample, limit: [observation.perSecond ?? 0, observation.ageMs] }]
     })
@@ -102,6 +106,7 @@
     coordinator.adjustShares()
     options.budgets.recordHosts(peerServer.hosts().length + 1)
     loads.applyViews(coordinator.views())
+    options.zoneShares.update()
     const complete = ++heartbeats % HEARTBEATS_PER_COMPLETE_VIEW === 0
     publishRelays()
     // A host that has read the store itself may know of evacuations that have ended without this host knowing of them.
--- a/src/entry_host/describe_host.ts
+++ b/src/entry_host/describe_host.ts
@@ -9,6 +9,7 @@
 import type { WarmUpTracker } from '../warm_up/mod.ts'
 import type { RetryBudgets } from './retry_budgets.ts'
 import type { StoreReader } from './store_reader.ts'
+import type { ZoneShares } from './zone_shares.ts'
 
 /** Parts of a host that are described. */
 export interface HostParts {
@@ -23,6 +24,7 @@
   readonly queues: Pick<ServerQueues, 'describe' | 'counts'>
   readonly responseMemory: Pick<ResponseMemory, 'bytes'>
   readonly warmUp: Pick<WarmUpTracker, 'describe'>
+  readonly zoneShares: Pick<ZoneShares, 'describe'>
   readonly evacuations: Pick<EvacuationControl, 'describe'>
   readonly protection: Pick<RequestProtection, 'describe'>
   readonly isLeading: () => boolean
@@ -53,6 +55,7 @@
     loopDelayMs: parts.loopDelayMs(),
     retryBudgets: parts.budgets.describe(),
     limits: [...parts.limits.observations()],
+    zoneShares: parts.zoneShares.describe(),
     evacuations: parts.evacuations.describe(),
     coldServers: parts.warmUp.describe(),
     queues: { ...parts.queues.counts(), waiting: parts.queues.describe() },
--- a/src/gateway/_server_selector.ts
+++ b/src/gateway/_server_selector.ts
@@ -49,7 +49,9 @@
       const cold = available.filter((server) => isOutOfReach(exchange, server))
       // The list is passed on as it is while no server is left out, since the order of a list is computed once.
       const servers = cold.length === 0 ? available : available.filter((server) => !cold.includes(server))
-      const server = chooseServer(servers, { loads, limitOf: limits.limitOf, isExhausted: permits.isExhausted, warmUp, tried: exchange.triedServers, zone: options.zone, host: options.host, bodyBytes: bodyBytes(exchange.body), random: options.random })
+      const request = { bodyBytes: bodyBytes(exchange.body), latencyGoalMs: exchange.route.latencyGoalMs, remainingMs: exchange.deadlineAt - options.now() }
+      const chooseZone = (): string | null => options.chooseZone === undefined ? options.zone : options.chooseZone(exchange.service, request, options.random())
+      const server = chooseServer(servers, { loads, limitOf: limits.limitOf, isExhausted: permits.isExhausted, warmUp, tried: exchange.triedServers, zone: options.zone, host: options.host, bodyBytes: request.bodyBytes, chooseZone, random: options.random })
       if (server !== null) return server
       if (cold.length > 0) return { reason: 'servers-cold', retryAfterMs: Math.min(...cold.map(warmUp.coldForMs)) }
       return { reason: exchange.triedServers.size > 0 ? 'every-server-tried' : 'no-server', retryAfterMs: DEFAULT_RETRY_AFTER_MS }
--- a/src/gateway/server_loads.ts
+++ b/src/gateway/server_loads.ts
@@ -84,8 +84,11 @@
   isFull (id: string): boolean
   /** Whether the server or its whole zone counts as unresponsive. */
   isUnresponsive (server: RoutedServer): boolean
-  /** Returns the samples since the last call, and starts new ones. */
-  takeSamples (): Map<string, ServerSample>
+  /**
+   * Returns the samples since the last call, and starts new ones. Requests that wait on this host for a
+   * server count as in flight there: other hosts would otherwise see a busy server as one with a short queue.
+   */
+  takeSamples (waiting?: ReadonlyMap<string, number>): Map<string, ServerSample>
 }
 
 interface ServerState {
@@ -314,13 +317,14 @@
     },
     isFull: (id) => stateOf(id).fullUntil > now(),
     isUnresponsive: (server) => stateOf(server.id).isUnresponsiveInView || stateOf(server.id).unresponsiveUntil > now() || zoneDetector.isUnresponsive(server.zone),
-    takeSamples () {
+    takeSamples (waiting = new Map()) {
       const samples = new Map<string, ServerSample>()
+      for (const id of waiting.keys()) stateOf(id)
       for (const [id, state] of states) {
-        state.reportedInFlight = state.ownInFlight
+        state.reportedInFlight = state.ownInFlight + (waiting.get(id) ?? 0)
         const { sample } = state
-        if (state.ownInFlight === 0 && sample.served + sample.failed + sample.shed + sample.lost + sample.wanted === 0) continue
-        samples.set(id, { inFlight: state.ownInFlight, oldestMs: oldestMs(state), ...sample })
+        if (state.reportedInFlight === 0 && sample.served + sample.failed + sample.shed + sample.lost + sample.wanted === 0) continue
+        samples.set(id, { inFlight: state.reportedInFlight, oldestMs: oldestMs(state), ...sample })
         state.sample = emptySample()
       }
       return samples
--- a/src/server_queue/create_server_queues.ts
+++ b/src/server_queue/create_server_queues.ts
@@ -60,6 +60,8 @@
   enter (request: QueuedRequest): Promise<Turn>
   /** When the caller of a request that its server refused may return, in milliseconds from now. */
   returnAfterMs (request: Pick<QueuedRequest, 'server' | 'callerRemainingMs'>): number
+  /** Waiting requests by server; those of a group are divided among its servers. */
+  waitingByServer (): ReadonlyMap<string, number>
   describe (): readonly QueueDescription[]
   counts (): QueueCounts
 }
@@ -314,6 +316,18 @@
       const members = options.members(request.server)
       return scheduleReturn(queueOf(request.server), request, { roomAfterMs: meanWorkMs(members), members })
     },
+    waitingByServer () {
+      const waiting = new Map<string, number>()
+      for (const { entries } of queues.values()) {
+        const [first] = entries
+        const members = first === undefined ? [] : options.members(first.server)
+        for (const [index, { id }] of members.entries()) {
+          const share = Math.floor((entries.size + index) / members.length)
+          if (share > 0) waiting.set(id, share)
+        }
+      }
+      return waiting
+    },
     describe: () => [...queues.values()].filter(({ entries }) => entries.size > 0).map(({ group, entries, inFlight }) => {
       const waitingByPriority: Record<number, number> = {}
       for (const { priority } of entries) waitingByPriority[priority] = (waitingByPriority[priority] ?? 0) + 1
