--- a/src/entry_host/evacuation_sources_test.ts
+++ b/src/entry_host/evacuation_sources_test.ts
@@ -56,6 +56,7 @@
     now,
     isLeading: () => false,
     onConfigurationChanged: () => {},
+    onServersRead () {},
     onServersChanged () { seen.push(zones()) }
   } as unknown as Parameters<typeof createStoreReader>[0])
   const published: Update[] = []
