The relay of a request gives up a silent server, not the host that accepted it

Change: the relay applies the timeout from the moment at which it sends the request; the host aborts only if the relay does not respond. A host that stops aborts nothing.

Ruled out: a longer timeout at the host, since it cannot know when the request gets its slot.

--- a/src/gateway/create_gateway.ts
+++ b/src/gateway/create_gateway.ts
@@ -14,6 +14,7 @@
 import { decideOnTimeout, DEFAULT_RETRY_AFTER_MS, type Exchange, type AttemptDecision } from './_exchange.ts'
 import { createExchangeTimes } from './_exchange_times.ts'
 import { createServerFinder } from './_find_server.ts'
+import { attemptTimeoutMs } from './attempt_timeout.ts'
 import { createCallerDeadlines } from './caller_deadlines.ts'
 import { createServerSelector } from './_server_selector.ts'
 import { requestHeaders } from './forwarded_headers.ts'
@@ -40,12 +41,6 @@
 /** Retry delay for callers of a host that stops, in milliseconds: they come to another host over a new connection. */
 const STOPPING_RETRY_AFTER_MS = 20
 
-/** Time without a response after which an idempotent request is sent to another server, as a multiple of the expected latency. */
-const ATTEMPT_TIMEOUT_FACTOR = 4
-
-/** Share of the remaining time after which an idempotent request that was sent to a relay is sent to another server: the request may have waited there for a slot. */
-const RELAY_WAIT_SHARE = 0.5
-
 /** Timeout for connecting to a relay, in milliseconds: many round trips within a region. After it, the request goes to the server directly. */
 const RELAY_CONNECT_TIMEOUT_MS = 200
 
@@ -213,13 +208,14 @@
       attempt: {
         ...createAttempt(exchange, named),
         relay: {
-          address: relay.address, priority: exchange.route.priority, goalMs: exchange.route.latencyGoalMs, goalRemainingMs: goalRemainingMs(exchange), callerRemainingMs: callerRemainingMs(exchange), isLate: isLate(exchange, named), triedServers: exchange.triedServers
+          address: relay.address, priority: exchange.route.priority, goalMs: exchange.route.latencyGoalMs, goalRemainingMs: goalRemainingMs(exchange), callerRemainingMs: callerRemainingMs(exchange), isLate: isLate(exchange, named), triedServers: exchange.triedServers, isRepeatable: isRepeatable(exchange)
         }
       },
       connections: {
         agent: options.relayAgent, names, limits: options.limits, serverOf: routingState.server, onServer (id) { server = routingState.server(id) ?? named }, onLeaving: routingState.recordLeaving, isEvacuated: routingState.isEvacuated, connectTimeoutMs: RELAY_CONNECT_TIMEOUT_MS
       },
-      expectedMs: Math.max(expectedMs, remainingMs(exchange) * RELAY_WAIT_SHARE / ATTEMPT_TIMEOUT_FACTOR)
+      expectedMs,
+      isWaitNeeded: () => !relay.isUnresponsive()
     })
     for (const complete of completions) complete(!(outcome.kind === 'lost' || (outcome.kind === 'unsent' && outcome.atRelay === true)))
     recordAttempt(exchange, { server: server.id, outcome, durationMs: now() - sentAt, inFlight: loads.inFlight(server.id), expectedMs, relay: relay.host })
@@ -251,13 +247,18 @@
     }
   }
 
-  /** Sends an attempt. An idempotent request without a key is aborted after a timeout, so that it can be sent to another server. */
-  async function sendWithTimeout (exchange: Exchange, { attempt, connections, expectedMs }: { readonly attempt: Attempt, readonly connections: SendAttemptOptions, readonly expectedMs: number }): Promise<AttemptOutcome> {
-    if (exchange.route.kind !== RequestKind.idempotent || isKeyed(exchange)) return await sendAttempt(attempt, connections)
+  /** Whether the request may be sent to another server when one does not respond in time. A host that stops lets its requests end where they run. */
+  function isRepeatable (exchange: Exchange): boolean {
+    return exchange.route.kind === RequestKind.idempotent && !isKeyed(exchange) && !options.isLeaving()
+  }
+
+  /** Sends an attempt. A repeatable request is aborted after a timeout; through a relay, which applies the timeout itself once the request has a slot, only if that does not respond. */
+  async function sendWithTimeout (exchange: Exchange, { attempt, connections, expectedMs, isWaitNeeded = () => false }: { readonly attempt: Attempt, readonly connections: SendAttemptOptions, readonly expectedMs: number, readonly isWaitNeeded?: () => boolean }): Promise<AttemptOutcome> {
+    if (!isRepeatable(exchange)) return await sendAttempt(attempt, connections)
     const attemptTimeout = new AbortController()
-    const timer = setTimeout(() => { attemptTimeout.abort() }, expectedMs * ATTEMPT_TIMEOUT_FACTOR)
+    const timer = setInterval(() => { if (!isWaitNeeded()) attemptTimeout.abort() }, attemptTimeoutMs(expectedMs))
     const outcome = await sendAttempt({ ...attempt, signal: AbortSignal.any([attemptTimeout.signal, exchange.abort.signal]) }, connections)
-    clearTimeout(timer)
+    clearInterval(timer)
     return outcome
   }
 
--- a/src/gateway/mod.ts
+++ b/src/gateway/mod.ts
@@ -2,6 +2,7 @@
 export * from './admission.ts'
 export * from './attempt_record.ts'
 export * from './attempt_ledger.ts'
+export * from './attempt_timeout.ts'
 export * from './body_reader.ts'
 export * from './choose_server.ts'
 export * from './create_gateway.ts'
--- a/src/gateway/relay_selector.ts
+++ b/src/gateway/relay_selector.ts
@@ -10,6 +10,8 @@
    * `responded` is whether there was any response.
    */
   trackRequest (request: string, expectedMs: number): (responded: boolean) => void
+  /** Whether requests through the relay would probably be lost now. */
+  isUnresponsive (): boolean
 }
 
 /** Way of a request to its server. */
@@ -56,6 +58,8 @@
   goalRemainingMs: 'x-gooseberryfold-goal-remaining-ms',
   /** From the host: servers that have already got the request, separated by commas. */
   triedServers: 'x-gooseberryfold-tried',
+  /** From the host: present if the request may be sent to another server when this one does not respond in time. */
+  repeatable: 'x-gooseberryfold-repeatable',
   /** From the relay: server that the request was sent to, if that is not the one that the host has named. */
   server: 'x-gooseberryfold-server',
   /** From the relay: why the request was not forwarded; one of {@link RelayRefusal}. */
--- a/src/gateway/send_attempt.ts
+++ b/src/gateway/send_attempt.ts
@@ -27,6 +27,8 @@
   readonly isLate: boolean
   /** Servers that have already got the request. */
   readonly triedServers: ReadonlySet<string>
+  /** Whether the relay should give up a server that does not respond in time, so that the request can be sent to another one. */
+  readonly isRepeatable: boolean
 }
 
 /** A request that is sent to one server. */
@@ -246,6 +248,7 @@
     RelayHeader.priority, String(relay.priority), RelayHeader.goalMs, String(relay.goalMs), RelayHeader.goalRemainingMs, String(Math.round(relay.goalRemainingMs)), RelayHeader.callerRemainingMs, String(Math.round(relay.callerRemainingMs))
   ]
   if (relay.isLate) headers.push(RelayHeader.late, '1')
+  if (relay.isRepeatable) headers.push(RelayHeader.repeatable, '1')
   if (relay.triedServers.size > 0) headers.push(RelayHeader.triedServers, [...relay.triedServers].join())
   return headers
 }
--- a/src/relay/create_relay.ts
+++ b/src/relay/create_relay.ts
@@ -7,7 +7,7 @@
  */
 import type { Agent, IncomingMessage, ServerResponse } from 'node:http'
 import {
-  createAttemptRecord, createBodyReader, discardBody, forwardResponse, parseKey, pollConnections, RelayHeader, RelayRefusal, reportAttempt, requestHeaders, sendAttempt, toLoadOutcome, waitUntilSent, watchDisconnect,
+  attemptTimeoutMs, createAttemptRecord, createBodyReader, discardBody, forwardResponse, parseKey, pollConnections, RelayHeader, RelayRefusal, reportAttempt, requestHeaders, sendAttempt, toLoadOutcome, waitUntilSent, watchDisconnect,
   type AttemptOutcome, type HeaderNames, type RequestBody, type RequestLimits, type RoutingState, type RequestRecord, type ResponseAccount, type ResponseBodyRecord, type ResponseMemory, type ServerAdmission, type ServerAdmissionQuery, type ServerLoads, type ServerStatements
 } from '../gateway/mod.ts'
 import { createFingerprintSource, type FingerprintSource, type RequestGuard } from '../fatal_requests/mod.ts'
@@ -145,6 +145,8 @@
     const expectedMs = loads.expectedMs(server)
     const end = loads.trackRequest(server)
     const sentAt = now()
+    const attemptTimeout = new AbortController()
+    const attemptTimer = request.headers[RelayHeader.repeatable] === undefined ? undefined : setTimeout(() => { attemptTimeout.abort() }, attemptTimeoutMs(expectedMs))
     const outcome = await sendAttempt({
       server,
       id: attemptIdOf(request),
@@ -154,8 +156,9 @@
       body,
       memory,
       deadlineMs: deadlineAt - sentAt,
-      signal
+      signal: AbortSignal.any([signal, attemptTimeout.signal])
     }, { agent: options.agent, names, limits: options.limits, ...(options.statements === undefined ? {} : { statements: options.statements }), onLeaving: routingState.recordLeaving, isEvacuated: routingState.isEvacuated })
+    clearTimeout(attemptTimer)
     const durationMs = now() - sentAt
     end(toLoadOutcome(outcome, durationMs))
     turn.end(outcome)
