Pass on a response with status 204 at once when it states a length

Cause: on Node 20.19.0 (llhttp 8.1.2) the parser of the client reads the body that a head with status 204 states, and ends the response only after it. The host waited for that end, so the response was lost at the timeout of 20 s. The parser skips the body of 304 and of the answer to HEAD.

Ruled out: load.

Change: a response without a body is whole with its head. If the parser still waits for a body, the connection is closed and carries no further request.

--- a/src/gateway/response_body.ts
+++ b/src/gateway/response_body.ts
@@ -103,9 +103,14 @@
       if (!request.writableFinished) end({ kind: 'cut', detail: 'The connection ended before the request was sent' })
       else if (socket.closed) endWithConnection()
       else socket.once('close', endWithConnection)
-    } else if (framing === BodyFraming.none || (framing === BodyFraming.chunks && response.complete) || bytes === statedBytes) end({ kind: 'whole' })
+    } else if ((framing === BodyFraming.chunks && response.complete) || bytes === statedBytes) end({ kind: 'whole' })
     else endEarly('The response is incomplete')
   })
+  if (framing === BodyFraming.none) {
+    end({ kind: 'whole' })
+    // The runtime's parser waits for the body that a head with status 204 states; such a connection carries no further request.
+    process.nextTick(() => { if (!response.complete) request.destroy() })
+  }
   response.on('error', (error) => { endEarly(error.message) })
   response.on('close', () => { if (!response.readableEnded) endEarly('The response is incomplete') })
 
