Take no head with a status outside 200 to 599 for a response

Cause: the runtime's parser accepts any three digits as a status, and 101 without an upgrade as a final response. Hosts passed 600 and 999 on, with or without a body, took a refusal with status 600 for one that promises that the request has not run (503), and closed the connection without a response on 000, because the runtime refuses to write it. Calls to the store and to servers took all of these for responses.

Ruled out: text, two or four digits and an empty status; the parser rejects them, and they were a 502 before.

Change: one function, describeInvalidStatus(), decides for requests and calls. Such a head is a lost attempt: 502, since the request may have run. The check comes before that for a refusal.

--- a/src/gateway/send_attempt.ts
+++ b/src/gateway/send_attempt.ts
@@ -1,7 +1,7 @@
 /** Sends a request to one backend server and reports whether it has run, has not run, or may have run. */
 import { request as startRequest, type Agent, type ClientRequest, type IncomingMessage } from 'node:http'
 import { pipeline } from 'node:stream'
-import { resetConnection, tryStart } from '../http_call/mod.ts'
+import { describeInvalidStatus, resetConnection, tryStart } from '../http_call/mod.ts'
 import type { RoutedServer } from '../routing/mod.ts'
 import type { RequestBody, StreamedBody } from './body_reader.ts'
 import type { HeaderNames } from './header_names.ts'
@@ -232,6 +232,8 @@
   const echoedId = response.headers[names.attemptId]
   if (echoedId !== undefined && echoedId !== id) return `The response belongs to attempt ${String(echoedId)}`
   const status = response.statusCode ?? 0
+  const invalidStatus = describeInvalidStatus(status)
+  if (invalidStatus !== null) return invalidStatus
   if (response.headers[names.notRun] !== undefined || status === 421) {
     // Without an identifier, only the first response on a connection certainly belongs to the attempt.
     return echoedId !== undefined || isFirstOnConnection ? null : `The refusal with status ${status} has no attempt identifier`
--- a/src/http_call/create_http_client.ts
+++ b/src/http_call/create_http_client.ts
@@ -2,6 +2,7 @@
 import { Agent, request as startRequest } from 'node:http'
 import { probeAtEnd } from './probe_at_end.ts'
 import { resetConnection } from './reset_connection.ts'
+import { describeInvalidStatus } from './response_status.ts'
 import { tryStart } from './try_start.ts'
 
 /** An HTTP call. */
@@ -83,6 +84,8 @@
         resolve(outcome)
       }
       request.on('response', (response) => {
+        const invalidStatus = describeInvalidStatus(response.statusCode)
+        if (invalidStatus !== null) return abort(invalidStatus)
         const parts: Buffer[] = []
         let bytes = 0
         response.on('data', (part: Buffer) => {
--- a/src/http_call/create_http_client_test.ts
+++ b/src/http_call/create_http_client_test.ts
@@ -90,6 +90,13 @@
   assert.is(kindOf(await callServer((socket) => { socket.write('HTTP/1.1 204 No Content\r\n\r\n') })), 'answered')
 })
 
+// Guards against a grant or a write that counts as done on a head that is no response: the runtime's parser accepts 000 and 600 to 999, and 101 without an upgrade.
+for (const status of ['000', '001', '99', '099', '100', '101', '103', '199', '600', '999', '1000', 'abc', '']) {
+  test(`call() returns lost, when the status is '${status}'`, async () => {
+    assert.is(kindOf(await callServer((socket) => { socket.write(`HTTP/1.1 ${status} X\r\nContent-Length: 2\r\n\r\nok`) })), 'lost')
+  })
+}
+
 test('call() returns refused, when nothing listens at the address', async () => {
   const client = createHttpClient()
   assert.is((await client.call({ address: '127.0.0.1:1', method: 'GET', path: '/', timeoutMs: 500 })).kind, 'refused')
--- a/src/http_call/mod.ts
+++ b/src/http_call/mod.ts
@@ -2,4 +2,5 @@
 export * from './create_http_client.ts'
 export * from './probe_at_end.ts'
 export * from './reset_connection.ts'
+export * from './response_status.ts'
 export * from './try_start.ts'
