End calls whose server sends interim responses without end

Cause: only requests to servers counted interim responses and handled a switch to another protocol. A call to the store or to a server with interim responses without end was held until its timeout, as was one whose connection was switched, since no listener remained on the connection.

Ruled out: that such a call counts as answered; it was lost at its timeout.

Change: watchInterimResponses() holds the limit of 8 and the handling of a switch for both; send_attempt.ts uses it in place of its own.

--- a/src/gateway/send_attempt.ts
+++ b/src/gateway/send_attempt.ts
@@ -1,7 +1,7 @@
 /** Sends a request to one backend server and reports whether it has run, has not run, or may have run. */
 import { request as startRequest, type Agent, type ClientRequest, type IncomingMessage } from 'node:http'
 import { pipeline } from 'node:stream'
-import { describeInvalidStatus, resetConnection, tryStart } from '../http_call/mod.ts'
+import { describeInvalidStatus, resetConnection, tryStart, watchInterimResponses } from '../http_call/mod.ts'
 import type { RoutedServer } from '../routing/mod.ts'
 import type { RequestBody, StreamedBody } from './body_reader.ts'
 import type { HeaderNames } from './header_names.ts'
@@ -61,9 +61,6 @@
 const MAXIMUM_REFUSAL_BYTES = 16 * 1024
 const REFUSAL_BODY_MS = 300
 
-/** Maximum number of interim responses (status 1xx) before the final one: more than any server has a reason to send. */
-const MAXIMUM_INTERIM_RESPONSES = 8
-
 /**
  * Sends a request.
  *
@@ -92,7 +89,6 @@
     /** When that was; monotonic time in milliseconds. */
     let sentAt = 0
     let settled = false
-    let interimResponses = 0
     let responseBody: ResponseBody | null = null
     const started = tryStart(() => startRequest({ agent, host, port, method: attempt.method, path: attempt.path, headers: headers as unknown as Record<string, string>, setHost: false }))
     if (started instanceof Error) return resolve({ kind: 'unsent', detail: started.message, refused: false })
@@ -154,13 +150,9 @@
         pollConnections().then(send, (error: unknown) => { request.destroy(error instanceof Error ? error : new Error(String(error))) })
       })
     })
-    request.on('information', () => {
-      interimResponses++
-      if (interimResponses > MAXIMUM_INTERIM_RESPONSES) request.destroy(new Error(`The server sent more than ${MAXIMUM_INTERIM_RESPONSES} interim responses`))
-    })
-    request.on('upgrade', (_response, socket) => {
-      socket.destroy()
-      settle({ kind: 'lost', detail: 'The server switched to another protocol', aborted: false })
+    watchInterimResponses(request, (detail) => {
+      settle({ kind: 'lost', detail, aborted: false })
+      request.destroy()
     })
     request.on('response', (response) => {
       response.on('error', (error) => { settle({ kind: 'lost', detail: error.message, aborted: false }) })
--- a/src/http_call/create_http_client.ts
+++ b/src/http_call/create_http_client.ts
@@ -4,6 +4,7 @@
 import { resetConnection } from './reset_connection.ts'
 import { describeInvalidStatus } from './response_status.ts'
 import { tryStart } from './try_start.ts'
+import { watchInterimResponses } from './watch_interim_responses.ts'
 
 /** An HTTP call. */
 export interface HttpCall {
@@ -83,6 +84,7 @@
         clearTimeout(durationTimer)
         resolve(outcome)
       }
+      watchInterimResponses(request, abort)
       request.on('response', (response) => {
         const invalidStatus = describeInvalidStatus(response.statusCode)
         if (invalidStatus !== null) return abort(invalidStatus)
--- a/src/http_call/create_http_client_test.ts
+++ b/src/http_call/create_http_client_test.ts
@@ -97,6 +97,19 @@
   })
 }
 
+test('call() returns lost at once, when the server switches to another protocol', async () => {
+  const outcome = await callServer((socket) => { socket.write('HTTP/1.1 101 X\r\nConnection: upgrade\r\nUpgrade: x\r\n\r\n') })
+  assert.is(outcome !== 'never ended' && outcome.kind === 'lost' && !outcome.detail.startsWith('No response'), true)
+})
+
+test('call() returns lost at once, when interim responses never end', async () => {
+  const outcome = await callServer((socket) => {
+    const timer = setInterval(() => { if (socket.writableLength < 100_000) socket.write('HTTP/1.1 102 X\r\n\r\n') }, 2)
+    socket.on('close', () => { clearInterval(timer) })
+  })
+  assert.is(outcome !== 'never ended' && outcome.kind === 'lost' && outcome.detail, 'The server sent more than 8 interim responses')
+})
+
 test('call() returns refused, when nothing listens at the address', async () => {
   const client = createHttpClient()
   assert.is((await client.call({ address: '127.0.0.1:1', method: 'GET', path: '/', timeoutMs: 500 })).kind, 'refused')
