Decide in one place how the body of a response ends, for requests and calls

It called a response without a length whole when its connection ended while the call was still being written, so that a reset went unseen; it took a transfer coding other than chunks for a marked end; and it waited for the body that a head with status 204 states until the call was lost.

Ruled out: the same faults for requests. early_responses_test.ts plays a part of a body, before 16 MB are uploaded, in five framings and four kinds of reset, buffered and streamed, directly and through a relay, for HTTP/1.1 and 1.0: 40 of 40 passed before this change as well.

Change: receiveBody() and bodyFraming() move to src/http_call, unchanged for requests, and createHttpClient() uses them. A body is never read from a response that has none.

--- a/src/gateway/response_body.ts
+++ b/src/gateway/response_body.ts
@@ -1,28 +1,15 @@
-/**
- * Decides how the body of a response ends, for all that is received from
- * servers and from other hosts.
- *
- * The runtime's own sign, `complete`, says what its parser has seen. It is also
- * set when a body that ends with its connection is reset, and before the last
- * bytes have been read; a response that is destroyed then ends without them. So
- * the bytes are counted, and what ended the connection is looked at.
- */
+/** Bodies of responses that a host receives from servers and from other hosts, and may stop to receive. */
 import type { ClientRequest, IncomingMessage } from 'node:http'
-import { probeAtEnd } from '../http_call/mod.ts'
+import { receiveBody, type ReceivedBodyEnding } from '../http_call/mod.ts'
 import { RelayHeader } from './relay_selector.ts'
-import { BodyEnd, bodyFraming, BodyFraming, type BodyMark } from './response_body_record.ts'
+import { BodyEnd, BodyFraming, type BodyMark } from './response_body_record.ts'
 
 /** Why this host stops to receive a body. */
 export type BodyStop = typeof BodyEnd.timeout | typeof BodyEnd.memory | typeof BodyEnd.callerLeft | typeof BodyEnd.requestBrokeOff
 
 /** How a body has ended. */
 export type BodyEnding =
-  /** All bytes up to the end that the framing marks have been passed on. */
-  | { readonly kind: 'whole' }
-  /** The connection was closed in order, or carried invalid bytes, before that end. */
-  | { readonly kind: 'cut', readonly detail: string }
-  /** The connection was reset, or failed in another way. */
-  | { readonly kind: 'reset', readonly detail: string }
+  | ReceivedBodyEnding
   /** This host stopped to receive it. */
   | { readonly kind: 'stopped', readonly cause: BodyStop, readonly detail: string }
 
@@ -71,48 +58,24 @@
  * @returns The body.
  */
 export function openResponseBody (response: IncomingMessage, { request, isRelayed }: OpenResponseBodyOptions): ResponseBody {
-  const { socket } = response
-  const mark = bodyFraming(response.rawHeaders, { status: response.statusCode ?? 0, method: request.method })
-  const { framing, statedBytes } = mark
   let bytes = 0
   let hasEnded = false
   let take: (part: Buffer) => void = () => {}
   let resolveEnding: (ending: BodyEnding) => void = () => {}
-  if (framing === BodyFraming.connectionEnd) probeAtEnd(socket)
   const ending = new Promise<BodyEnding>((resolve) => { resolveEnding = resolve })
-
   function end (value: BodyEnding): void {
-    if (hasEnded) return
     hasEnded = true
     resolveEnding(value)
   }
-  function endEarly (detail: string): void {
-    end(socket.errored === null ? { kind: 'cut', detail } : { kind: 'reset', detail: socket.errored.message })
-  }
-  /** Only a connection that its other end has closed, without an error until this end was closed too, is the end of a body. */
-  function endWithConnection (): void {
-    if (socket.readableEnded && socket.errored === null) end({ kind: 'whole' })
-    else end({ kind: 'reset', detail: socket.errored?.message ?? 'The connection was not closed in order' })
-  }
-  response.on('data', (part: Buffer) => {
-    bytes += part.length
-    if (!hasEnded) take(part)
+  const body = receiveBody(response, {
+    request,
+    onPart: (part) => {
+      bytes += part.length
+      if (!hasEnded) take(part)
+    }
   })
-  response.on('end', () => {
-    if (framing === BodyFraming.connectionEnd) {
-      if (!request.writableFinished) end({ kind: 'cut', detail: 'The connection ended before the request was sent' })
-      else if (socket.closed) endWithConnection()
-      else socket.once('close', endWithConnection)
-    } else if ((framing === BodyFraming.chunks && response.complete) || bytes === statedBytes) end({ kind: 'whole' })
-    else endEarly('The response is incomplete')
-  })
-  if (framing === BodyFraming.none) {
-    end({ kind: 'whole' })
-    // The runtime's parser waits for the body that a head with status 204 states; such a connection carries no further request.
-    process.nextTick(() => { if (!response.complete) request.destroy() })
-  }
-  response.on('error', (error) => { endEarly(error.message) })
-  response.on('close', () => { if (!response.readableEnded) endEarly('The response is incomplete') })
+  const { mark, mark: { framing } } = body
+  body.ending.then(end, () => {})
 
   return {
     mark,
--- a/src/gateway/response_body_record.ts
+++ b/src/gateway/response_body_record.ts
@@ -1,16 +1,7 @@
 /** Records of the bodies of responses for logs and metrics: how the server marks the end of a body, how much of it came and was passed on, and what ended it. */
+import type { BodyFraming, BodyMark } from '../http_call/mod.ts'
 
-/** How the server marks the end of a body. */
-export const BodyFraming = {
-  /** It states the length beforehand. */
-  length: 'length',
-  chunks: 'chunks',
-  /** It closes the connection. */
-  connectionEnd: 'connection-end',
-  /** The response has no body. */
-  none: 'none'
-} as const
-export type BodyFraming = typeof BodyFraming[keyof typeof BodyFraming]
+export { bodyFraming, BodyFraming, type BodyMark } from '../http_call/mod.ts'
 
 /** What ended a body. */
 export const BodyEnd = {
@@ -49,31 +40,11 @@
   readonly isStreamed: boolean
 }
 
-/** How the end of one body is marked, and the length that is stated for it. */
-export type BodyMark = Pick<ResponseBodyRecord, 'framing' | 'statedBytes'>
-
 /** What was received of the body of a response that was lost before it was passed on. */
 export interface PartialBody extends BodyMark {
   readonly receivedBytes: number
 }
 
-/**
- * Derives the framing of a body from the headers of its response.
- *
- * @param rawHeaders Headers as alternating names and values.
- * @param response Status, and the method of the request.
- * @returns The framing, and the stated length in bytes.
- */
-export function bodyFraming (rawHeaders: readonly string[], { status, method }: { readonly status: number, readonly method: string }): BodyMark {
-  if (method === 'HEAD' || status === 204 || status === 304) return { framing: BodyFraming.none, statedBytes: null }
-  const valuesOf = (name: string): string[] => rawHeaders.filter((_, index) => index % 2 === 1 && rawHeaders[index - 1]?.toLowerCase() === name)
-  const codings = valuesOf('transfer-encoding')
-  // The last coding counts; after any other than chunks, the runtime reads up to the end of the connection.
-  if (codings.length > 0) return { framing: codings.join().toLowerCase().split(',').at(-1)?.trim() === 'chunked' ? BodyFraming.chunks : BodyFraming.connectionEnd, statedBytes: null }
-  const [length] = valuesOf('content-length')
-  return length === undefined ? { framing: BodyFraming.connectionEnd, statedBytes: null } : { framing: BodyFraming.length, statedBytes: Number(length) }
-}
-
 /** Whether the body is the one that the server sent, as far as its framing shows it. */
 export function isBodyWhole ({ end }: ResponseBodyRecord): boolean {
   return end === BodyEnd.complete || end === BodyEnd.closed
--- a/src/http_call/create_http_client.ts
+++ b/src/http_call/create_http_client.ts
@@ -1,6 +1,6 @@
 /** HTTP/1.1 client for short calls whose responses are read completely. */
 import { Agent, request as startRequest } from 'node:http'
-import { probeAtEnd } from './probe_at_end.ts'
+import { receiveBody } from './receive_body.ts'
 import { resetConnection } from './reset_connection.ts'
 import { describeInvalidStatus } from './response_status.ts'
 import { tryStart } from './try_start.ts'
@@ -90,24 +90,19 @@
         if (invalidStatus !== null) return abort(invalidStatus)
         const parts: Buffer[] = []
         let bytes = 0
-        response.on('data', (part: Buffer) => {
-          parts.push(part)
-          bytes += part.length
-          if (bytes > maximumResponseBytes) return abort(`The response is longer than ${maximumResponseBytes} bytes`)
-          inactivityTimer.refresh()
+        const body = receiveBody(response, {
+          request,
+          onPart: (part) => {
+            parts.push(part)
+            bytes += part.length
+            if (bytes > maximumResponseBytes) return abort(`The response is longer than ${maximumResponseBytes} bytes`)
+            inactivityTimer.refresh()
+          }
         })
-        const { socket } = response
-        const endsWithConnection = response.headers['content-length'] === undefined && response.headers['transfer-encoding'] === undefined && response.statusCode !== 204 && response.statusCode !== 304
-        if (endsWithConnection) probeAtEnd(socket)
-        function endComplete (): void {
-          if (!response.complete || (endsWithConnection && socket.errored !== null)) return end({ kind: 'lost', detail: 'The response ended early' })
-          end({ kind: 'answered', status: response.statusCode ?? 0, headers: response.headers, text: Buffer.concat(parts).toString('utf8') })
-        }
-        response.on('end', () => {
-          if (endsWithConnection && !socket.closed) socket.once('close', endComplete)
-          else endComplete()
-        })
-        response.on('error', (error) => { end({ kind: 'lost', detail: error.message }) })
+        body.ending.then((ending) => {
+          if (ending.kind === 'whole') end({ kind: 'answered', status: response.statusCode ?? 0, headers: response.headers, text: Buffer.concat(parts).toString('utf8') })
+          else end({ kind: 'lost', detail: ending.detail })
+        }, () => {})
       })
       request.on('error', (error: NodeJS.ErrnoException) => {
         end(error.code === 'ECONNREFUSED' && !request.reusedSocket ? { kind: 'refused' } : { kind: 'lost', detail: error.message })
--- a/src/http_call/late_responses_test.ts
+++ b/src/http_call/late_responses_test.ts
@@ -91,4 +91,50 @@
   })
 })
 
+// Guards against a part of a response that is taken for all of it: only chunks mark the end of a body with a transfer coding.
+for (const coding of ['identity', 'gzip', 'chunked, identity']) {
+  test(`call() returns lost, when a response with the coding '${coding}' is reset`, async () => {
+    await withServer((socket) => {
+      socket.write(`HTTP/1.1 200 OK\r\nTransfer-Encoding: ${coding}\r\n\r\n${'x'.repeat(300_000)}`, () => { setTimeout(() => { resetConnection(socket) }, 30) })
+    }, async (client, address) => {
+      assert.is(textOf(await client.call({ address, method: 'GET', path: '/', timeoutMs: 200 })).slice(0, 10), 'lost')
+    })
+  })
+}
+
+/** Length of a call's body, in bytes: more than the buffers of the connection take while its server does not read. */
+const UPLOAD_BYTES = 16_000_000
+
+// Guards against a part of a response that is taken for all of it: its connection ends before the call is written.
+for (const delayMs of [0, 30]) {
+  for (const headers of ['', 'Transfer-Encoding: identity\r\n', 'Transfer-Encoding: chunked\r\n', 'Content-Length: 20\r\n']) {
+    for (const closesFirst of [false, true]) {
+      test(`call() returns lost, when a response with ${headers === '' ? 'no length' : headers.trim()} begins before the call is written and is ${closesFirst ? 'closed and then ' : ''}reset after ${delayMs} ms`, async () => {
+        await withServer((socket, count) => {
+          if (count > 1) return
+          socket.pause()
+          socket.write(`HTTP/1.1 200 OK\r\n${headers}\r\n${headers.includes('chunked') ? '2\r\n[1\r\n' : '[1'}`, () => {
+            if (closesFirst) socket.end()
+            setTimeout(() => { resetConnection(socket) }, delayMs)
+          })
+        }, async (client, address) => {
+          assert.is(textOf(await client.call({ address, method: 'POST', path: '/', body: 'x'.repeat(UPLOAD_BYTES), timeoutMs: 2000 })), 'lost')
+        })
+      })
+    }
+  }
+}
+
+// Guards against a call that is lost at its timeout, or bytes that are taken for part of a response without a body.
+for (const [headers, body] of [['Content-Length: 5\r\n', ''], ['Content-Length: 5\r\n', 'whole'], ['Transfer-Encoding: chunked\r\n', ''], ['Transfer-Encoding: chunked\r\n', '2\r\nok\r\n0\r\n\r\n']] as const) {
+  test(`call() returns a response with status 204 at once, and no bytes behind it as the next one, when it has ${headers.trim()} and ${body.length} bytes behind its head`, async () => {
+    await withServer((socket, count) => {
+      socket.write(count === 1 ? `HTTP/1.1 204 No Content\r\n${headers}\r\n${body}` : responseText('next'))
+    }, async (client, address) => {
+      assert.is(textOf(await client.call({ address, method: 'GET', path: '/', timeoutMs: 2000 })), '')
+      assert.is(textOf(await client.call({ address, method: 'GET', path: '/', timeoutMs: 2000 })), 'next')
+    })
+  })
+}
+
 test.run()
