Write the whole request before a response without a length is judged by its end

Cause: when a server closes its side of a connection, the runtime's HTTP client destroys the connection and drops what is left of the request (socketOnEnd in _http_client.js). A response without a length that came whole before its upload was read was therefore a 502, and its server lost the rest of the upload.

Ruled out: calling such a response whole at that end. If the server resets the connection instead of reading, the end of the connection comes first as well; this is the part of a response that must not look complete. allowHalfOpen alone changes nothing, as the runtime destroys the connection all the same.

Change: while the request is being written, holdEndUntilSent() defers what follows the end of the connection. A write that fails makes it a reset; only when all is written without an error does the end count. This holds for requests and for calls to the store and to servers. A server that closes its side and reads no further now costs its caller the time until the timeout.

--- a/src/http_call/late_responses_test.ts
+++ b/src/http_call/late_responses_test.ts
@@ -125,6 +125,17 @@
   }
 }
 
+// Guards against a call that is lost although its response is whole.
+test('call() returns the response, when its server closes its side before it reads the call', async () => {
+  await withServer((socket, count) => {
+    if (count > 1) return
+    socket.pause()
+    socket.end('HTTP/1.1 200 OK\r\n\r\nwhole', () => { setTimeout(() => { socket.resume() }, 50) })
+  }, async (client, address) => {
+    assert.is(textOf(await client.call({ address, method: 'POST', path: '/', body: 'x'.repeat(UPLOAD_BYTES), timeoutMs: 5000 })), 'whole')
+  })
+})
+
 // Guards against a call that is lost at its timeout, or bytes that are taken for part of a response without a body.
 for (const [headers, body] of [['Content-Length: 5\r\n', ''], ['Content-Length: 5\r\n', 'whole'], ['Transfer-Encoding: chunked\r\n', ''], ['Transfer-Encoding: chunked\r\n', '2\r\nok\r\n0\r\n\r\n']] as const) {
   test(`call() returns a response with status 204 at once, and no bytes behind it as the next one, when it has ${headers.trim()} and ${body.length} bytes behind its head`, async () => {
--- a/src/http_call/mod.ts
+++ b/src/http_call/mod.ts
@@ -1,6 +1,7 @@
 /** HTTP/1.1 client for short calls. */
 export * from './body_framing.ts'
 export * from './create_http_client.ts'
+export * from './hold_end_until_sent.ts'
 export * from './probe_at_end.ts'
 export * from './receive_body.ts'
 export * from './reset_connection.ts'
--- a/src/http_call/receive_body.ts
+++ b/src/http_call/receive_body.ts
@@ -9,6 +9,7 @@
  */
 import type { ClientRequest, IncomingMessage } from 'node:http'
 import { bodyFraming, BodyFraming, type BodyMark } from './body_framing.ts'
+import { holdEndUntilSent } from './hold_end_until_sent.ts'
 import { probeAtEnd } from './probe_at_end.ts'
 
 /** How a body has ended. */
@@ -58,7 +59,10 @@
     if (socket.readableEnded && socket.errored === null) resolveEnding({ kind: 'whole' })
     else resolveEnding({ kind: 'reset', detail: socket.errored?.message ?? 'The connection was not closed in order' })
   }
-  if (framing === BodyFraming.connectionEnd) probeAtEnd(socket)
+  if (framing === BodyFraming.connectionEnd) {
+    probeAtEnd(socket)
+    holdEndUntilSent(socket, request)
+  }
   response.on('data', (part: Buffer) => {
     bytes += part.length
     if (framing !== BodyFraming.none) onPart(part)
