Take no response without a marked end from the clients with pools

Cause: undici reports the end of a body that ends with its connection in the same way whether the connection was closed or reset, and hides the connection. The dispatcher refused responses without a length itself, but took a transfer coding other than chunks for a marked end; the clients of other hosts and of the platform took both, so that objects of the store could be cut.

Ruled out: telling a reset from a close with a write, as calls do; undici ends the body before the error of that write is known.

Change: sendWithPool() refuses such a head for all three clients, with the rule for framing that requests and calls use; the dispatcher uses the same one. The end of a body that is not used (a refusal of a server, a probe) need not be marked. The dispatcher still reports a malformed answer and does not retry. A platform that responds without a length or chunks counts as unavailable.

--- a/src/dispatch/_headers.ts
+++ b/src/dispatch/_headers.ts
@@ -37,9 +37,3 @@
   if (request.slice !== null) headers['gooseberryfold-slice'] = String(request.slice)
   return headers
 }
-
-/** Reports whether the end of a response can be distinguished from a lost connection. */
-export function isWellFramed (method: string, status: number, headers: HeaderValues): boolean {
-  if (method === 'HEAD' || status === 204 || status === 304) return true
-  return headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined
-}
--- a/src/dispatch/backend_client.ts
+++ b/src/dispatch/backend_client.ts
@@ -1,6 +1,7 @@
 /** Port to the backend servers and its HTTP adapter. */
 import { errors, Pool } from 'undici'
 import type { Readable } from 'node:stream'
+import { InvalidResponseError, sendWithPool, type ResponseHead } from '../http_call/mod.ts'
 import type { GrantAction, GrantOutcome } from './grant_types.ts'
 import type { HeaderValues, RequestBody } from './dispatch_types.ts'
 
@@ -14,11 +15,11 @@
   readonly signal: AbortSignal
 }
 
-/** Outcome of sending a request. `unsent` means that no byte of the request was written to a connection. */
+/** Outcome of sending a request. `unsent` means that no byte of the request was written to a connection, `isMalformed` that the server responded with a head that is not that of a response or has no marked end. */
 export type BackendOutcome =
   | { readonly kind: 'answered', readonly status: number, readonly headers: HeaderValues, readonly body: Readable }
   | { readonly kind: 'unsent' }
-  | { readonly kind: 'lost', readonly aborted: boolean }
+  | { readonly kind: 'lost', readonly aborted: boolean, readonly isMalformed?: boolean }
 
 /** Port to the backend servers. */
 export interface BackendClient {
@@ -62,23 +63,27 @@
   return {
     async send (request) {
       try {
-        const response = await poolFor(requestPools, request.address, options.connections ?? 64).request({
+        const response = await sendWithPool(poolFor(requestPools, request.address, options.connections ?? 64), {
           method: request.method as 'GET',
           path: request.path,
           headers: { ...request.headers },
           body: request.body,
-          signal: request.signal
+          signal: request.signal,
+          usesBody: (head) => !isRefusal(head)
         })
         return { kind: 'answered', status: response.statusCode, headers: response.headers, body: response.body }
       } catch (error) {
         const code = codeOf(error)
+        if (error instanceof InvalidResponseError) return { kind: 'lost', aborted: false, isMalformed: true }
         if (UNSENT_CODES.has(code)) return { kind: 'unsent' }
         return { kind: 'lost', aborted: error instanceof errors.RequestAbortedError || request.signal.aborted }
       }
     },
     async grant (action) {
       try {
-        const response = await poolFor(controlPools, action.address, 1).request({
+        const response = await sendWithPool(poolFor(controlPools, action.address, 1), {
+          // Any response to a probe counts, and its body is not used.
+          usesBody: () => action.checksGrants,
           method: action.checksGrants ? 'POST' : 'GET',
           path: action.checksGrants ? '/.gooseberryfold/grant' : '/health',
           headers: { 'content-type': 'application/json' },
@@ -103,6 +108,11 @@
   }
 }
 
+/** Whether a server reports that it has not run a request. */
+export function isRefusal ({ status, headers }: ResponseHead): boolean {
+  return status === 503 && headers['gooseberryfold-outcome'] === 'not-run'
+}
+
 function codeOf (error: unknown): string {
   if (typeof error !== 'object' || error === null) return ''
   const code = (error as { readonly code?: unknown }).code
--- a/src/dispatch/create_dispatcher.ts
+++ b/src/dispatch/create_dispatcher.ts
@@ -6,7 +6,8 @@
  */
 import { randomUUID } from 'node:crypto'
 import { setTimeout as delay } from 'node:timers/promises'
-import type { BackendOutcome } from './backend_client.ts'
+import { describeInvalidHead } from '../http_call/mod.ts'
+import { isRefusal, type BackendOutcome } from './backend_client.ts'
 import { createCrashDetector } from './crash_detector.ts'
 import {
   isReplayable, NotRunReason, UnknownReason,
@@ -14,7 +15,7 @@
 } from './dispatch_types.ts'
 import type { Dispatcher, DispatcherOptions, DispatchEvent, Placement } from './dispatcher.ts'
 import type { Admission } from './grant_manager.ts'
-import { isWellFramed, requestHeaders } from './_headers.ts'
+import { requestHeaders } from './_headers.ts'
 import { fingerprintOf, laneOf } from './_request_identity.ts'
 import { createRequestQueue, type QueueEntry } from './request_queue.ts'
 import { createRetryBudget } from './retry_budget.ts'
@@ -299,6 +300,11 @@
       entry.finish(unknownOutcome(entry.request.signal.aborted ? UnknownReason.callerGone : UnknownReason.deadline))
       return
     }
+    if (outcome.isMalformed === true) {
+      end('failed')
+      entry.finish(unknownOutcome(UnknownReason.malformedAnswer))
+      return
+    }
     const crashed = await crashDetector.check({ server, address: admission.server.address, fingerprint: entry.fingerprint })
     end('failed')
     pool.onFailure(server, now())
@@ -314,7 +320,7 @@
   ): Promise<void> {
     const { end, timer, admission } = sentRequest
     const { request } = entry
-    if (response.status === 503 && response.headers['gooseberryfold-outcome'] === 'not-run') {
+    if (isRefusal(response)) {
       clearTimeout(timer)
       response.body.resume()
       const reason = String(response.headers['gooseberryfold-reason'])
@@ -324,7 +330,7 @@
     }
     const echoedRequestId = response.headers['gooseberryfold-request-id']
     const isCrossed = echoedRequestId !== undefined && echoedRequestId !== request.id
-    if (isCrossed || !isWellFramed(request.method, response.status, response.headers)) {
+    if (isCrossed || describeInvalidHead({ method: request.method, ...response }) !== null) {
       clearTimeout(timer)
       response.body.on('error', () => {})
       response.body.destroy()
--- a/src/edge/peer_client.ts
+++ b/src/edge/peer_client.ts
@@ -1,5 +1,6 @@
 /** HTTP client for the dispatch interface of other entry hosts. */
 import { errors, Pool } from 'undici'
+import { sendWithPool } from '../http_call/mod.ts'
 import { createPeerFailureDetector } from './peer_failure_detector.ts'
 import {
   isReplayable, NotRunReason, UnknownReason, forwardableHeaders,
@@ -60,7 +61,7 @@
 
   async function probe (host: string): Promise<boolean> {
     try {
-      const response = await poolFor(host, probePools, 1).request({
+      const response = await sendWithPool(poolFor(host, probePools, 1), {
         method: 'GET', path: '/alive', headers: { 'gooseberryfold-secret': options.secret }, signal: AbortSignal.timeout(PROBE_TIMEOUT_MS)
       })
       await response.body.dump()
@@ -71,7 +72,7 @@
   }
 
   async function send (host: string, request: DispatchRequest, sendOptions: PeerDispatchOptions & { readonly signal: AbortSignal }): Promise<DispatchOutcome> {
-    const response = await poolFor(host).request({
+    const response = await sendWithPool(poolFor(host), {
       method: request.method as 'GET',
       path: `/dispatch${request.path}`,
       headers: {
--- a/src/platform_client/create_platform_client.ts
+++ b/src/platform_client/create_platform_client.ts
@@ -1,6 +1,7 @@
 /** HTTP clients for the platform's table service, object store and host list. */
 import { Pool } from 'undici'
 import { z } from 'zod'
+import { sendWithPool } from '../http_call/mod.ts'
 import {
   fail, succeed,
   type HostList, type ObjectStore, type RowWrite, type TableService
@@ -59,8 +60,8 @@
 
   async function call (method: 'GET' | 'POST' | 'PUT', path: string, body?: string): Promise<PlatformResponse | string> {
     try {
-      const response = await pool.request({
-        method, path, body, headers: { ...headers, 'content-type': 'application/json' }, signal: AbortSignal.timeout(timeoutMs)
+      const response = await sendWithPool(pool, {
+        method, path, body: body ?? null, headers: { ...headers, 'content-type': 'application/json' }, signal: AbortSignal.timeout(timeoutMs)
       })
       return { status: response.statusCode, text: await response.body.text() }
     } catch (error) {
