Take no head with an invalid status from the clients with pools

Cause: undici lets statuses from 600 to 999 pass, and any number of interim responses, so that the clients of servers and of other hosts passed on 600 and 999, a probe counted 600 as a sign of health, and a server that sends interim responses held its request until the deadline.

Ruled out: 000, 1xx, 101, text and other lengths; undici fails on these heads.

Change: sendWithPool() uses describeInvalidStatus() and the limit of eight interim responses.

--- a/src/dispatch/backend_client_test.ts
+++ b/src/dispatch/backend_client_test.ts
@@ -102,6 +102,27 @@
     }
   }
 
+  // Guards against a head that is taken for a response, although it is none.
+  for (const status of ['000', '001', '99', '099', '100', '101', '103', '199', '600', '999', '1000', 'abc', '']) {
+    test(`${name} reports a failure, when the status is '${status}'`, async () => {
+      await withServer((socket) => { socket.write(`${headOf('Content-Length: 2\r\n', status)}ok`) }, async (address) => {
+        const outcome = await call(address, null)
+        assert.ok(FAILURES.includes(outcome), `outcome ${outcome}`)
+      })
+    })
+  }
+
+  // Guards against a call that is held for as long as a server sends interim responses.
+  test(`${name} reports a failure, when interim responses never end`, async () => {
+    await withServer((socket) => {
+      const timer = setInterval(() => { if (socket.writableLength < 100_000) socket.write(headOf('', '102')) }, 2)
+      socket.on('close', () => { clearInterval(timer) })
+    }, async (address) => {
+      const outcome = await call(address, null)
+      assert.ok(FAILURES.includes(outcome), `outcome ${outcome}`)
+    })
+  })
+
   // Guards against whole responses that are refused.
   for (const [headers, body] of [['Content-Length: 2\r\n', 'ok'], ['Transfer-Encoding: chunked\r\n', '2\r\nok\r\n0\r\n\r\n']] as const) {
     test(`${name} passes on the body, when it is whole and has ${headers.trim()}`, async () => {
@@ -122,4 +143,19 @@
   })
 })
 
+/** Sends a probe, which a server answers with its state of health. */
+async function probe (address: string): Promise<string> {
+  const client = createBackendClient()
+  const outcome = await client.grant({ server: 's1', address, checksGrants: false, sentAt: 0, request: { token: 1, slices: [], retired: [], boot: '', basis: 0, duration: 0 } } as unknown as Parameters<typeof client.grant>[0])
+  await client.close()
+  return outcome.kind
+}
+
+// Guards against a server that counts as healthy on a head that is none, and against one that counts as silent because its response, whose body is not used, has no length.
+test('grant() returns answered for a probe, when the status is valid and the response has no length, and no answer, when the status is invalid', async () => {
+  for (const [status, kind] of [['200', 'answered'], ['000', 'no-answer'], ['600', 'no-answer'], ['101', 'no-answer']] as const) {
+    await withServer((socket) => { socket.end(`${headOf('', status)}ok`) }, async (address) => { assert.is(await probe(address), kind, status) })
+  }
+})
+
 test.run()
--- a/src/http_call/send_with_pool.ts
+++ b/src/http_call/send_with_pool.ts
@@ -3,10 +3,13 @@
  *
  * The pool reports the end of a body without a length or chunks in the same
  * way whether its connection was closed or reset, and its callers do not see
- * the connection.
+ * the connection. It lets any status from 200 to 999 pass, and any number of
+ * interim responses.
  */
 import type { Dispatcher, Pool } from 'undici'
 import { bodyFraming, BodyFraming } from './body_framing.ts'
+import { describeInvalidStatus } from './response_status.ts'
+import { MAXIMUM_INTERIM_RESPONSES } from './watch_interim_responses.ts'
 
 /** Status and headers of a response. */
 export interface ResponseHead {
@@ -34,6 +37,8 @@
  */
 export function describeInvalidHead ({ method, status, headers }: ResponseHead & { readonly method: string }): string | null {
   const rawHeaders = Object.entries(headers).flatMap(([name, value]) => [value ?? []].flat().flatMap((single) => [name, single]))
+  const invalidStatus = describeInvalidStatus(status)
+  if (invalidStatus !== null) return invalidStatus
   return bodyFraming(rawHeaders, { status, method }).framing === BodyFraming.connectionEnd ? 'The response has neither a length nor chunks' : null
 }
 
@@ -46,10 +51,24 @@
  * @throws {InvalidResponseError} if the head is not that of a response, or has no marked end; errors of the pool otherwise.
  */
 export async function sendWithPool (pool: Pool, { usesBody = () => true, ...options }: SendWithPoolOptions): Promise<Dispatcher.ResponseData> {
-  const response = await pool.request(options)
-  const head = { status: response.statusCode, headers: response.headers }
-  const reason = usesBody(head) ? describeInvalidHead({ method: options.method, ...head }) : null
-  if (reason === null) return response
-  response.body.on('error', () => {}).destroy()
-  throw new InvalidResponseError(reason)
+  const interimLimit = new AbortController()
+  let interimResponses = 0
+  try {
+    const response = await pool.request({
+      ...options,
+      signal: AbortSignal.any([options.signal, interimLimit.signal]),
+      onInfo: () => {
+        interimResponses++
+        if (interimResponses > MAXIMUM_INTERIM_RESPONSES) interimLimit.abort()
+      }
+    })
+    const head = { status: response.statusCode, headers: response.headers }
+    const reason = usesBody(head) ? describeInvalidHead({ method: options.method, ...head }) : describeInvalidStatus(head.status)
+    if (reason === null) return response
+    response.body.on('error', () => {}).destroy()
+    throw new InvalidResponseError(reason)
+  } catch (error) {
+    if (interimLimit.signal.aborted && !options.signal.aborted) throw new InvalidResponseError(`The server sent more than ${MAXIMUM_INTERIM_RESPONSES} interim responses`)
+    throw error
+  }
 }
--- a/src/http_call/watch_interim_responses.ts
+++ b/src/http_call/watch_interim_responses.ts
@@ -8,7 +8,7 @@
 import type { ClientRequest } from 'node:http'
 
 /** Maximum number of interim responses (status 1xx) before the final one: more than any server has a reason to send. */
-const MAXIMUM_INTERIM_RESPONSES = 8
+export const MAXIMUM_INTERIM_RESPONSES = 8
 
 /**
  * Calls `onInvalid` if a server sends too many interim responses, or switches to another protocol; no final response follows then.
