Reset the connection of a caller of HTTP/1.0 when its response breaks off

Cause: the listeners of the dispatcher's hosts close the connection when a body breaks off. A caller of HTTP/1.0 gets no chunks, so a body that its server sent in chunks ends with the connection there, and the orderly close made a part of it look complete.

Ruled out: bodies with a length, and chunks to callers of HTTP/1.1; both show that bytes are missing.

Change: such a connection is reset.

--- a/src/host/_write_outcome.ts
+++ b/src/host/_write_outcome.ts
@@ -3,6 +3,7 @@
 import { pipeline, Transform, type Readable } from 'node:stream'
 import { forwardableHeaders, type DispatchResponse, type RequestBody } from '../dispatch/mod.ts'
 import type { Problem } from '../edge/mod.ts'
+import { resetConnection } from '../http_call/mod.ts'
 
 /** Streams a backend server's response; destroys the connection if the response ends early. */
 export function forwardResponse (
@@ -10,9 +11,15 @@
   backendResponse: DispatchResponse,
   extraHeaders: Readonly<Record<string, string>>
 ): void {
-  backendResponse.body.on('error', () => { response.destroy() })
+  function breakOff (): void {
+    // Callers of HTTP/1.0 get no chunks; without a length, a connection that is closed in order would be the end of the body.
+    const endsWithConnection = backendResponse.headers['content-length'] === undefined && !response.useChunkedEncodingByDefault
+    if (endsWithConnection && response.socket !== null) resetConnection(response.socket)
+    response.destroy()
+  }
+  backendResponse.body.on('error', breakOff)
   backendResponse.body.once('close', () => {
-    if (!backendResponse.body.readableEnded) response.destroy()
+    if (!backendResponse.body.readableEnded) breakOff()
   })
   response.once('close', () => { if (!backendResponse.body.readableEnded) backendResponse.body.destroy() })
   response.writeHead(backendResponse.status, { ...forwardableHeaders(backendResponse.headers), ...extraHeaders })
