Take a relay's refusal only from a head that a relay can have written

Cause: a host took any response on a connection to a relay for the relay's refusal if it had the header x-gooseberryfold-relay-refusal. Relays of earlier builds pass on a server's own header of that name, so that a request that had run was sent again.

Ruled out: relays of this build; they drop the header, and the cases with them passed before as well.

A server's 503 without a signature, passed on by a relay of an earlier build, is still taken for the relay's.

--- a/src/gateway/send_attempt.ts
+++ b/src/gateway/send_attempt.ts
@@ -156,7 +156,7 @@
     })
     request.on('response', (response) => {
       response.on('error', (error) => { settle({ kind: 'lost', detail: error.message, aborted: false }) })
-      const refusal = relay === undefined ? null : parseRelayRefusal(response)
+      const refusal = relay === undefined ? null : parseRelayRefusal(response, names)
       if (refusal !== null) {
         settle(refusal)
         return discardResponse(request, response)
@@ -206,9 +206,10 @@
 }
 
 /** Outcome of a request that a relay did not forward; `null` if the response is the server's. */
-function parseRelayRefusal (response: IncomingMessage): AttemptOutcome | null {
+function parseRelayRefusal (response: IncomingMessage, names: HeaderNames): AttemptOutcome | null {
   const refusal = response.headers[RelayHeader.refusal]
-  if (refusal === undefined) return null
+  // Relays of earlier builds pass on a server's own header of this name; their refusals have status 503 and no signature.
+  if (refusal === undefined || response.statusCode !== 503 || response.headers[names.signature] !== undefined) return null
   if (refusal === RelayRefusal.full || refusal === RelayRefusal.overLimit) {
     const isOverLimit = refusal === RelayRefusal.overLimit
     // Earlier builds report a server as full also after it has rejected the request itself.
--- a/src/relay/incomplete_bodies_test.ts
+++ b/src/relay/incomplete_bodies_test.ts
@@ -270,4 +270,33 @@
   }
 })
 
+// Guards against a request that is sent again although it has run: the response of a server with a header of relays was taken for the refusal of a relay.
+for (const relay of ['of this build', 'of an earlier build']) {
+  for (const refusal of Object.values(RelayRefusal)) {
+    test(`handle() passes on the response of a server and sends its request once, when it has the header of a relay that refuses with ${refusal} and comes through a relay ${relay}`, async () => {
+      for (const status of [200, 404, 500, 503]) {
+        let requests = 0
+        const head = (id: string): string => headOf(id, 'length', 2).replace('200 OK', `${status} X`).replace('\r\n', `\r\n${RelayHeader.refusal}: ${refusal}\r\n${RelayHeader.unsent}: 1\r\n`)
+        // Relays of earlier builds pass on all headers of servers.
+        const earlier = createServer((socket) => {
+          socket.on('error', () => {}).on('data', (data) => {
+            if (!data.includes('\r\n\r\n')) return
+            requests++
+            socket.write(`${head('a1')}ok`)
+          })
+        })
+        await new Promise<void>((resolve) => { earlier.listen(0, '127.0.0.1', resolve) })
+        await withRawServer(({ id, socket }) => {
+          requests++
+          socket.write(`${head(id)}ok`)
+        }, async ({ port }) => {
+          const [response] = parseResponses(await exchangeRaw(port, requestText('a1', { deadlineMs: AMPLE_MS }), { timeoutMs: AMPLE_MS, isEnough: hasWholeResponse }))
+          assert.is(`${response?.status} ${response?.body.toString()} after ${requests}`, `${status} ok after 1`)
+        }, { isRelayed: true, timeoutMs: AMPLE_MS, ...(relay === 'of this build' ? {} : { relayAddress: `127.0.0.1:${(earlier.address() as AddressInfo).port}` }) })
+        earlier.close()
+      }
+    })
+  }
+}
+
 test.run()
