Take no head with an invalid status for the response to a control call

Cause: control calls between hosts go through fetch, which lets statuses from 600 to 999 pass.

Ruled out: 000, 1xx, 101 and text, on which fetch fails, and a response without a length that is reset, which is no JSON.

Change: the client of control calls uses describeInvalidStatus().

Result: two of nine cases of control_router_test.ts failed before, none after.

--- a/src/host/control_router.ts
+++ b/src/host/control_router.ts
@@ -3,6 +3,7 @@
 import { initTRPC } from '@trpc/server'
 import { z } from 'zod'
 import type { CellView } from '../cell/mod.ts'
+import { describeInvalidStatus } from '../http_call/mod.ts'
 import type { TableRow } from '../ports/mod.ts'
 import { FIRST_ERA, type StorePosition } from '../store_history/mod.ts'
 
@@ -64,7 +65,12 @@
       links: [httpLink({
         url: `http://${host}/control`,
         headers: { 'gooseberryfold-secret': secret },
-        fetch: async (url, init) => await fetch(url, { ...init as RequestInit, signal: AbortSignal.timeout(CALL_TIMEOUT_MS) })
+        fetch: async (url, init) => {
+          const response = await fetch(url, { ...init as RequestInit, signal: AbortSignal.timeout(CALL_TIMEOUT_MS) })
+          const invalidStatus = describeInvalidStatus(response.status)
+          if (invalidStatus !== null) throw new Error(invalidStatus)
+          return response
+        }
       })]
     })
     clients.set(host, client)
