--- a/src/gateway/send_attempt.ts
+++ b/src/gateway/send_attempt.ts
@@ -1,7 +1,7 @@
 /** Sends a request to one backend server and reports whether it has run, has not run, or may have run. */
 import { request as startRequest, type Agent, type ClientRequest, type IncomingMessage } from 'node:http'
 import { pipeline } from 'node:stream'
-import { resetConnection, tryStart } from '../http_call/mod.ts'
+import { describeInvalidStatus, resetConnection, tryStart, watchInterimResponses } from '../http_call/mod.ts'
 import type { RoutedServer } from '../routing/mod.ts'
 import type { RequestBody, StreamedBody } from './body_reader.ts'
 import type { HeaderNames } from './header_names.ts'
@@ -87,9 +87,6 @@
 const MAXIMUM_REFUSAL_BYTES = 16 * 1024
 const REFUSAL_BODY_MS = 300
 
-/** Maximum number of interim responses (status 1xx) before the final one: more than any server has a reason to send. */
-const MAXIMUM_INTERIM_RESPONSES = 8
-
 /**
  * Sends a request.
  *
@@ -118,7 +115,6 @@
     /** When that was; monotonic time in milliseconds. */
     let sentAt = 0
     let settled = false
-    let interimResponses = 0
     let responseBody: ResponseBody | null = null
     const started = tryStart(() => startRequest({ agent, host, port, method: attempt.method, path: attempt.path, headers: headers as unknown as Record<string, string>, setHost: false }))
     if (started instanceof Error) return resolve({ kind: 'unsent', detail: started.message, refused: false })
@@ -190,17 +186,13 @@
         pollConnections().then(sendWithBody, (error: unknown) => { request.destroy(error instanceof Error ? error : new Error(String(error))) })
       })
     })
-    request.on('information', () => {
-      interimResponses++
-      if (interimResponses > MAXIMUM_INTERIM_RESPONSES) request.destroy(new Error(`The server sent more than ${MAXIMUM_INTERIM_RESPONSES} interim responses`))
-    })
-    request.on('upgrade', (_response, socket) => {
-      socket.destroy()
-      settle({ kind: 'lost', detail: 'The server switched to another protocol', aborted: false })
+    watchInterimResponses(request, (detail) => {
+      settle({ kind: 'lost', detail, aborted: false })
+      request.destroy()
     })
     request.on('response', (response) => {
       response.on('error', (error) => { settle({ kind: 'lost', detail: error.message, aborted: false }) })
-      const refusal = relay === undefined ? null : parseRelayRefusal(response)
+      const refusal = relay === undefined ? null : parseRelayRefusal(response, names)
       if (refusal !== null) {
         settle(refusal)
         return discardResponse(request, response)
@@ -271,9 +263,10 @@
 }
 
 /** Outcome of a request that a relay did not forward; `null` if the response is the server's. */
-function parseRelayRefusal (response: IncomingMessage): AttemptOutcome | null {
+function parseRelayRefusal (response: IncomingMessage, names: HeaderNames): AttemptOutcome | null {
   const refusal = response.headers[RelayHeader.refusal]
-  if (refusal === undefined) return null
+  // Relays of earlier builds pass on a server's own header of this name; their refusals have status 503 and no signature.
+  if (refusal === undefined || response.statusCode !== 503 || response.headers[names.signature] !== undefined) return null
   if (refusal === RelayRefusal.full || refusal === RelayRefusal.overLimit) {
     const isOverLimit = refusal === RelayRefusal.overLimit
     // Earlier builds report a server as full also after it has rejected the request itself.
@@ -289,6 +282,8 @@
   const echoedId = response.headers[names.attemptId]
   if (echoedId !== undefined && echoedId !== id) return `The response belongs to attempt ${String(echoedId)}`
   const status = response.statusCode ?? 0
+  const invalidStatus = describeInvalidStatus(status)
+  if (invalidStatus !== null) return invalidStatus
   if (response.headers[names.notRun] !== undefined || status === 421) {
     // Without an identifier, only the first response on a connection certainly belongs to the attempt.
     return echoedId !== undefined || isFirstOnConnection ? null : `The refusal with status ${status} has no attempt identifier`
