A host gives up its relay after half of the time left, unless it stops

Cause: with the timeout at the relay alone, one request at a relay that hangs was never sent again (test 'handle() sends a request to another server only for payment, when a relay does not respond ...' failed), since a failure detector needs two of them.

Ruled out: the failure detector with one request, since a long request is no failure.

Result: the test passes again; a host that stops still aborts nothing.

--- a/src/gateway/attempt_record_test.ts
+++ b/src/gateway/attempt_record_test.ts
@@ -84,7 +84,7 @@
       await withGateway([respondWithPath, respondWithPath], async ({ call, records }) => {
         assert.is((await call('/once/x', { body: 'b' })).status, 200)
         assert.equal(records[0]?.attempts.map(({ reach, cost }) => [reach, cost]), expected)
-      }, { retries, relays: { select: (server) => server.id === 's0' ? { kind: 'relay', relay: { host: 'h2', address, trackRequest: () => () => {}, isUnresponsive: () => false } } : { kind: 'direct' }, isRelay: () => false, isIsolated: () => false, recordIsolated: () => {} } })
+      }, { retries, relays: { select: (server) => server.id === 's0' ? { kind: 'relay', relay: { host: 'h2', address, trackRequest: () => () => {} } } : { kind: 'direct' }, isRelay: () => false, isIsolated: () => false, recordIsolated: () => {} } })
     } finally {
       relay.closeAllConnections()
       relay.close()
--- a/src/gateway/create_gateway.ts
+++ b/src/gateway/create_gateway.ts
@@ -41,6 +41,9 @@
 /** Retry delay for callers of a host that stops, in milliseconds: they come to another host over a new connection. */
 const STOPPING_RETRY_AFTER_MS = 20
 
+/** Share of the remaining time after which a repeatable request is aborted at its relay, which itself gives up a silent server sooner: the request may wait there for a slot. */
+const RELAY_WAIT_SHARE = 0.5
+
 /** Timeout for connecting to a relay, in milliseconds: many round trips within a region. After it, the request goes to the server directly. */
 const RELAY_CONNECT_TIMEOUT_MS = 200
 
@@ -185,7 +188,7 @@
     const inFlight = loads.inFlight(server.id)
     const sentAt = now()
     const complete = loads.trackRequest(server)
-    const outcome = await sendWithTimeout(exchange, { attempt: createAttempt(exchange, server), connections: { agent: options.agent, names, limits: options.limits, ...(options.statements === undefined ? {} : { statements: options.statements }), onLeaving: routingState.recordLeaving, isEvacuated: routingState.isEvacuated }, expectedMs })
+    const outcome = await sendWithTimeout(exchange, { attempt: createAttempt(exchange, server), connections: { agent: options.agent, names, limits: options.limits, ...(options.statements === undefined ? {} : { statements: options.statements }), onLeaving: routingState.recordLeaving, isEvacuated: routingState.isEvacuated }, timeoutMs: attemptTimeoutMs(expectedMs) })
     const durationMs = now() - sentAt
     complete(toLoadOutcome(outcome, durationMs))
     turn.end(outcome)
@@ -214,8 +217,7 @@
       connections: {
         agent: options.relayAgent, names, limits: options.limits, serverOf: routingState.server, onServer (id) { server = routingState.server(id) ?? named }, onLeaving: routingState.recordLeaving, isEvacuated: routingState.isEvacuated, connectTimeoutMs: RELAY_CONNECT_TIMEOUT_MS
       },
-      expectedMs,
-      isWaitNeeded: () => !relay.isUnresponsive()
+      timeoutMs: Math.max(attemptTimeoutMs(expectedMs), remainingMs(exchange) * RELAY_WAIT_SHARE)
     })
     for (const complete of completions) complete(!(outcome.kind === 'lost' || (outcome.kind === 'unsent' && outcome.atRelay === true)))
     recordAttempt(exchange, { server: server.id, outcome, durationMs: now() - sentAt, inFlight: loads.inFlight(server.id), expectedMs, relay: relay.host })
@@ -252,13 +254,13 @@
     return exchange.route.kind === RequestKind.idempotent && !isKeyed(exchange) && !options.isLeaving()
   }
 
-  /** Sends an attempt. A repeatable request is aborted after a timeout; through a relay, which applies the timeout itself once the request has a slot, only if that does not respond. */
-  async function sendWithTimeout (exchange: Exchange, { attempt, connections, expectedMs, isWaitNeeded = () => false }: { readonly attempt: Attempt, readonly connections: SendAttemptOptions, readonly expectedMs: number, readonly isWaitNeeded?: () => boolean }): Promise<AttemptOutcome> {
+  /** Sends an attempt. A repeatable request is aborted after a timeout, so that it can be sent to another server. */
+  async function sendWithTimeout (exchange: Exchange, { attempt, connections, timeoutMs }: { readonly attempt: Attempt, readonly connections: SendAttemptOptions, readonly timeoutMs: number }): Promise<AttemptOutcome> {
     if (!isRepeatable(exchange)) return await sendAttempt(attempt, connections)
     const attemptTimeout = new AbortController()
-    const timer = setInterval(() => { if (!isWaitNeeded()) attemptTimeout.abort() }, attemptTimeoutMs(expectedMs))
+    const timer = setTimeout(() => { attemptTimeout.abort() }, timeoutMs)
     const outcome = await sendAttempt({ ...attempt, signal: AbortSignal.any([attemptTimeout.signal, exchange.abort.signal]) }, connections)
-    clearInterval(timer)
+    clearTimeout(timer)
     return outcome
   }
 
--- a/src/gateway/create_gateway_test.ts
+++ b/src/gateway/create_gateway_test.ts
@@ -62,7 +62,7 @@
     await withGateway([respondWithPath, respondWithPath], async ({ call, records }) => {
       assert.is((await call('/once/x', { body: 'b' })).status, 200)
       assert.equal(records[0]?.attempts.map((attempt) => attempt.outcome), ['full', '200'])
-    }, { retries: 0, relays: { select: (server) => server.id === 's0' ? { kind: 'relay', relay: { host: 'h2', address, trackRequest: () => () => {}, isUnresponsive: () => false } } : { kind: 'direct' }, isRelay: () => false, isIsolated: () => false, recordIsolated: () => {} } })
+    }, { retries: 0, relays: { select: (server) => server.id === 's0' ? { kind: 'relay', relay: { host: 'h2', address, trackRequest: () => () => {} } } : { kind: 'direct' }, isRelay: () => false, isIsolated: () => false, recordIsolated: () => {} } })
   } finally {
     relay.closeAllConnections()
     relay.close()
--- a/src/gateway/relay_selector.ts
+++ b/src/gateway/relay_selector.ts
@@ -10,8 +10,6 @@
    * `responded` is whether there was any response.
    */
   trackRequest (request: string, expectedMs: number): (responded: boolean) => void
-  /** Whether requests through the relay would probably be lost now. */
-  isUnresponsive (): boolean
 }
 
 /** Way of a request to its server. */
--- a/src/gateway/repeat_payment_test.ts
+++ b/src/gateway/repeat_payment_test.ts
@@ -17,7 +17,7 @@
 
 /** Selects a relay for the server `s0`. */
 function relayPaths (address: string): PathSelector {
-  return { ...DIRECT_PATHS, select: (server, { triedRelays }) => server.id === 's0' && triedRelays.size === 0 ? { kind: 'relay', relay: { host: 'h2', address, trackRequest: () => () => {}, isUnresponsive: () => false } } : { kind: 'direct' } }
+  return { ...DIRECT_PATHS, select: (server, { triedRelays }) => server.id === 's0' && triedRelays.size === 0 ? { kind: 'relay', relay: { host: 'h2', address, trackRequest: () => () => {} } } : { kind: 'direct' } }
 }
 
 /** Runs a test with a relay on a loopback port that responds through a handler. */
--- a/src/relay/create_relay_test.ts
+++ b/src/relay/create_relay_test.ts
@@ -78,7 +78,7 @@
     permits,
     admission: createServerAdmission({ loads: originLoads, limits, permits, now }),
     agent: agents[1],
-    relays: { select: (_server, { triedRelays }) => triedRelays.size > 0 ? { kind: 'direct' } : { kind: 'relay', relay: { host: 'h2', address, trackRequest: () => () => {}, isUnresponsive: () => false } }, isRelay: () => false, isIsolated: () => false, recordIsolated: () => {} },
+    relays: { select: (_server, { triedRelays }) => triedRelays.size > 0 ? { kind: 'direct' } : { kind: 'relay', relay: { host: 'h2', address, trackRequest: () => () => {} } }, isRelay: () => false, isIsolated: () => false, recordIsolated: () => {} },
     relayAgent: agents[2],
     names: TEST_HEADER_NAMES,
     host: 'h1',
--- a/src/relay/relay_directory.ts
+++ b/src/relay/relay_directory.ts
@@ -134,8 +134,7 @@
     return {
       host: host.host,
       address: host.address,
-      trackRequest: (request, expectedMs) => failureDetector.trackRequest({ id: request, group: host.host }, expectedMs),
-      isUnresponsive: () => failureDetector.isUnresponsive(host.host)
+      trackRequest: (request, expectedMs) => failureDetector.trackRequest({ id: request, group: host.host }, expectedMs)
     }
   }
 
--- a/src/relay/repeated_requests_test.ts
+++ b/src/relay/repeated_requests_test.ts
@@ -48,7 +48,7 @@
   const admission = createServerAdmission({ loads, limits, permits, now })
   const [agent, relayAgent] = [createServerAgent(), new Agent({ keepAlive: true })]
   const budgets = createRetryBudgets({ ratio: RATIO, slack, hostCount: { record () {}, sharing: () => HOSTS }, random: Math.random })
-  const relays: PathSelector = { select: (server) => ({ kind: 'relay', relay: { host: relayAddressOf(server), address: relayAddressOf(server), trackRequest: () => () => {}, isUnresponsive: () => false } }), isRelay: () => true, isIsolated: () => false, recordIsolated: () => {} }
+  const relays: PathSelector = { select: (server) => ({ kind: 'relay', relay: { host: relayAddressOf(server), address: relayAddressOf(server), trackRequest: () => () => {} } }), isRelay: () => true, isIsolated: () => false, recordIsolated: () => {} }
   const shared = { guard: createTestGuard(), responseMemory: createResponseMemory(), routingState, loads, limits, permits, admission, isRelay: () => true, isIsolated: () => false, agent, names: TEST_HEADER_NAMES, now, stopsAt: () => Infinity }
   const gateway = createGateway({ ...shared, relays, relayAgent, host: name, zone: 'a', retryBudgetOf: budgets.forService, random: Math.random, onKeyRequested: () => {}, onRequestEnd: () => {}, isLeaving: () => false })
   const relay = createRelay({ ...shared, onEnd: () => {} })
--- a/src/relay/request_limit_test.ts
+++ b/src/relay/request_limit_test.ts
@@ -97,7 +97,7 @@
   const backend = await createFakeBackend('s0', respond)
   const server = { ...backend.server, slots: 100 }
   const relay = await startHost('relay', { server, relays: { select: () => ({ kind: 'direct' }), isRelay: () => true, isIsolated: () => false, recordIsolated: () => {} } })
-  const viaRelay: PathSelector = { select: (_server, { triedRelays }) => triedRelays.size > 0 ? { kind: 'direct' } : { kind: 'relay', relay: { host: 'relay', address: relay.relayAddress, trackRequest: () => () => {}, isUnresponsive: () => false } }, isRelay: () => false, isIsolated: () => false, recordIsolated: () => {} }
+  const viaRelay: PathSelector = { select: (_server, { triedRelays }) => triedRelays.size > 0 ? { kind: 'direct' } : { kind: 'relay', relay: { host: 'relay', address: relay.relayAddress, trackRequest: () => () => {} } }, isRelay: () => false, isIsolated: () => false, recordIsolated: () => {} }
   const hosts = [relay, ...await Promise.all(['h1', 'h2'].map(async (name) => await startHost(name, { server, relays: viaRelay })))]
   for (let direct = 0; direct < directHosts; direct++) hosts.push(await startHost(`direct${direct}`, { server, relays: { select: () => ({ kind: 'direct' }), isRelay: () => false, isIsolated: () => false, recordIsolated: () => {} } }))
   try {
--- a/testing/with_raw_server.ts
+++ b/testing/with_raw_server.ts
@@ -124,7 +124,7 @@
   const relayServer = createCallerServer({ limits: TEST_CONFIGURATION.limits, maximumConnections: 1000, handle: relay.handle, onError: () => {} })
   const relayPort = await listen(relayServer)
   const path = options.isRelayed === true
-    ? { kind: 'relay', relay: { host: 'h2', address: options.relayAddress ?? `127.0.0.1:${relayPort}`, trackRequest: () => () => {}, isUnresponsive: () => false } } as const
+    ? { kind: 'relay', relay: { host: 'h2', address: options.relayAddress ?? `127.0.0.1:${relayPort}`, trackRequest: () => () => {} } } as const
     : { kind: 'direct' } as const
   const gateway = createGateway({
     ...shared, permits, admission, responseMemory: createTestMemory(ends, options.streamsAll ?? false), agent: agents[1], relays: { select: () => path, isRelay: () => options.isRelayed !== true, isIsolated: () => false, recordIsolated: () => {} }, relayAgent: agents[2], host: 'h1', zone: 'a', retryBudgetOf: () => budget, random: () => 0, onKeyRequested: () => {}, onRequestEnd: (record) => { records.push(record) }, isLeaving: () => false
