--- a/soak/hosts.ts
+++ b/soak/hosts.ts
@@ -1,6 +1,6 @@
 /** Runs entry hosts as processes, each with a link proxy of its own to the store. */
 import { spawn, type ChildProcess } from 'node:child_process'
-import { createWriteStream, mkdirSync, readFileSync, writeFileSync, type WriteStream } from 'node:fs'
+import { createWriteStream, mkdirSync, readdirSync, readFileSync, writeFileSync, type WriteStream } from 'node:fs'
 import { join } from 'node:path'
 import { openLinkProxy, type LinkProxy } from './link_proxy.ts'
 
@@ -22,6 +22,8 @@
   setProgram (path: string): void
   /** Largest resident memory of the process so far, in bytes; 0 if it does not run. */
   peakMemoryBytes (): number
+  /** Number of open descriptors of the process; 0 if it does not run. */
+  openDescriptors (): number
   /** Resolves with the exit code of the process once it has ended; `null` if a signal ended it. */
   waitForExit (): Promise<number | null>
   /** Whether the process runs the program of the earlier build. */
@@ -49,6 +51,10 @@
   readonly earlierProgram?: string
   /** Retries that a service may get beyond the ratio. Default: 141. */
   readonly retrySlack?: number
+  /** Memory of each host that the settings state, in megabytes. Default: {@link HOST_MEMORY_MB}. */
+  readonly memoryMb?: number
+  /** Options of the runtime, such as its heap limit. Default: none. */
+  readonly runtimeOptions?: readonly string[]
 }
 
 /** Retries per request that a service may get, as the settings state it. */
@@ -57,6 +63,9 @@
 /** Memory of a host, in megabytes, as the settings state it. */
 export const HOST_MEMORY_MB = 272
 
+/** Limit of open descriptors of a host, as the settings state it. */
+export const HOST_DESCRIPTORS = 2870
+
 /** Creates and starts the hosts of a run. */
 export async function createHosts (options: HostsOptions): Promise<SoakHost[]> {
   mkdirSync(options.folder, { recursive: true })
@@ -70,7 +79,7 @@
   const storeProxy = await openLinkProxy({ host: options.storeHost, port: options.storePort }, { host: ip, port: options.basePort + 9 })
   const settingsPath = join(options.folder, `${name}.toml`)
   const log: WriteStream = createWriteStream(join(options.folder, `${name}.log`))
-  writeFileSync(settingsPath, settingsText({ name, ip, zone, basePort: options.basePort, retrySlack: options.retrySlack ?? 141 }))
+  writeFileSync(settingsPath, settingsText({ name, ip, zone, basePort: options.basePort, retrySlack: options.retrySlack ?? 141, memoryMb: options.memoryMb ?? HOST_MEMORY_MB }))
   let child: ChildProcess | null = null
   let stopping = false
   let killCount = 0
@@ -82,7 +91,7 @@
     if (isRunning() || hasStopped) return
     stopping = false
     runningProgram = program
-    child = spawn(process.execPath, [program], { env: { PATH: process.env.PATH, GOOSEBERRYFOLD_BOOT: settingsPath }, stdio: ['ignore', 'pipe', 'pipe'] })
+    child = spawn(process.execPath, [...options.runtimeOptions ?? [], program], { env: { PATH: process.env.PATH, GOOSEBERRYFOLD_BOOT: settingsPath }, stdio: ['ignore', 'pipe', 'pipe'] })
     child.once('exit', (_, signal) => { if (signal === 'SIGKILL') killCount++ })
     child.stdout?.pipe(log, { end: false })
     child.stderr?.pipe(log, { end: false })
@@ -114,6 +123,7 @@
     start,
     setProgram (path) { program = path },
     peakMemoryBytes: () => child?.pid === undefined || !isRunning() ? 0 : readPeakMemoryBytes(child.pid),
+    openDescriptors: () => child?.pid === undefined || !isRunning() ? 0 : readdirSync(`/proc/${child.pid}/fd`).length,
     waitForExit,
     isEarlierBuild: () => runningProgram === options.earlierProgram,
     killCount: () => killCount,
@@ -132,8 +142,8 @@
   return Number(/^VmHWM:\s+(\d+) kB/m.exec(readFileSync(`/proc/${pid}/status`, 'utf8'))?.[1] ?? 0) * 1024
 }
 
-function settingsText (host: { readonly name: string, readonly ip: string, readonly zone: string, readonly basePort: number, readonly retrySlack: number }): string {
-  const { name, ip, zone, basePort, retrySlack } = host
+function settingsText (host: { readonly name: string, readonly ip: string, readonly zone: string, readonly basePort: number, readonly retrySlack: number, readonly memoryMb: number }): string {
+  const { name, ip, zone, basePort, retrySlack, memoryMb } = host
   return `[Self]
 Node = "${name}"
 Ip = "${ip}"
@@ -141,8 +151,8 @@
 [Self.Limits]
 CpuShare = 1.0
 Cores = 1
-MemoryMb = ${HOST_MEMORY_MB}
-MaxFds = 2870
+MemoryMb = ${memoryMb}
+MaxFds = ${HOST_DESCRIPTORS}
 [Network]
 PortRange = [${basePort + 2},${basePort + 8}]
 [Network.Listen]
