Keep one account of what callers make a host hold

Cause: the runtime parses all that one read of a connection returns, and each request or chunk in it costs far more than its bytes. Bodies were bounded by bytes and only until they were complete; requests read ahead were not bounded.

Ruled out: pausing the request (the rest of the read is kept in one-byte buffers), maxRequestsPerSocket (closes callers within the limits), the runtime's check of heads (closes new connections that are idle).

Change: limit_connection.ts passes small parts to the parser and stops the socket when the account has no room; bodies are copied into blocks and counted until their response has been sent; connections without progress are closed when the account is full. Callers' and relays' listeners share the account.

--- a/src/entry_host/create_entry_host.ts
+++ b/src/entry_host/create_entry_host.ts
@@ -5,7 +5,7 @@
  */
 import { Agent, createServer } from 'node:http'
 import {
-  createCallerServer, createGateway, createRequestLimits, createRequestPermits, createResponseMemory, createRoutingState, createServerAdmission, createServerAgent, createServerLoads, type HeaderNames, type RequestRecord
+  createGateway, createRequestLimits, createRequestPermits, createResponseMemory, createRoutingState, createServerAdmission, createServerAgent, createServerLoads, type HeaderNames, type RequestRecord
 } from '../gateway/mod.ts'
 import { createLeadership } from '../leadership/mod.ts'
 import type { Logger } from '../logging/mod.ts'
@@ -18,6 +18,7 @@
 import { listen, pause } from './_listen.ts'
 import { TaskTiming } from './_task_timing.ts'
 import { trackControl } from './_tracked_control.ts'
+import { createCallerListeners } from './create_caller_listeners.ts'
 import { createCoordinator } from './create_coordinator.ts'
 import type { EntryHostSettings } from './entry_host_settings.ts'
 import { createEndedResponseLog } from './ended_response_log.ts'
@@ -59,21 +60,12 @@
   retryBudgets (): RetryBudgetsState
 }
 
-/** Limits that apply until the first configuration is read. */
-const INITIAL_LIMITS = { headerBytes: 16_384, bodyBytes: 64 * 1024 * 1024, headerTimeoutMs: 3000, idleTimeoutMs: 15_000 } as const
-
 /** Duration of grants while the store is unavailable, in milliseconds: covers an outage of nine seconds, less the time to detect it. */
 const OUTAGE_GRANT_DURATION_MS = 8500
 
 /** Maximum number of idle connections kept to one relay: requests for several of its servers may arrive at once. */
 const RELAY_IDLE_CONNECTIONS = 8
 
-/** Limits of requests from other hosts: these have already checked the header and body of the caller's request, and their connections stay open. */
-const RELAY_LIMITS = { headerBytes: 128 * 1024, bodyBytes: Infinity, headerTimeoutMs: 10_000, idleTimeoutMs: 300_000 } as const
-
-/** Sockets reserved for the store, other hosts and operators. */
-const RESERVED_SOCKETS = 400
-
 /** Time after the stop signal during which the load balancer still sends new connections, in milliseconds: two failed health checks one second apart. */
 const BALANCER_DETECTION_MS = 2300
 
@@ -255,24 +247,14 @@
   const relay = createRelay({
     routingState, loads, limits, admission, isRelay: relays.isRelay, isIsolated, guard, responseMemory, agent, names: options.names, now, onEnd (record) { requestLog.write(record, describeRoutingState()) }, stopsAt: () => stopsAt
   })
-  const relayServer = createCallerServer({
-    limits: RELAY_LIMITS, maximumConnections: settings.sockets, handle: relay.handle, onError: reportConnectionError
-  })
-  const callerServer = createCallerServer({
-    limits: INITIAL_LIMITS,
-    maximumConnections: Math.max(100, settings.sockets - RESERVED_SOCKETS),
-    handle: gateway.handle,
-    onError: reportConnectionError
+  const { callerServer, relayServer, account } = createCallerListeners({
+    memoryBytes: settings.memoryBytes, sockets: settings.sockets, handleCaller: gateway.handle, handleHost: relay.handle, logger, now
   })
   /** Describes the state that routing decisions are based on, for log lines of requests. */
   function describeRoutingState (): Record<string, unknown> {
     return { version: routingState.configuration()?.version, leaderAgeMs: leadershipController.isLeading() ? 0 : Math.round(now() - leaderConnection.lastMessageAt()), loopDelayMs: loopDelayMonitor.delayMs() }
   }
 
-  function reportConnectionError (error: unknown): void {
-    logger.debug({ error: error instanceof Error ? error.message : String(error) }, 'caller-connection-error')
-  }
-
   const readinessServer = createServer((_request, response) => {
     response.writeHead(routingState.routes() !== null && !leaving ? 200 : 503, { 'Content-Length': '0' }).end()
   })
@@ -388,6 +370,7 @@
       servers: routingState.servers(),
       pending: gateway.pending(),
       responseBytes: responseMemory.bytes(),
+      callers: account.describe(),
       refusedRequests: protection.describe(),
       loopDelayMs: loopDelayMonitor.delayMs(),
       retryBudgets: budgets.describe(),
--- a/src/entry_host/entry_host_settings.ts
+++ b/src/entry_host/entry_host_settings.ts
@@ -9,6 +9,7 @@
   /** Speed of this host's network link, in megabits per second. */
   readonly linkMegabits: number
   readonly sockets: number
+  readonly memoryBytes: number
   readonly callerAddress: string
   readonly readinessAddress: string
   readonly peerPort: number
--- a/src/gateway/body_reader.ts
+++ b/src/gateway/body_reader.ts
@@ -1,14 +1,13 @@
 /** Reads request bodies. Short bodies are buffered before the request is sent, so that it can be retried; long ones are streamed, and read ahead of their server. */
 import type { IncomingMessage } from 'node:http'
 import type { Readable } from 'node:stream'
-import { readAhead } from './_read_ahead.ts'
+import { connectionOf } from '../caller_limits/mod.ts'
+import { createBodyBlocks } from './_body_blocks.ts'
+import { readAhead, type ReadAheadOptions } from './_read_ahead.ts'
 
 /** Maximum length of a body that is buffered, in bytes; longer bodies are streamed. */
 const MAXIMUM_BUFFERED_BODY_BYTES = 1024 * 1024
 
-/** Total length of buffered bodies above which further bodies are streamed, and no stream is read ahead of its server, in bytes. */
-const BUFFER_CAPACITY_BYTES = 32 * 1024 * 1024
-
 /** A body that is forwarded while it is received. */
 export interface StreamedBody {
   readonly stream: Readable
@@ -43,31 +42,20 @@
   read (request: IncomingMessage, options: ReadBodyOptions): Promise<BodyReading>
 }
 
-/** Creates a body reader with an empty buffer. */
+/** Creates a body reader. What it keeps is counted for the connection of each request. */
 export function createBodyReader (): BodyReader {
-  let bufferedBytes = 0
-  const streams = new Set<Readable>()
-
-  function hasCapacity (): boolean {
-    let bytes = bufferedBytes
-    for (const stream of streams) bytes += stream.readableLength
-    return bytes <= BUFFER_CAPACITY_BYTES
-  }
-
-  function stream (request: IncomingMessage, maximumBytes: number): BodyReading {
-    const body = readAhead(request, { maximumBytes, hasCapacity })
-    streams.add(body)
-    body.on('close', () => { streams.delete(body) })
-    return { kind: 'body', body: { stream: body, contentLength: request.headers['content-length'] } }
+  function stream (request: IncomingMessage, { maximumBytes, blocks }: ReadAheadOptions): BodyReading {
+    return { kind: 'body', body: { stream: readAhead(request, { maximumBytes, blocks }), contentLength: request.headers['content-length'] } }
   }
 
   /** Buffers a body until it ends or becomes too long to be buffered. */
   function buffer (request: IncomingMessage, { maximumBytes, signal }: ReadBodyOptions): Promise<BodyReading> {
     return new Promise((resolve) => {
-      const parts: Buffer[] = []
-      let bytes = 0
+      const connection = connectionOf(request)
+      const blocks = createBodyBlocks()
       function settle (reading: BodyReading): void {
-        bufferedBytes -= bytes
+        connection.onBlocked(request, () => {})
+        if (reading.kind !== 'body') connection.setBody(request, 0)
         request.off('data', onData).off('end', onEnd).off('error', onBrokenOff).off('close', onBrokenOff)
         signal.removeEventListener('abort', onAbort)
         // A stream without listeners for errors would end the process.
@@ -75,19 +63,19 @@
         resolve(reading)
       }
       function onData (part: Buffer): void {
-        parts.push(part)
-        bytes += part.length
-        bufferedBytes += part.length
-        if (bytes > maximumBytes) {
-          request.pause()
+        connection.recordBody(request)
+        blocks.add(part)
+        connection.setBody(request, blocks.allocatedBytes())
+        if (blocks.length() > maximumBytes) {
+          connection.setReading(request, false)
           settle({ kind: 'too-long' })
-        } else if (bytes > MAXIMUM_BUFFERED_BODY_BYTES || !hasCapacity()) {
-          request.pause()
-          request.unshift(Buffer.concat(parts))
-          settle(stream(request, maximumBytes))
+        } else if (blocks.length() > MAXIMUM_BUFFERED_BODY_BYTES || !connection.mayBuffer()) {
+          settle(stream(request, { maximumBytes, blocks }))
         }
       }
-      function onEnd (): void { settle({ kind: 'body', body: Buffer.concat(parts) }) }
+      // A body that cannot be buffered to its end is sent as far as it has come.
+      connection.onBlocked(request, () => { settle(stream(request, { maximumBytes, blocks })) })
+      function onEnd (): void { settle({ kind: 'body', body: blocks.takeAll() }) }
       function onBrokenOff (): void { settle({ kind: 'broken-off' }) }
       function onAbort (): void { settle({ kind: request.destroyed ? 'broken-off' : 'timed-out' }) }
       request.on('data', onData).on('end', onEnd).on('error', onBrokenOff).on('close', onBrokenOff)
@@ -103,7 +91,7 @@
       }
       const length = Number(contentLength ?? 0)
       if (length > options.maximumBytes) return { kind: 'too-long' }
-      if (length > MAXIMUM_BUFFERED_BODY_BYTES) return stream(request, options.maximumBytes)
+      if (length > MAXIMUM_BUFFERED_BODY_BYTES) return stream(request, { maximumBytes: options.maximumBytes, blocks: createBodyBlocks() })
       return await buffer(request, options)
     }
   }
--- a/src/gateway/create_gateway.ts
+++ b/src/gateway/create_gateway.ts
@@ -5,6 +5,7 @@
  * decided in decide_next.ts, and what pays for a repeat in attempt_ledger.ts.
  */
 import type { IncomingMessage, ServerResponse } from 'node:http'
+import { connectionOf } from '../caller_limits/mod.ts'
 import { createFingerprintSource } from '../fatal_requests/mod.ts'
 import { pickTarget, RequestKind, type RoutedServer } from '../routing/mod.ts'
 import { clampRetryAfterMs } from './admission.ts'
@@ -67,7 +68,7 @@
     if (response.headersSent || response.destroyed) return
     const headers: Record<string, string> = { 'Content-Length': '0' }
     if (retryAfterMs !== undefined) headers['Retry-After'] = (retryAfterMs / 1000).toFixed(3)
-    if (options.isLeaving()) headers.Connection = 'close'
+    if (options.isLeaving() && connectionOf(response.req).endAfterLast(response.req)) headers.Connection = 'close'
     response.writeHead(status, headers).end()
   }
 
@@ -75,7 +76,7 @@
   function refuseBody (exchange: Exchange, cause: 'too-long' | 'timed-out' | 'broken-off'): void {
     if (cause === 'broken-off' || exchange.hasCallerLeft) return finish(exchange, 0, 'caller-broke-off')
     const status = cause === 'too-long' ? 413 : 408
-    exchange.response.setHeader('Connection', 'close')
+    if (connectionOf(exchange.request).endAfterLast(exchange.request)) exchange.response.setHeader('Connection', 'close')
     writeLocalResponse(exchange.response, status)
     finish(exchange, status, `body-${cause}`)
   }
@@ -333,7 +334,7 @@
       writeLocalResponse(response, decision.status)
       return finish(exchange, decision.status, decision.reason)
     }
-    const { isWhole, body } = await forwardResponse(response, decision.outcome, { closesConnection: options.isLeaving(), memory: exchange.memory, signal: exchange.abort.signal })
+    const { isWhole, body } = await forwardResponse(response, decision.outcome, { closesConnection: options.isLeaving() && connectionOf(response.req).endAfterLast(response.req), memory: exchange.memory, signal: exchange.abort.signal })
     exchange.responseBody = body
     finish(exchange, decision.outcome.status, isWhole ? 'served' : 'answer-broke-off')
   }
