Share the time for parsing, and close what jams a full account

Cause: trials with further crowds showed three faults of the account. 2,000 incomplete heads filled it and were never closed, since each waited for room that the others held; an ordinary caller got no response in 12 s. 600 callers with one-byte chunks kept each turn of the event loop at 130 ms, in which the runtime accepts one connection; an ordinary caller was not served within 60 s. A request whose bytes had been read could wait for room that only its own end would have made.

Ruled out, each by a trial of 600 callers with large chunks (bound 202 MB): reads that wait for a turn (286 to 341 MB, and 234 to 238 MB in a simpler form) and a share for unparsed bytes (237 MB, and 44 s for an ordinary caller beside one-byte chunks): what waits outlives the collections of young objects.

Change: what takes longer than 0.5 ms to parse gets 8 ms of a turn; the first request of what has been read is always parsed; connections that wait for room or time are closed after those without progress, and after 0.25 s while even small callers are not read; a tenth of the memory.

Six files of src/gateway and src/relay that concern reading pass (110 tests).

--- a/soak/caller_limits_test.ts
+++ b/soak/caller_limits_test.ts
@@ -48,4 +48,17 @@
   await expectBounded({ connections: 20, parts: () => repeat('', hundredRequests, 200), isReading: false })
 })
 
+// Guards against heads that are not complete: short header lines take many times their bytes, and nothing answers them.
+test('a host stays within its memory, when 2,000 callers send a head of short lines and stop short of its end', async () => {
+  const lines = Buffer.from('a:\r\n'.repeat(1900))
+  await expectBounded({ connections: 2000, parts: () => repeat('GET /crowd/1 HTTP/1.1\r\nHost: soak.example\r\n', lines, 1) })
+})
+
+// Guards against a listener without limits: relays get bodies from other hosts.
+test('a host stays within its memory, when 20 connections of other hosts bring bodies in one-byte chunks and stop short of the end', async () => {
+  const thousandChunks = Buffer.from('1\r\nx\r\n'.repeat(1000))
+  const head = 'POST /crowd/1 HTTP/1.1\r\nHost: x\r\nGooseberryfold-Target-Instance: i-crowd\r\nGooseberryfold-Attempt-Id: r\r\nGooseberryfold-Deadline-Ms: 15000\r\nTransfer-Encoding: chunked\r\n\r\n'
+  await expectBounded({ connections: 20, isHost: true, parts: () => repeat(head, thousandChunks, 150) })
+})
+
 test.run()
--- a/src/caller_limits/caller_account.ts
+++ b/src/caller_limits/caller_account.ts
@@ -5,9 +5,9 @@
  * cannot be held stays in the network. When the account is full, connections
  * that have made no progress are closed, the one longest without progress
  * first and, of those equally long without, the one that holds the most. Only
- * then, those that the host has had no room to read for seconds.
+ * then, those that the host has had no room to read, or no time to parse.
  */
-import { BLOCK_GRACE_MS, BUFFER_SHARE, RESERVE_FACTOR, SMALL_HOLDING_BYTES, STALL_GRACE_MS } from './default_limits.ts'
+import { BUFFER_SHARE, RESERVE_FACTOR, SMALL_HOLDING_BYTES, STALL_GRACE_MS, URGENT_GRACE_MS } from './default_limits.ts'
 
 /** What is held. */
 export const Held = { connections: 'connections', heads: 'heads', unparsed: 'unparsed', requests: 'requests', bodies: 'bodies', responses: 'responses' } as const
@@ -23,7 +23,7 @@
 export interface ConnectionRest {
   /** The caller has begun something and does not go on. */
   readonly stalledMs: number
-  /** The host has no room for the rest of a body. */
+  /** The host has no room for the rest of a head or a body, or no time to parse it while it has no room. */
   readonly blockedMs: number
   /** There is no request. */
   readonly idleMs: number
@@ -35,7 +35,7 @@
   change (held: Held, bytes: number): void
   /** Bytes that are held. */
   bytes (): number
-  /** Whether more may be read from the connection. */
+  /** Whether there is room for more of the connection. */
   mayRead (): boolean
   /** Whether more of a body may be kept before it is sent: a part of the account, so that one caller does not fill it. */
   mayBuffer (): boolean
@@ -125,20 +125,21 @@
   const held = new Map<Held, number>()
   const ended = new Map<EndCause, number>()
   let total = 0
-  /** Whether no connection may be read, and whether some may not. */
-  let isOver = false
-  let isFull = false
+  /** Whether some connections may not be read, and whether all were told so. */
+  let isStopped = false
+  let hasNotified = false
   let isRoomScheduled = false
 
   function addTotal (kind: Held, bytes: number): void {
     total += bytes
     held.set(kind, (held.get(kind) ?? 0) + bytes)
-    isFull ||= total > capacityBytes
-    if (total > maximumBytes && !isOver) {
-      isOver = true
+    const wasStopped = isStopped
+    isStopped ||= total > capacityBytes
+    if (total > maximumBytes && !hasNotified) {
+      hasNotified = true
       for (const entry of entries) entry.callbacks.onFull()
     }
-    if (bytes < 0 && isFull && !isRoomScheduled) {
+    if (bytes < 0 && wasStopped && !isRoomScheduled) {
       isRoomScheduled = true
       schedule(announceRoom)
     }
@@ -146,8 +147,8 @@
 
   function announceRoom (): void {
     isRoomScheduled = false
-    isFull = total > capacityBytes
-    isOver = total > maximumBytes
+    isStopped = total > capacityBytes
+    hasNotified = total > maximumBytes
     for (const entry of entries) if (entry.mayRead()) entry.callbacks.onRoom()
   }
 
@@ -193,8 +194,9 @@
     end (account, cause) { end(account as Entry, cause) },
     makeRoom () {
       if (total <= capacityBytes) return
-      const stalled = [...entries].filter(({ rest }) => rest.stalledMs >= STALL_GRACE_MS).sort(comparePrecedence)
-      const blocked = [...entries].filter(({ rest }) => rest.blockedMs >= BLOCK_GRACE_MS).sort((left, right) => right.heldBytes - left.heldBytes)
+      const graceMs = total > maximumBytes ? URGENT_GRACE_MS : STALL_GRACE_MS
+      const stalled = [...entries].filter(({ rest }) => rest.stalledMs >= graceMs).sort(comparePrecedence)
+      const blocked = [...entries].filter(({ rest }) => rest.blockedMs >= graceMs).sort((left, right) => right.heldBytes - left.heldBytes)
       for (const entry of [...stalled, ...blocked]) {
         if (total <= capacityBytes * ROOM_SHARE) return
         end(entry, EndCause.memory)
--- a/src/caller_limits/default_limits.ts
+++ b/src/caller_limits/default_limits.ts
@@ -1,7 +1,7 @@
 /** Default limits for callers. No caller within the limits of the configuration reaches those that end a connection while the host has room. */
 
 /** Share of the process's memory that all callers together may take. The rest is for the program, for responses of servers and for garbage that is not collected yet. */
-export const MEMORY_SHARE = 0.125
+export const MEMORY_SHARE = 0.1
 
 /** Bounds of that memory, in bytes: the heap is limited to 160 MB on machines of any size. */
 export const CAPACITY_BYTES = { minimum: 16 * 1024 * 1024, maximum: 64 * 1024 * 1024 } as const
@@ -21,11 +21,11 @@
 /** Requests of one connection that are read and not yet answered; further ones are read later. Pull clients have some tens. */
 export const MAXIMUM_OPEN_REQUESTS = 256
 
-/** Time without progress after which a connection may be closed to make room, in milliseconds. */
+/** Time without progress after which a connection may be closed to make room, in milliseconds: by then bodies that can be sent without being kept are on their way. */
 export const STALL_GRACE_MS = 1000
 
-/** Time after which a connection that the host has no room to read may be closed, in milliseconds: by then bodies that can be sent without being kept are on their way. */
-export const BLOCK_GRACE_MS = 2000
+/** The same while even callers that hold little are not read, in milliseconds: ordinary callers wait meanwhile. */
+export const URGENT_GRACE_MS = 250
 
 /** Time without progress after which a caller that does not read its responses is disconnected in any case, in milliseconds: the network accepts bytes of a slow reader in parts that take it some seconds. */
 export const READER_STALL_MS = 60_000
@@ -36,8 +36,5 @@
 /** Maximum time that one check adds to a stall, in milliseconds: while the host itself was suspended, callers could not make progress. */
 export const MAXIMUM_CHECK_MS = 500
 
-/** Largest part that the parser gets at once, in bytes: between messages a few tens of the shortest requests, within a body some hundred of the shortest chunks. */
-export const PART_BYTES = { message: 1024, body: 8 * 1024 } as const
-
-/** Time for which one connection is parsed before others get their turn, in milliseconds. */
-export const TURN_MS = 2
+/** Largest part that the parser gets at once, in bytes: between messages a few tens of the shortest requests, within a body some hundred of the shortest chunks, and one or two requests while the account is full. */
+export const PART_BYTES = { message: 1024, messageWhenFull: 64, body: 8 * 1024 } as const
--- a/src/caller_limits/limit_callers.ts
+++ b/src/caller_limits/limit_callers.ts
@@ -5,6 +5,7 @@
 import { CONNECTION_BYTES } from './costs.ts'
 import { CHECK_INTERVAL_MS, CONNECTION_SHARE, MAXIMUM_CHECK_MS } from './default_limits.ts'
 import { limitConnection, type LimitedConnection } from './limit_connection.ts'
+import { createParseTurns } from './parse_turns.ts'
 
 /** Options of {@link limitCallers}. */
 export interface LimitCallersOptions {
@@ -27,6 +28,7 @@
  */
 export function limitCallers (server: Server, options: LimitCallersOptions): void {
   const { account, now = () => performance.now() } = options
+  const turns = createParseTurns({ now })
   const connections = new Map<Socket, LimitedConnection>()
   const maximumConnections = Math.max(1, Math.min(options.maximumConnections, Math.floor(account.describe().capacityBytes * CONNECTION_SHARE / CONNECTION_BYTES)))
   server.maxConnections = maximumConnections + CONNECTION_MARGIN
@@ -40,7 +42,7 @@
     const [parse] = socket.listeners('data') as Array<(part: Buffer) => void>
     if (parse === undefined) throw new Error('The HTTP server does not read its connection through a listener for data')
     connections.set(socket, limitConnection(socket, {
-      account, parse, now, timeouts: () => ({ headMs: server.headersTimeout, idleMs: server.keepAliveTimeout })
+      account, parse, turns, timeouts: () => ({ headMs: server.headersTimeout, idleMs: server.keepAliveTimeout })
     }))
     socket.off('data', parse)
     socket.once('close', () => { connections.delete(socket) })
--- a/src/caller_limits/limit_connection.ts
+++ b/src/caller_limits/limit_connection.ts
@@ -12,15 +12,16 @@
 import { Held, type CallerAccount, EndCause } from './caller_account.ts'
 import { registerConnection } from './connection_of.ts'
 import { CONNECTION_BYTES, HEAD_BYTE_COST, HEADER_BYTES, REQUEST_BYTES } from './costs.ts'
-import { MAXIMUM_OPEN_REQUESTS, PART_BYTES, READER_STALL_MS, TURN_MS } from './default_limits.ts'
+import { MAXIMUM_OPEN_REQUESTS, PART_BYTES, READER_STALL_MS } from './default_limits.ts'
+import type { ParseTurns } from './parse_turns.ts'
 
 /** Options of {@link limitConnection}. */
 export interface LimitConnectionOptions {
   readonly account: CallerAccount
   /** Passes bytes to the runtime's parser. */
   readonly parse: (part: Buffer) => void
-  /** Monotonic time in milliseconds. */
-  readonly now: () => number
+  /** Time for parsing, which all connections share. */
+  readonly turns: ParseTurns
   /** Times in milliseconds; a change of the configuration changes them. */
   readonly timeouts: () => ConnectionTimeouts
 }
@@ -59,7 +60,6 @@
  * @returns The connection.
  */
 export function limitConnection (socket: Socket, options: LimitConnectionOptions): LimitedConnection {
-  const { now } = options
   const open = new Map<IncomingMessage, OpenRequest>()
   let queue: Buffer | null = null
   let queuedBytes = 0
@@ -67,7 +67,6 @@
   let bodyIsStopped = false
   let endsAfterLast = false
   let isParsing = false
-  let isTurnScheduled = false
   let headBytes = 0
   let headMs = 0
   let restMs = 0
@@ -109,7 +108,9 @@
     if (hasEnded || socket.destroyed || (socket as Socket & { readonly _paused?: boolean })._paused === true) return false
     // Bytes of a body are held already, and take no more once they are parsed; a request takes far more than its bytes.
     if (isInBody()) return !bodyIsStopped
-    return account.mayRead() && !endsAfterLast && open.size < MAXIMUM_OPEN_REQUESTS && !socket.writableNeedDrain && unreadBytes() < socket.writableHighWaterMark
+    // What has been read must not wait for room that only its own request would make.
+    const hasRoom = open.size === 0 || account.mayRead()
+    return hasRoom && !endsAfterLast && open.size < MAXIMUM_OPEN_REQUESTS && !socket.writableNeedDrain && unreadBytes() < socket.writableHighWaterMark
   }
 
   /** Whether more may be read from the network. */
@@ -123,22 +124,22 @@
   }
 
   function parsePart (data: Buffer): void {
-    const part = data.subarray(0, isInBody() ? PART_BYTES.body : PART_BYTES.message)
+    const part = data.subarray(0, isInBody() ? PART_BYTES.body : account.mayRead() ? PART_BYTES.message : PART_BYTES.messageWhenFull)
     queue = part.length < data.length ? data.subarray(part.length) : null
     const wasInBody = isInBody()
     // Bytes that turn out to be those of a body or of a complete head are taken off again.
     const isHead = wasInBody ? last !== null && open.has(last) : headBytes > 0 || !isBlank(part)
     if (isHead) setHeadBytes(headBytes + part.length)
+    hasProgressed = true
     options.parse(part)
     if (wasInBody && !isInBody()) setHeadBytes(0)
   }
 
-  /** Passes on what has been read, as far as the limits allow, and reads on if nothing of it is left. */
-  function advance (): void {
-    if (isParsing) return
+  /** Parses one part of what has been read, and reads on if nothing of it is left; returns whether more is waiting. */
+  function takeTurn (): boolean {
+    if (isParsing) return false
     isParsing = true
-    const until = now() + TURN_MS
-    while (queue !== null && mayParse() && now() < until) parsePart(queue)
+    if (queue !== null && mayParse()) parsePart(queue)
     isParsing = false
     if (queue === null) {
       account.change(Held.unparsed, -queuedBytes)
@@ -146,12 +147,12 @@
     }
     if (mayRead()) socket.resume()
     else socket.pause()
-    if (queue === null || isTurnScheduled || !mayParse()) return
-    isTurnScheduled = true
-    setImmediate(() => {
-      isTurnScheduled = false
-      advance()
-    })
+    return queue !== null && mayParse()
+  }
+
+  /** Passes on what has been read, as far as the limits allow. */
+  function advance (): void {
+    if (!isParsing) options.turns.add(takeTurn)
   }
 
   function closeRequest (request: IncomingMessage): void {
@@ -209,7 +210,8 @@
   /** What the connection waits for: nothing of these if the host or a server is to act. */
   function awaitedPart (): 'body' | 'head' | 'reader' | 'request' | 'room' | null {
     if (socket.writableLength > 0) return 'reader'
-    if (queue === null && isInBody() && !bodyIsStopped && !account.mayRead()) return 'room'
+    // Room, or time to parse what has been read: bodies in one-byte chunks can take all of it.
+    if (!account.mayRead() && (isInBody() ? !bodyIsStopped : open.size === 0 && (queue !== null || headBytes > 0))) return 'room'
     if (!mayRead()) return null
     if (isInBody()) return 'body'
     if (headBytes > 0) return 'head'
@@ -240,7 +242,7 @@
       hasProgressed = false
       sentBytes = sent
       account.setRest({ stalledMs: awaited === 'head' ? headMs : awaited === 'body' || awaited === 'reader' ? restMs : 0, blockedMs: awaited === 'room' ? restMs : 0, idleMs: awaited === 'request' ? restMs : 0 })
-      if (awaited === 'room' && last !== null) open.get(last)?.onBlocked()
+      if (awaited === 'room' && last !== null && isInBody()) open.get(last)?.onBlocked()
       const { headMs: maximumHeadMs, idleMs } = options.timeouts()
       if (awaited === 'head' && headMs > maximumHeadMs) options.account.end(account, EndCause.head)
       else if (awaited === 'body' && restMs > idleMs) options.account.end(account, EndCause.body)
