Merge bounds for callers outside our control

Conflicts: the host's listeners moved into a module of their own, and the constants of connections into another; both are used now.

--- a/src/entry_host/create_entry_host.ts
+++ b/src/entry_host/create_entry_host.ts
@@ -6,7 +6,7 @@
 import { Agent, createServer } from 'node:http'
 import { createEvacuationControl, type EvacuationDescription } from '../evacuation/mod.ts'
 import {
-  createCallerServer, createGateway, createRequestLimits, createRequestPermits, createResponseMemory, createRoutingState, createServerAdmission, createServerAgent, createServerLoads, createServerStatements, type HeaderNames, type RequestRecord
+  createGateway, createRequestLimits, createRequestPermits, createResponseMemory, createRoutingState, createServerAdmission, createServerAgent, createServerLoads, createServerStatements, type HeaderNames, type RequestRecord
 } from '../gateway/mod.ts'
 import { createLeadership } from '../leadership/mod.ts'
 import type { Logger } from '../logging/mod.ts'
@@ -16,10 +16,11 @@
 import { createConnectProbe, createReachabilityMonitor, type Isolation } from '../reachability/mod.ts'
 import { createRelay, createRelayDirectory, createRelayGroups } from '../relay/mod.ts'
 import { createPeerServer, createLeaderConnection, OPTIONAL_KINDS } from '../replication/mod.ts'
-import { INITIAL_LIMITS, RELAY_IDLE_CONNECTIONS, RELAY_LIMITS, RESERVED_SOCKETS } from './_connection_limits.ts'
+import { RELAY_IDLE_CONNECTIONS } from './_connection_limits.ts'
 import { listen, pause } from './_listen.ts'
 import { TaskTiming } from './_task_timing.ts'
 import { trackControl } from './_tracked_control.ts'
+import { createCallerListeners } from './create_caller_listeners.ts'
 import { createCoordinator } from './create_coordinator.ts'
 import type { EntryHostSettings } from './entry_host_settings.ts'
 import { createEndedResponseLog } from './ended_response_log.ts'
@@ -265,24 +266,14 @@
   const relay = createRelay({
     routingState, loads, limits, admission, queues, statements, isRelay: relays.isRelay, isIsolated, guard, responseMemory, agent, names: options.names, now, onEnd (record) { requestLog.write(record, describeRoutingState()) }, stopsAt: () => stopsAt
   })
-  const relayServer = createCallerServer({
-    limits: RELAY_LIMITS, maximumConnections: settings.sockets, handle: relay.handle, onError: reportConnectionError
-  })
-  const callerServer = createCallerServer({
-    limits: INITIAL_LIMITS,
-    maximumConnections: Math.max(100, settings.sockets - RESERVED_SOCKETS),
-    handle: gateway.handle,
-    onError: reportConnectionError
+  const { callerServer, relayServer, account } = createCallerListeners({
+    memoryBytes: settings.memoryBytes, sockets: settings.sockets, handleCaller: gateway.handle, handleHost: relay.handle, logger, now
   })
   /** Describes the state that routing decisions are based on, for log lines of requests. */
   function describeRoutingState (): Record<string, unknown> {
     return { version: routingState.configuration()?.version, leaderAgeMs: leadershipController.isLeading() ? 0 : Math.round(now() - leaderConnection.lastMessageAt()), loopDelayMs: loopDelayMonitor.delayMs() }
   }
 
-  function reportConnectionError (error: unknown): void {
-    logger.debug({ error: error instanceof Error ? error.message : String(error) }, 'caller-connection-error')
-  }
-
   const readinessServer = createServer((_request, response) => {
     response.writeHead(routingState.routes() !== null && !leaving ? 200 : 503, { 'Content-Length': '0' }).end()
   })
@@ -391,7 +382,7 @@
     retryBudgets: budgets.describe,
     evacuations: evacuations.describe,
     describe: () => describeHost({
-      host: settings.host, routingState, leadership, leaderConnection, reader, coordinator, budgets, limits, queues, responseMemory, protection, evacuations, zoneShares, warmUp: warmUp.tracker, isLeading: leadershipController.isLeading, pending: gateway.pending, loopDelayMs: loopDelayMonitor.delayMs, now
+      host: settings.host, routingState, leadership, leaderConnection, reader, coordinator, budgets, limits, queues, responseMemory, callers: account, protection, evacuations, zoneShares, warmUp: warmUp.tracker, isLeading: leadershipController.isLeading, pending: gateway.pending, loopDelayMs: loopDelayMonitor.delayMs, now
     })
   }
 }
--- a/src/entry_host/describe_host.ts
+++ b/src/entry_host/describe_host.ts
@@ -1,4 +1,5 @@
 /** Describes the state of a host for its operators. */
+import type { CallerAccount } from '../caller_limits/mod.ts'
 import type { EvacuationControl } from '../evacuation/mod.ts'
 import type { RequestLimits, ResponseMemory, RoutingState } from '../gateway/mod.ts'
 import type { Leadership } from '../leadership/mod.ts'
@@ -26,6 +27,7 @@
   readonly warmUp: Pick<WarmUpTracker, 'describe'>
   readonly zoneShares: Pick<ZoneShares, 'describe'>
   readonly evacuations: Pick<EvacuationControl, 'describe'>
+  readonly callers: Pick<CallerAccount, 'describe'>
   readonly protection: Pick<RequestProtection, 'describe'>
   readonly isLeading: () => boolean
   readonly pending: () => number
@@ -51,6 +53,7 @@
     servers: parts.routingState.servers(),
     pending: parts.pending(),
     responseBytes: parts.responseMemory.bytes(),
+    callers: parts.callers.describe(),
     refusedRequests: parts.protection.describe(),
     loopDelayMs: parts.loopDelayMs(),
     retryBudgets: parts.budgets.describe(),
