Faults that two reviews found in the queue at relays and the bounds for callers

Two reviewers who wrote neither part read them. Mended here: - a request that waits for its turn no longer makes its relay count as unresponsive before its goal - a relay does not use another server for a host of an earlier build, which would take that server's responses for those of the named one - a repeatable request waits at most as long as its host waits for the relay - keys of a server compete on arrival as they do while waiting - slots belong to servers, not to groups, which change with the list; a slot is freed whatever happens; a tried server does not block those behind - waiting requests do not count as load of others at the relay itself - a head in small parts within its time is not cut; a caller that leaves a paused connection is noticed; a connection behind its last response is closed; idle connections of other hosts make no room for callers

Left open, in the landing note: slow readers count as stalled until a whole write is out, bytes in paused sockets are not counted, closing a stopping host's idle connections may cut the end of a response, a refused request counts in several groups.

--- a/src/caller_limits/caller_account.ts
+++ b/src/caller_limits/caller_account.ts
@@ -48,6 +48,8 @@
 /** Callbacks of a connection. */
 export interface ConnectionCallbacks {
   readonly address: string
+  /** Listener that has accepted the connection; compared by identity. Default: none. */
+  readonly listener?: object
   /** Closes the connection. Its account is closed already. */
   end (cause: EndCause): void
   /** The host is full, and nothing more may be read. */
@@ -81,8 +83,8 @@
   end (account: ConnectionAccount, cause: EndCause): void
   /** Closes connections without progress while the account is full. */
   makeRoom (): void
-  /** Closes the connection that is longest without progress or a request; returns whether there was one. */
-  endIdlest (): boolean
+  /** Closes the connection of a listener that is longest without progress or a request; returns whether there was one. Connections of other listeners make no room for its own. */
+  endIdlest (listener?: object): boolean
   describe (): CallerAccountState
 }
 
@@ -202,9 +204,9 @@
         end(entry, EndCause.memory)
       }
     },
-    endIdlest () {
+    endIdlest (listener) {
       let idlest: Entry | null = null
-      for (const entry of entries) if (restMs(entry) >= STALL_GRACE_MS && restMs(entry) > (idlest === null ? 0 : restMs(idlest))) idlest = entry
+      for (const entry of entries) if (entry.callbacks.listener === listener && restMs(entry) >= STALL_GRACE_MS && restMs(entry) > (idlest === null ? 0 : restMs(idlest))) idlest = entry
       if (idlest !== null) end(idlest, EndCause.connections)
       return idlest !== null
     },
--- a/src/caller_limits/limit_callers.ts
+++ b/src/caller_limits/limit_callers.ts
@@ -34,7 +34,7 @@
   server.maxConnections = maximumConnections + CONNECTION_MARGIN
 
   server.on('connection', (socket) => {
-    if (connections.size >= maximumConnections && !account.endIdlest()) {
+    if (connections.size >= maximumConnections && !account.endIdlest(server)) {
       socket.destroy()
       return
     }
@@ -42,7 +42,7 @@
     const [parse] = socket.listeners('data') as Array<(part: Buffer) => void>
     if (parse === undefined) throw new Error('The HTTP server does not read its connection through a listener for data')
     connections.set(socket, limitConnection(socket, {
-      account, parse, turns, timeouts: () => ({ headMs: server.headersTimeout, idleMs: server.keepAliveTimeout })
+      account, listener: server, parse, turns, timeouts: () => ({ headMs: server.headersTimeout, idleMs: server.keepAliveTimeout })
     }))
     socket.off('data', parse)
     socket.once('close', () => { connections.delete(socket) })
--- a/src/caller_limits/limit_connection.ts
+++ b/src/caller_limits/limit_connection.ts
@@ -18,6 +18,8 @@
 /** Options of {@link limitConnection}. */
 export interface LimitConnectionOptions {
   readonly account: CallerAccount
+  /** Listener that has accepted the connection. */
+  readonly listener?: object
   /** Passes bytes to the runtime's parser. */
   readonly parse: (part: Buffer) => void
   /** Time for parsing, which all connections share. */
@@ -45,6 +47,9 @@
 /** Response to a caller whose head is not complete in time, as the runtime sends it. */
 const HEAD_TIMEOUT_RESPONSE = 'HTTP/1.1 408 Request Timeout\r\nConnection: close\r\n\r\n'
 
+/** Unparsed bytes of a connection up to which a paused socket is emptied, in bytes: one read of the runtime. */
+const MAXIMUM_QUEUED_BYTES = 64 * 1024
+
 interface OpenRequest {
   readonly response: ServerResponse
   readonly headBytes: number
@@ -68,7 +73,7 @@
   let endsAfterLast = false
   let isParsing = false
   let headBytes = 0
-  let headMs = 0
+  let headMs = -1
   let restMs = 0
   let outputBytes = 0
   let hasProgressed = false
@@ -77,6 +82,7 @@
 
   const account = options.account.open({
     address: socket.remoteAddress ?? '',
+    ...(options.listener === undefined ? {} : { listener: options.listener }),
     end (cause) {
       hasEnded = true
       queue = null
@@ -162,6 +168,8 @@
     if (request === last && request.complete) last = null
     account.change(Held.requests, -entry.headBytes)
     account.change(Held.bodies, -entry.bodyBytes)
+    // Nothing more is read behind the response that was to be the last one.
+    if (endsAfterLast && open.size === 0 && !socket.writableEnded) socket.destroySoon()
     advance()
   }
 
@@ -222,7 +230,7 @@
     onRequest (request, response) {
       last = request
       bodyIsStopped = false
-      headMs = 0
+      headMs = -1
       setHeadBytes(0)
       let textBytes = 0
       for (const text of request.rawHeaders) textBytes += text.length
@@ -232,13 +240,15 @@
       response.once('close', () => { closeRequest(request) })
     },
     check (elapsedMs) {
+      // A paused socket does not show that its caller has left while it keeps unread bytes.
+      if (open.size > 0 && socket.readableLength > 0 && queuedBytes < MAXIMUM_QUEUED_BYTES) socket.read()
       const awaited = awaitedPart()
       const sent = socket.bytesWritten - socket.writableLength
       const unread = unreadBytes()
       account.change(Held.responses, unread - outputBytes)
       outputBytes = unread
       restMs = hasProgressed || sent !== sentBytes || awaited === null ? 0 : restMs + elapsedMs
-      headMs = awaited === 'head' ? headMs + elapsedMs : 0
+      headMs = awaited !== 'head' ? -1 : headMs < 0 ? 0 : headMs + elapsedMs
       hasProgressed = false
       sentBytes = sent
       account.setRest({ stalledMs: awaited === 'head' ? headMs : awaited === 'body' || awaited === 'reader' ? restMs : 0, blockedMs: awaited === 'room' ? restMs : 0, idleMs: awaited === 'request' ? restMs : 0 })
--- a/src/gateway/create_gateway.ts
+++ b/src/gateway/create_gateway.ts
@@ -42,6 +42,9 @@
 /** Retry delay for callers of a host that stops, in milliseconds: they come to another host over a new connection. */
 const STOPPING_RETRY_AFTER_MS = 20
 
+/** Share of the time left to the goal that is expected of a relay: a request may wait there for its turn, and overdue ones make the relay count as unresponsive. */
+const RELAY_OVERDUE_SHARE = 0.4
+
 /** Share of the remaining time after which a repeatable request is aborted at its relay, which itself gives up a silent server sooner: the request may wait there for a slot. */
 const RELAY_WAIT_SHARE = 0.5
 
@@ -206,7 +209,7 @@
   async function attemptThroughRelay (exchange: Exchange, named: RoutedServer, relay: Relay): Promise<AttemptDecision> {
     const expectedMs = loads.expectedMs(named)
     const sentAt = now()
-    const completions = [relay.trackRequest(exchange.id, expectedMs), loads.trackRelayedRequest(named, relay.host)]
+    const completions = [relay.trackRequest(exchange.id, Math.max(expectedMs, goalRemainingMs(exchange) * RELAY_OVERDUE_SHARE)), loads.trackRelayedRequest(named, relay.host)]
     let server = named
     const outcome = await sendWithTimeout(exchange, {
       attempt: {
--- a/src/gateway/server_loads.ts
+++ b/src/gateway/server_loads.ts
@@ -55,8 +55,8 @@
 
 /** Loads of backend servers as known to one host. */
 export interface ServerLoads {
-  /** Records that a request was sent; returns a function that ends the request with its outcome. */
-  trackRequest (server: RoutedServer): (outcome: LoadOutcome) => void
+  /** Records that a request was sent; returns a function that ends the request with its outcome. `isOnlySender` is whether this host sends all requests to the server: those that were reported as waiting are then no load of others. */
+  trackRequest (server: RoutedServer, options?: { readonly isOnlySender?: boolean }): (outcome: LoadOutcome) => void
   /**
    * Records a request that a relay forwards and counts. This host uses it only to detect failures
    * of the server's zone. Returns a function that ends the request; `responded` is whether there was any response.
@@ -255,9 +255,9 @@
   }
 
   return {
-    trackRequest (server) {
+    trackRequest (server, { isOnlySender = false } = {}) {
       const state = stateOf(server.id)
-      const loadFactor = Math.max(1, (state.ownInFlight + state.otherInFlight + 1) / server.slots)
+      const loadFactor = Math.max(1, (state.ownInFlight + (isOnlySender ? 0 : state.otherInFlight) + 1) / server.slots)
       state.ownInFlight++
       const pending = { startedAt: now(), loadFactor: Math.min(loadFactor, MAXIMUM_LOAD_FACTOR) }
       state.pending.add(pending)
--- a/src/relay/create_relay.ts
+++ b/src/relay/create_relay.ts
@@ -50,8 +50,8 @@
   pending (): number
 }
 
-/** Priority of a request from a host of an earlier build, which does not state it. */
-const UNSTATED_PRIORITY = 1
+/** Share of the remaining time that a repeatable request may spend here: less than that after which its host sends it to another server. */
+const REPEATABLE_WAIT_SHARE = 0.45
 
 /** Route name in the records of relayed requests. */
 const ROUTE_NAME = 'relayed'
@@ -128,43 +128,50 @@
     const turn = await takeSlot(request, named, { query, deadlineAt, signal })
     if (turn.kind === 'refuse') return refuse(response, turn.isOverLimit ? RelayRefusal.overLimit : RelayRefusal.full, { roomAfterMs: turn.returnAfterMs })
     if (turn.kind === 'unavailable') return refuse(response, RelayRefusal.leaving)
-    if (turn.kind === 'send' && turn.waitedMs > 0) await pollConnections()
-    if (turn.kind === 'aborted' || signal.aborted) {
+    try {
+      if (turn.kind === 'send' && turn.waitedMs > 0) await pollConnections()
+      if (turn.kind === 'aborted' || signal.aborted) {
+        if (turn.kind === 'send') turn.end()
+        response.destroy()
+        return record(request, { server: named, outcome: null, durationMs: now() - enteredAt })
+      }
+      // Servers may have ended under the request, or the server may have begun to leave, while it waited.
+      const lateRefusalMs = options.guard.refusalMs(fingerprint)
+      if (lateRefusalMs !== null) {
+        turn.end()
+        return refuse(response, RelayRefusal.full, { roomAfterMs: lateRefusalMs, isFatal: true })
+      }
+      const { server } = turn
+      const isQueued = mayQueue(request, query)
+      const inFlight = loads.inFlight(server.id)
+      // A request that had its turn here meets no queue at the server.
+      const expectedMs = isQueued ? loads.workMs(server) : loads.expectedMs(server)
+      const end = loads.trackRequest(server, { isOnlySender: isQueued })
+      const sentAt = now()
+      const attemptTimeout = new AbortController()
+      const attemptTimer = request.headers[RelayHeader.repeatable] === undefined ? undefined : setTimeout(() => { attemptTimeout.abort() }, attemptTimeoutMs(expectedMs))
+      const outcome = await sendAttempt({
+        server,
+        id: attemptIdOf(request),
+        method: request.method ?? 'GET',
+        path: request.url ?? '/',
+        headers,
+        body,
+        memory,
+        deadlineMs: deadlineAt - sentAt,
+        signal: AbortSignal.any([signal, attemptTimeout.signal])
+      }, { agent: options.agent, names, limits: options.limits, ...(options.statements === undefined ? {} : { statements: options.statements }), onLeaving: routingState.recordLeaving, isEvacuated: routingState.isEvacuated })
+      clearTimeout(attemptTimer)
+      const durationMs = now() - sentAt
+      end(toLoadOutcome(outcome, durationMs))
+      turn.end(outcome)
+      reportAttempt(options.guard, { server, fingerprint, sentAt, outcome })
+      const responseBody = await sendOutcome(response, { outcome, named, server, query, memory, signal })
+      record(request, { server, outcome, durationMs, waitedMs: turn.waitedMs, inFlight, expectedMs, fingerprint, responseBody })
+    } finally {
+      // A slot that is not freed would be lost until the host restarts; freeing it twice changes nothing.
       if (turn.kind === 'send') turn.end()
-      response.destroy()
-      return record(request, { server: named, outcome: null, durationMs: now() - enteredAt })
-    }
-    // Servers may have ended under the request, or the server may have begun to leave, while it waited.
-    const lateRefusalMs = options.guard.refusalMs(fingerprint)
-    if (lateRefusalMs !== null) {
-      turn.end()
-      return refuse(response, RelayRefusal.full, { roomAfterMs: lateRefusalMs, isFatal: true })
     }
-    const { server } = turn
-    const inFlight = loads.inFlight(server.id)
-    const expectedMs = loads.expectedMs(server)
-    const end = loads.trackRequest(server)
-    const sentAt = now()
-    const attemptTimeout = new AbortController()
-    const attemptTimer = request.headers[RelayHeader.repeatable] === undefined ? undefined : setTimeout(() => { attemptTimeout.abort() }, attemptTimeoutMs(expectedMs))
-    const outcome = await sendAttempt({
-      server,
-      id: attemptIdOf(request),
-      method: request.method ?? 'GET',
-      path: request.url ?? '/',
-      headers,
-      body,
-      memory,
-      deadlineMs: deadlineAt - sentAt,
-      signal: AbortSignal.any([signal, attemptTimeout.signal])
-    }, { agent: options.agent, names, limits: options.limits, ...(options.statements === undefined ? {} : { statements: options.statements }), onLeaving: routingState.recordLeaving, isEvacuated: routingState.isEvacuated })
-    clearTimeout(attemptTimer)
-    const durationMs = now() - sentAt
-    end(toLoadOutcome(outcome, durationMs))
-    turn.end(outcome)
-    reportAttempt(options.guard, { server, fingerprint, sentAt, outcome })
-    const responseBody = await sendOutcome(response, { outcome, named, server, query, memory, signal })
-    record(request, { server, outcome, durationMs, waitedMs: turn.waitedMs, inFlight, expectedMs, fingerprint, responseBody })
   }
 
   /** Reports the outcome of a request to the host that sent it; returns the body of a response that was passed on. */
@@ -172,7 +179,9 @@
     if (outcome.kind === 'answer' || outcome.kind === 'stream') {
       return (await forwardResponse(response, outcome, { closesConnection: false, isToHost: true, ...(server.id === named.id ? {} : { server: server.id }), memory, signal })).body
     } else if (outcome.kind === 'unsent' || outcome.kind === 'not-admitted') {
-      refuse(response, outcome.kind === 'unsent' && outcome.isEvacuated === true ? RelayRefusal.leaving : options.isIsolated() ? RelayRefusal.isolated : RelayRefusal.unreachable)
+      // That another server of the group cannot be reached shows nothing about the one that the host has named.
+      const refusal = server.id === named.id ? RelayRefusal.unreachable : RelayRefusal.full
+      refuse(response, outcome.kind === 'unsent' && outcome.isEvacuated === true ? RelayRefusal.leaving : options.isIsolated() ? RelayRefusal.isolated : refusal)
     } else if (outcome.kind === 'lost') {
       // The other host must not mistake this for a response of the server: the request may have run.
       response.destroy()
@@ -187,16 +196,23 @@
     return query.isRelay && options.queues !== undefined ? options.queues.returnAfterMs({ server, callerRemainingMs: query.callerRemainingMs }) : options.admission.returnAfterMs(server, query)
   }
 
+  /** Whether the request waits in a queue. Hosts of earlier builds state no priority, and would take the response of another server for one of the server that they have named. */
+  function mayQueue (request: IncomingMessage, query: ServerAdmissionQuery): boolean {
+    return options.queues !== undefined && query.isRelay && request.headers[RelayHeader.priority] !== undefined
+  }
+
   /** Waits for a slot of the server or, as its relay, of another one in its group. */
   async function takeSlot (request: IncomingMessage, server: RoutedServer, { query, deadlineAt, signal }: { readonly query: ServerAdmissionQuery, readonly deadlineAt: number, readonly signal: AbortSignal }): Promise<Turn> {
-    if (query.isRelay && options.queues !== undefined) {
+    if (options.queues !== undefined && mayQueue(request, query)) {
+      const isRepeatable = request.headers[RelayHeader.repeatable] !== undefined
       return await options.queues.enter({
         server,
         tried: new Set(String(request.headers[RelayHeader.triedServers] ?? '').split(',')),
-        priority: numberOr(request.headers[RelayHeader.priority], UNSTATED_PRIORITY),
+        priority: numberOr(request.headers[RelayHeader.priority], 0),
         key: query.key,
         goalAt: now() + numberOr(request.headers[RelayHeader.goalRemainingMs], query.isLate ? 0 : query.latencyGoalMs),
-        deadlineAt,
+        // Its host gives up a repeatable request after half of its time.
+        deadlineAt: isRepeatable ? now() + (deadlineAt - now()) * REPEATABLE_WAIT_SHARE : deadlineAt,
         callerRemainingMs: query.callerRemainingMs,
         signal
       })
--- a/src/relay/relay_groups.ts
+++ b/src/relay/relay_groups.ts
@@ -23,7 +23,7 @@
 }
 
 /** Number of servers of a service from which it is grouped: fewer have few servers in each zone. */
-const LARGE_SERVICE_SERVERS = 20
+const LARGE_SERVICE_SERVERS = 30
 
 /** Desired number of servers in a group: enough that some slot is nearly always free, and few enough that a small host could relay for them. */
 const GROUP_SERVERS = 7
--- a/src/server_queue/create_server_queues.ts
+++ b/src/server_queue/create_server_queues.ts
@@ -40,7 +40,6 @@
 export interface QueueDescription {
   readonly group: string
   readonly waiting: number
-  readonly inFlight: number
   readonly oldestMs: number
   readonly waitingByPriority: Readonly<Record<number, number>>
 }
@@ -115,7 +114,6 @@
   readonly group: string
   readonly list: WaitingList<Entry>
   readonly entries: Set<Entry>
-  readonly inFlight: Map<string, number>
   readonly keysInFlight: Map<number, number>
   /** When the next refused caller may return. */
   nextReturnAt: number
@@ -131,6 +129,8 @@
 export function createServerQueues (options: ServerQueuesOptions): ServerQueues {
   const { now } = options
   const queues = new Map<string, Queue>()
+  /** Slots in use by server; they outlast the groups, which change with the list of servers. */
+  const inFlight = new Map<string, number>()
   const totals = { sentAtOnce: 0, sentAfterWait: 0, refused: 0, expired: 0, waitedMs: 0 }
   let waitingRequests = 0
 
@@ -139,19 +139,19 @@
     const known = queues.get(group)
     if (known !== undefined) return known
     if (queues.size >= MAXIMUM_QUEUES) for (const queue of queues.values()) removeIfIdle(queue)
-    const created: Queue = { group, list: createWaitingList(), entries: new Set(), inFlight: new Map(), keysInFlight: new Map(), nextReturnAt: 0, sweep: null }
+    const created: Queue = { group, list: createWaitingList(), entries: new Set(), keysInFlight: new Map(), nextReturnAt: 0, sweep: null }
     queues.set(group, created)
     return created
   }
 
-  function inFlightAt (queue: Queue, server: RoutedServer): number {
-    const own = queue.inFlight.get(server.id) ?? 0
+  function inFlightAt (server: RoutedServer): number {
+    const own = inFlight.get(server.id) ?? 0
     return own + options.foreignRequests(server, own)
   }
 
-  function candidateOf (queue: Queue, server: RoutedServer): SlotCandidate {
+  function candidateOf (server: RoutedServer): SlotCandidate {
     const usualMs = options.workMs(server)
-    return { id: server.id, slots: server.slots, inFlight: inFlightAt(queue, server), usualMs, expectedMs: usualMs * options.slowdown(server), failureShare: options.failureShare(server) }
+    return { id: server.id, slots: server.slots, inFlight: inFlightAt(server), usualMs, expectedMs: usualMs * options.slowdown(server), failureShare: options.failureShare(server) }
   }
 
   /** Requests per millisecond that the members complete while all their slots are busy. */
@@ -170,12 +170,17 @@
   }
 
   /** Takes a slot for a request; returns the server, or `null` if none has a free slot and permission. */
-  function takeSlot (queue: Queue, members: readonly RoutedServer[], request: Pick<QueuedRequest, 'tried'>): RoutedServer | null {
+  function takeSlot (members: readonly RoutedServer[], request: Pick<QueuedRequest, 'tried'>): RoutedServer | null {
     const untried = members.filter((server) => !request.tried.has(server.id))
-    const usable = untried.length > 0 ? untried : members
+    const server = takeSlotOf(untried)
+    // A request that has no other server must not keep those behind it from a free slot.
+    return server !== null || untried.length === members.length ? server : takeSlotOf(members)
+  }
+
+  function takeSlotOf (usable: readonly RoutedServer[]): RoutedServer | null {
     const preferred = usable.filter((server) => !options.isAvoided(server))
     const byId = new Map(usable.map((server) => [server.id, server]))
-    for (const id of rankSlots((preferred.length > 0 ? preferred : usable).map((server) => candidateOf(queue, server)))) {
+    for (const id of rankSlots((preferred.length > 0 ? preferred : usable).map(candidateOf))) {
       const server = byId.get(id)
       if (server !== undefined && options.takePermission(server) === null) return server
     }
@@ -183,7 +188,7 @@
   }
 
   function begin (queue: Queue, server: RoutedServer, request: QueuedRequest & { readonly enteredAt: number }): Turn {
-    queue.inFlight.set(server.id, (queue.inFlight.get(server.id) ?? 0) + 1)
+    inFlight.set(server.id, (inFlight.get(server.id) ?? 0) + 1)
     if (request.key !== null) queue.keysInFlight.set(request.key, (queue.keysInFlight.get(request.key) ?? 0) + 1)
     let hasEnded = false
     const takenAt = now()
@@ -195,7 +200,7 @@
         if (hasEnded) return
         hasEnded = true
         if (outcome === undefined || !hasReachedServer(outcome)) options.returnPermission?.(server, takenAt)
-        decrement(queue.inFlight, server.id)
+        decrement(inFlight, server.id)
         if (request.key !== null) decrement(queue.keysInFlight, request.key)
         dispatch(queue)
       }
@@ -242,7 +247,7 @@
       }
       const [{ slots }] = members as readonly [RoutedServer]
       const entry = queue.list.peekNext({ now: now(), workMs, isKeyBusy: (key) => isKeyBusy(queue, key, slots) })
-      const server = entry === null ? null : takeSlot(queue, members, entry)
+      const server = entry === null ? null : takeSlot(members, entry)
       if (entry === null || server === null) return scheduleSweep(queue)
       queue.list.markSent(entry, now())
       totals.sentAfterWait++
@@ -252,7 +257,7 @@
   }
 
   function removeIfIdle (queue: Queue): void {
-    if (queue.entries.size === 0 && queue.inFlight.size === 0 && queue.nextReturnAt <= now()) queues.delete(queue.group)
+    if (queue.entries.size === 0 && queue.keysInFlight.size === 0 && queue.nextReturnAt <= now()) queues.delete(queue.group)
   }
 
   function scheduleSweep (queue: Queue): void {
@@ -292,9 +297,10 @@
       const queue = queueOf(request.server)
       const entered = { ...request, enteredAt: now() }
       const workMs = meanWorkMs(members)
-      const ahead = queue.list.countAhead(request, { now: now(), workMs })
+      const [{ slots }] = members as readonly [RoutedServer]
+      const ahead = queue.list.countAhead(request, { now: now(), workMs, isKeyBusy: (key) => isKeyBusy(queue, key, slots) })
       if (ahead === 0) {
-        const server = takeSlot(queue, members, request)
+        const server = takeSlot(members, request)
         if (server !== null) {
           queue.list.recordSent(request.priority, now())
           totals.sentAtOnce++
@@ -315,6 +321,7 @@
     },
     returnAfterMs (request) {
       const members = options.members(request.server)
+      if (members.length === 0) return Math.max(0, request.callerRemainingMs * MAXIMUM_RETURN_SHARE)
       return scheduleReturn(queueOf(request.server), request, { roomAfterMs: meanWorkMs(members), members })
     },
     waitingByServer () {
@@ -329,13 +336,12 @@
       }
       return waiting
     },
-    describe: () => [...queues.values()].filter(({ entries }) => entries.size > 0).map(({ group, entries, inFlight }) => {
+    describe: () => [...queues.values()].filter(({ entries }) => entries.size > 0).map(({ group, entries }) => {
       const waitingByPriority: Record<number, number> = {}
       for (const { priority } of entries) waitingByPriority[priority] = (waitingByPriority[priority] ?? 0) + 1
       return {
         group,
         waiting: entries.size,
-        inFlight: [...inFlight.values()].reduce((sum, count) => sum + count, 0),
         oldestMs: Math.round(now() - Math.min(...[...entries].map(({ enteredAt }) => enteredAt))),
         waitingByPriority
       }
--- a/src/server_queue/waiting_list.ts
+++ b/src/server_queue/waiting_list.ts
@@ -48,7 +48,7 @@
   /** Share of the slots that requests of a priority get at least, from 0 to 1. */
   guaranteedShare (priority: number, now: number): number
   /** Number of waiting requests that are sent before a request. */
-  countAhead (request: WaitingRequest, options: Pick<OrderOptions, 'now' | 'workMs'>): number
+  countAhead (request: WaitingRequest, options: OrderOptions): number
   /** Requests per millisecond that arrive, are not refused and are more urgent than the priority; all of them for `Infinity`. */
   arrivalsPerMs (moreUrgentThan: number, now: number): number
   /** Removes and returns the requests that can no longer be answered before their deadline. */
@@ -145,9 +145,9 @@
     },
     recordRefused (priority, now) { ratesOf(priority, now).refused++ },
     guaranteedShare,
-    countAhead (request, { now, workMs }) {
+    countAhead (request, options) {
       let ahead = 0
-      for (const entry of entries) if (compare(entry, request, { now, workMs, isKeyBusy: () => false, neglected: NONE }) <= 0) ahead++
+      for (const entry of entries) if (compare(entry, request, { ...options, neglected: NONE }) <= 0) ahead++
       return ahead
     },
     arrivalsPerMs (moreUrgentThan, now) {
