--- a/src/entry_host/create_host_queues.ts
+++ b/src/entry_host/create_host_queues.ts
@@ -1,13 +1,13 @@
 /** Creates the queues of a host from what it knows about its servers. */
 import type { RequestLimits, RequestPermits, RoutingState, ServerLoads, ServerStatements } from '../gateway/mod.ts'
-import type { RelayDirectory, RelayGroups } from '../relay/mod.ts'
+import { usesQueue, type RelayDirectory, type RelayGroups } from '../relay/mod.ts'
 import type { RoutedServer } from '../routing/mod.ts'
 import type { WarmUpTracker } from '../warm_up/mod.ts'
 import { createServerQueues, type ServerQueues } from '../server_queue/mod.ts'
 
 /** Options of {@link createHostQueues}. */
 export interface HostQueuesOptions {
-  readonly routingState: Pick<RoutingState, 'availableServers' | 'server'>
+  readonly routingState: Pick<RoutingState, 'availableServers' | 'server' | 'service'>
   readonly loads: Pick<ServerLoads, 'workMs' | 'failureShare' | 'isUnresponsive' | 'isFull'>
   readonly statements: ServerStatements
   readonly limits: Pick<RequestLimits, 'limitOf'>
@@ -38,6 +38,7 @@
 
   return createServerQueues({
     now: options.now,
+    isUsedFor: (server) => usesQueue(routingState.service(server.service)),
     groupOf: groups.groupOf,
     members,
     workMs: loads.workMs,
--- a/src/gateway/create_gateway.ts
+++ b/src/gateway/create_gateway.ts
@@ -165,7 +165,7 @@
   /** Waits for a slot of the server or, as its relay, of another one in its group. */
   async function takeSlot (exchange: Exchange, server: RoutedServer): Promise<Turn> {
     const query = admissionQuery(exchange, server)
-    if (query.isRelay && options.queues !== undefined) {
+    if (query.isRelay && options.queues?.isUsedFor(server) === true) {
       return await options.queues.enter({
         server, tried: exchange.triedServers, priority: exchange.route.priority, key: query.key, goalAt: now() + goalRemainingMs(exchange), deadlineAt: exchange.deadlineAt, callerRemainingMs: query.callerRemainingMs, signal: exchange.abort.signal
       })
@@ -175,7 +175,7 @@
   }
 
   async function attemptDirectly (exchange: Exchange, named: RoutedServer): Promise<AttemptDecision> {
-    if (isKeyed(exchange) && !options.relays.isRelay(named) && options.random() > loads.admitShare(named.id)) return { kind: 'refuse', reason: 'key-overloaded', retryAfterMs: clampRetryAfterMs(callerRemainingMs(exchange), callerRemainingMs(exchange)) }
+    if (isKeyed(exchange) && !(options.relays.isRelay(named) && options.queues?.isUsedFor(named) === true) && options.random() > loads.admitShare(named.id)) return { kind: 'refuse', reason: 'key-overloaded', retryAfterMs: clampRetryAfterMs(callerRemainingMs(exchange), callerRemainingMs(exchange)) }
     const turn = await takeSlot(exchange, named)
     if (turn.kind === 'aborted') return decideOnTimeout(exchange)
     if (turn.kind === 'unavailable') return tryAnotherServer(exchange, named, 0)
--- a/src/gateway/gateway_options.ts
+++ b/src/gateway/gateway_options.ts
@@ -29,7 +29,7 @@
   /** Admission control for requests that this host sends to servers itself. */
   readonly admission: ServerAdmission
   /** Queues of the servers that this host relays for. Default: requests that are admitted wait at their server. */
-  readonly queues?: Pick<ServerQueues, 'enter'>
+  readonly queues?: Pick<ServerQueues, 'isUsedFor' | 'enter'>
   /** Records the load that servers state in their responses. Default: it is not recorded. */
   readonly statements?: Pick<ServerStatements, 'record'>
   /** Memory for the responses of servers. */
--- a/src/relay/create_relay.ts
+++ b/src/relay/create_relay.ts
@@ -22,7 +22,7 @@
   readonly limits: RequestLimits
   readonly admission: ServerAdmission
   /** Queues of the servers that this host relays for. Default: requests that are admitted wait at their server. */
-  readonly queues?: Pick<ServerQueues, 'enter' | 'returnAfterMs'>
+  readonly queues?: Pick<ServerQueues, 'isUsedFor' | 'enter' | 'returnAfterMs'>
   /** Records the load that servers state in their responses. Default: it is not recorded. */
   readonly statements?: Pick<ServerStatements, 'record'>
   /** Whether this host is the server's relay; a host whose list of relays is out of date may ask another one. */
@@ -142,7 +142,7 @@
         return refuse(response, RelayRefusal.full, { roomAfterMs: lateRefusalMs, isFatal: true })
       }
       const { server } = turn
-      const isQueued = mayQueue(request, query)
+      const isQueued = mayQueue(request, named, query)
       const inFlight = loads.inFlight(server.id)
       // A request that had its turn here meets no queue at the server.
       const expectedMs = isQueued ? loads.workMs(server) : loads.expectedMs(server)
@@ -193,17 +193,17 @@
   }
 
   function returnAfterMs (server: RoutedServer, query: ServerAdmissionQuery): number {
-    return query.isRelay && options.queues !== undefined ? options.queues.returnAfterMs({ server, callerRemainingMs: query.callerRemainingMs }) : options.admission.returnAfterMs(server, query)
+    return query.isRelay && options.queues?.isUsedFor(server) === true ? options.queues.returnAfterMs({ server, callerRemainingMs: query.callerRemainingMs }) : options.admission.returnAfterMs(server, query)
   }
 
   /** Whether the request waits in a queue. Hosts of earlier builds state no priority, and would take the response of another server for one of the server that they have named. */
-  function mayQueue (request: IncomingMessage, query: ServerAdmissionQuery): boolean {
-    return options.queues !== undefined && query.isRelay && request.headers[RelayHeader.priority] !== undefined
+  function mayQueue (request: IncomingMessage, server: RoutedServer, query: ServerAdmissionQuery): boolean {
+    return options.queues?.isUsedFor(server) === true && query.isRelay && request.headers[RelayHeader.priority] !== undefined
   }
 
   /** Waits for a slot of the server or, as its relay, of another one in its group. */
   async function takeSlot (request: IncomingMessage, server: RoutedServer, { query, deadlineAt, signal }: { readonly query: ServerAdmissionQuery, readonly deadlineAt: number, readonly signal: AbortSignal }): Promise<Turn> {
-    if (options.queues !== undefined && mayQueue(request, query)) {
+    if (options.queues !== undefined && mayQueue(request, server, query)) {
       const isRepeatable = request.headers[RelayHeader.repeatable] !== undefined
       return await options.queues.enter({
         server,
--- a/src/relay/relay_groups.ts
+++ b/src/relay/relay_groups.ts
@@ -22,6 +22,19 @@
   groupOf (server: RoutedServer): string | null
 }
 
+/**
+ * Whether requests for the servers of a service wait at their relay. Only a
+ * service that states a request rate for cold servers asks for that: one relay
+ * has to know all requests of such a server. Servers that never respond when
+ * they are full would hold the slots of a queue until its requests expire.
+ *
+ * @param service The service; `undefined` if the configuration does not name it.
+ * @returns True if there is a queue.
+ */
+export function usesQueue (service: RoutedService | undefined): boolean {
+  return service?.warmUp !== undefined
+}
+
 /** Number of servers of a service from which it is grouped: fewer have few servers in each zone. */
 const LARGE_SERVICE_SERVERS = 30
 
@@ -54,7 +67,7 @@
     groupOf ({ id, service, zone }) {
       if (options.servers() !== counted) countServers()
       const size = sizes.get(service)
-      if (size === undefined || size.total < LARGE_SERVICE_SERVERS || options.service(service)?.keyed !== false) return null
+      if (size === undefined || size.total < LARGE_SERVICE_SERVERS || options.service(service)?.keyed !== false || !usesQueue(options.service(service))) return null
       const count = groupCount(size.zones.get(zone) ?? 1)
       return `${service}/${zone}/${Math.floor(rendezvousRank(service, id) * count)}of${count}`
     }
--- a/src/relay/relay_groups_test.ts
+++ b/src/relay/relay_groups_test.ts
@@ -13,7 +13,7 @@
 }
 
 function createGroups (servers: readonly RoutedServer[]): RelayGroups {
-  return createRelayGroups({ servers: () => servers, service: (name) => ({ name, keyed: name === 'keyed', maximumConnections: 100, coldKeyMs: 0 }) })
+  return createRelayGroups({ servers: () => servers, service: (name) => ({ name, keyed: name === 'keyed', maximumConnections: 100, coldKeyMs: 0, ...(name === 'unlimited' ? {} : { warmUp: { durationMs: 3000, requestsPerSecond: 5 } }) }) })
 }
 
 test('groupOf() groups the servers of a zone of a large service, each with some others', () => {
@@ -34,6 +34,12 @@
   assert.ok(servers.every((server) => groups.groupOf(server) === null))
 })
 
+test('groupOf() returns null, when the service states no request rate for cold servers', () => {
+  const servers = createServers(79, 'unlimited')
+  const groups = createGroups(servers)
+  assert.ok(servers.every((server) => groups.groupOf(server) === null))
+})
+
 test('groupOf() keeps the groups, when a few servers leave', () => {
   const servers = createServers(79, 'lookups')
   const [before, after] = [createGroups(servers), createGroups(servers.slice(6))]
--- a/src/server_queue/create_server_queues.ts
+++ b/src/server_queue/create_server_queues.ts
@@ -55,6 +55,8 @@
 
 /** Queues of one host. */
 export interface ServerQueues {
+  /** Whether requests for the server wait here; those for others wait at their server. */
+  isUsedFor (server: RoutedServer): boolean
   /** Waits for a slot; resolves at once if there is one or the request cannot be served in time. */
   enter (request: QueuedRequest): Promise<Turn>
   /** When the caller of a request that its server refused may return, in milliseconds from now. */
@@ -69,6 +71,8 @@
 export interface ServerQueuesOptions {
   /** Monotonic time in milliseconds. */
   readonly now: () => number
+  /** Whether the configuration of the server's service calls for a queue. Default: it does. */
+  readonly isUsedFor?: (server: RoutedServer) => boolean
   /** Name of the group of a server; `null` if it is a group of its own. */
   readonly groupOf: (server: RoutedServer) => string | null
   /** Servers that may get the requests of a server's group now. */
@@ -290,6 +294,7 @@
   }
 
   return {
+    isUsedFor: (server) => options.isUsedFor?.(server) ?? true,
     async enter (request) {
       if (request.signal.aborted) return { kind: 'aborted' }
       const members = options.members(request.server)
