--- a/src/caller_limits/caller_account.ts
+++ b/src/caller_limits/caller_account.ts
@@ -127,7 +127,7 @@
   const held = new Map<Held, number>()
   const ended = new Map<EndCause, number>()
   let total = 0
-  /** Whether some connections may not be read, and whether all were told so. */
+  /** Whether some connections may not be read, and whether all have been notified. */
   let isStopped = false
   let hasNotified = false
   let isRoomScheduled = false
--- a/src/dispatch/backend_client_test.ts
+++ b/src/dispatch/backend_client_test.ts
@@ -57,7 +57,7 @@
   }
 }
 
-/** Kinds of failure after which nobody takes the response for one, or the request for one that has not run. */
+/** Kinds of failure after which there is no response, and the request may have run. */
 const FAILURES: readonly Outcome[] = ['lost', 'unknown, peer-lost', 'unavailable', 'broken off']
 
 function headOf (headers: string, status = '200'): string {
@@ -84,7 +84,7 @@
   for (const headers of ['', 'Transfer-Encoding: identity\r\n', 'Transfer-Encoding: chunked\r\n', 'Content-Length: 200000\r\n']) {
     for (const delayMs of [0, 60]) {
       for (const uploadBytes of name.startsWith('get()') ? [0] : [0, UPLOAD_BYTES]) {
-        // Guards against a part of a body that looks complete: the pool does not tell a reset from the end of a body without a length or chunks.
+        // Guards against a part of a body that looks complete: the pool does not distinguish a reset from the end of a body without a length or chunks.
         test(`${name} takes no part of a body for all of it, when a response with ${headers === '' ? 'no length' : headers.trim()} is reset after ${delayMs} ms and ${uploadBytes} bytes are uploaded`, async () => {
           await withServer((socket) => {
             socket.pause()
--- a/src/entry_host/create_warm_up_test.ts
+++ b/src/entry_host/create_warm_up_test.ts
@@ -1,4 +1,4 @@
-/** Tests of what hosts tell each other about cold servers, and of the log. */
+/** Tests of the messages between hosts about cold servers, and of the log. */
 import { suite } from 'uvu'
 import * as assert from 'uvu/assert'
 import { createRoutingState, type RoutingState } from '../gateway/mod.ts'
