Urgent short requests do not count as late by the time of long ones

Cause: whether a request can still reach its goal was judged by the mean of its server over all kinds of requests.

Change: at most 0.6 of the goal counts as the duration of a request.

Ruled out: a mean for each kind, since relays do not know the routes.

--- a/src/gateway/create_gateway.ts
+++ b/src/gateway/create_gateway.ts
@@ -167,7 +167,7 @@
     const query = admissionQuery(exchange, server)
     if (query.isRelay && options.queues?.isUsedFor(server) === true) {
       return await options.queues.enter({
-        server, tried: exchange.triedServers, priority: exchange.route.priority, key: query.key, goalAt: now() + goalRemainingMs(exchange), deadlineAt: exchange.deadlineAt, callerRemainingMs: query.callerRemainingMs, signal: exchange.abort.signal
+        server, tried: exchange.triedServers, priority: exchange.route.priority, key: query.key, goalMs: query.latencyGoalMs, goalAt: now() + goalRemainingMs(exchange), deadlineAt: exchange.deadlineAt, callerRemainingMs: query.callerRemainingMs, signal: exchange.abort.signal
       })
     }
     const admission = options.admission.decide(server, query)
--- a/src/relay/create_relay.ts
+++ b/src/relay/create_relay.ts
@@ -210,6 +210,7 @@
         tried: new Set(String(request.headers[RelayHeader.triedServers] ?? '').split(',')),
         priority: numberOr(request.headers[RelayHeader.priority], 0),
         key: query.key,
+        goalMs: query.latencyGoalMs,
         goalAt: now() + numberOr(request.headers[RelayHeader.goalRemainingMs], query.isLate ? 0 : query.latencyGoalMs),
         // Its host gives up a repeatable request after half of its time.
         deadlineAt: isRepeatable ? now() + (deadlineAt - now()) * REPEATABLE_WAIT_SHARE : deadlineAt,
--- a/src/server_queue/create_server_queues.ts
+++ b/src/server_queue/create_server_queues.ts
@@ -11,7 +11,7 @@
 import type { RoutedServer } from '../routing/mod.ts'
 import { rankSlots, type SlotCandidate } from './choose_slot.ts'
 import { decideEntry } from './decide_entry.ts'
-import { createWaitingList, GOAL_MARGIN, type WaitingList, type WaitingRequest } from './waiting_list.ts'
+import { createWaitingList, goalMarginMs, type WaitingList, type WaitingRequest } from './waiting_list.ts'
 
 /** A request that needs a slot. */
 export interface QueuedRequest extends WaitingRequest {
@@ -314,7 +314,7 @@
       }
       const query = { remainingMs: request.deadlineAt - now(), workMs, completionsPerMs: completionsPerMs(members), ahead, guaranteedShare: queue.list.guaranteedShare(request.priority, now()) }
       const decision = decideEntry({ ...query, overtakingPerMs: queue.list.arrivalsPerMs(request.priority, now()) })
-      const isLate = decision.kind === 'wait' && now() + decision.turnAfterMs + workMs * GOAL_MARGIN > request.goalAt
+      const isLate = decision.kind === 'wait' && now() + decision.turnAfterMs + goalMarginMs(request, workMs) > request.goalAt
       // Requests that can still reach their goal overtake one that cannot, whatever their priority.
       const final = isLate ? decideEntry({ ...query, overtakingPerMs: queue.list.arrivalsPerMs(Infinity, now()) }) : decision
       if (final.kind === 'refuse' || waitingRequests >= MAXIMUM_WAITING_REQUESTS) {
--- a/src/server_queue/create_server_queues_test.ts
+++ b/src/server_queue/create_server_queues_test.ts
@@ -20,7 +20,7 @@
 }
 
 function createRequest (clock: FakeTimers.Clock, terms: Partial<QueuedRequest> = {}): QueuedRequest {
-  return { server: SERVERS[0] as RoutedServer, tried: new Set(), priority: 1, key: null, goalAt: clock.now + 500, deadlineAt: clock.now + 1000, callerRemainingMs: 1200, signal: new AbortController().signal, ...terms }
+  return { server: SERVERS[0] as RoutedServer, tried: new Set(), priority: 1, key: null, goalMs: 500, goalAt: clock.now + 500, deadlineAt: clock.now + 1000, callerRemainingMs: 1200, signal: new AbortController().signal, ...terms }
 }
 
 /** Runs a test with timers that it advances. */
--- a/src/server_queue/waiting_list.ts
+++ b/src/server_queue/waiting_list.ts
@@ -16,6 +16,8 @@
   readonly priority: number
   /** Its key, if its service is keyed. */
   readonly key: number | null
+  /** Latency goal of its route, in milliseconds. */
+  readonly goalMs: number
   /** When a response loses its full value; monotonic time in milliseconds. */
   readonly goalAt: number
   /** When the caller or the route gives up; monotonic time in milliseconds. */
@@ -68,7 +70,24 @@
  * alone, an overloaded server would run each request at the last moment, and half of them
  * would miss their goal.
  */
-export const GOAL_MARGIN = 1.5
+const GOAL_MARGIN = 1.5
+
+/**
+ * Largest part of the goal that counts as the duration of a request. Servers are measured over all
+ * kinds of requests, and an urgent kind may take a fraction of the time of the others.
+ */
+const MAXIMUM_GOAL_SHARE = 0.6
+
+/**
+ * Returns the time before its goal at which a request must be sent at the latest.
+ *
+ * @param request The request.
+ * @param workMs Usual duration of a request on the server, in milliseconds.
+ * @returns The time in milliseconds.
+ */
+export function goalMarginMs (request: Pick<WaitingRequest, 'goalMs'>, workMs: number): number {
+  return Math.min(workMs * GOAL_MARGIN, request.goalMs * MAXIMUM_GOAL_SHARE)
+}
 
 /** Share of the usual duration that a request may take at least: one with less time left would run in vain. */
 const MINIMUM_WORK_SHARE = 0.5
@@ -168,7 +187,7 @@
 
 /** Below 0 if the first request is sent before the second. */
 function compare (left: WaitingRequest, right: WaitingRequest, { now, workMs, isKeyBusy, neglected }: OrderOptions & { readonly neglected: ReadonlySet<number> }): number {
-  const isLate = (request: WaitingRequest): boolean => now + workMs * GOAL_MARGIN > request.goalAt
+  const isLate = (request: WaitingRequest): boolean => now + goalMarginMs(request, workMs) > request.goalAt
   const rank = (request: WaitingRequest): number => neglected.has(request.priority) ? -1 : isLate(request) ? 1 : 0
   const byRank = rank(left) - rank(right)
   if (byRank !== 0) return byRank
--- a/src/server_queue/waiting_list_test.ts
+++ b/src/server_queue/waiting_list_test.ts
@@ -8,7 +8,7 @@
 interface NamedRequest extends WaitingRequest { readonly name: string }
 
 function createRequest (name: string, terms: Partial<WaitingRequest> = {}): NamedRequest {
-  return { name, priority: 1, key: null, goalAt: 1000, deadlineAt: 5000, ...terms }
+  return { name, priority: 1, key: null, goalMs: 1000, goalAt: 1000, deadlineAt: 5000, ...terms }
 }
 
 const ORDER = { now: 0, workMs: 100, isKeyBusy: () => false } as const
@@ -33,6 +33,13 @@
   assert.equal(sentOrder([createRequest('late', { priority: 0, goalAt: 50 }), createRequest('timely', { priority: 2 })]), ['timely', 'late'])
 })
 
+// Guards against urgent requests behind long ones: the mean of the server, 500 ms, exceeds their goal.
+test('peekNext() returns an urgent short request first, when its server mostly runs long ones', () => {
+  const list = createWaitingList<NamedRequest>()
+  for (const request of [createRequest('pull', { priority: 2, goalMs: 2500, goalAt: 2500 }), createRequest('urgent', { priority: 0, goalMs: 400, goalAt: 400 })]) list.add(request, 0)
+  assert.is(list.peekNext({ ...ORDER, workMs: 500 })?.name, 'urgent')
+})
+
 test('peekNext() returns requests of other keys first, while one key holds most slots', () => {
   assert.equal(sentOrder([createRequest('hot', { key: 7, goalAt: 200 }), createRequest('other', { key: 8, goalAt: 900 })], (key) => key === 7), ['other', 'hot'])
 })
