--- a/src/gateway/server_loads.ts
+++ b/src/gateway/server_loads.ts
@@ -126,7 +126,7 @@
 export interface ServerLoadsOptions {
   /** Whether this host reaches servers. Default: always. */
   readonly reachability?: Pick<ReachabilityMonitor, 'trackRequest' | 'isTrusted'>
-  /** Which servers warm up; told of connections that fail. Default: as the list says. */
+  /** Which servers warm up; notified of connections that fail. Default: as the list says. */
   readonly warmUp?: Pick<WarmUpTracker, 'isWarmingUp' | 'recordRefusedConnection'>
 }
 
--- a/src/http_call/send_with_pool.ts
+++ b/src/http_call/send_with_pool.ts
@@ -1,5 +1,5 @@
 /**
- * Sends requests with a pool of undici and accepts only heads of final responses whose end can be told from a lost connection.
+ * Sends requests with a pool of undici and accepts only heads of final responses whose end can be distinguished from a lost connection.
  *
  * The pool reports the end of a body without a length or chunks in the same
  * way whether its connection was closed or reset, and its callers do not see
--- a/src/relay/relay_groups.ts
+++ b/src/relay/relay_groups.ts
@@ -3,7 +3,7 @@
  * all requests in flight at several servers of a zone.
  *
  * With one relay for each server, a request waits at a busy server while
- * another one of the same service is idle, because nobody knows both. The relay
+ * another one of the same service is idle, because no host knows the load of both. The relay
  * of a group sends each request to a server with a free slot. Servers with keys
  * and those of small services are groups of their own.
  */
