--- a/review/lib-2/harness.mjs
+++ b/review/lib-2/harness.mjs
@@ -12,6 +12,11 @@
 
 const root = resolve(dirname(fileURLToPath(import.meta.url)), '../..')
 
+/** Ends what a case has started, however the case itself ends. */
+const endAtExit = new Set()
+process.on('exit', () => { for (const end of endAtExit) end() })
+for (const signal of ['SIGINT', 'SIGTERM', 'SIGHUP']) process.on(signal, () => { process.exit(2) })
+
 /** Ports, the same on each loopback address of a run. */
 export const Ports = { front: 8548, ready: 8542, peer: 7540, peerLast: 7555, metrics: 9101, store: 8541, backend: 8080 }
 
@@ -249,6 +254,11 @@
   }
 
   const hosts = Array.from({ length: hostCount }, (_, index) => startHost(index))
+  function endAtOnce () {
+    for (const { child, exit } of hosts) if (exit === null) child.kill('SIGKILL')
+    rmSync(temporary, { recursive: true, force: true })
+  }
+  endAtExit.add(endAtOnce)
 
   const deployment = {
     log,
@@ -304,6 +314,7 @@
       }
       await new Promise((resolve) => { record.end(resolve) })
       rmSync(temporary, { recursive: true, force: true })
+      endAtExit.delete(endAtOnce)
     }
   }
   return deployment
