Keys of a live server without an entry are not granted before it is asked

Cause: hosts that were refused connections during the crash were held against the next run. The evidence had no time and no run, and a missing entry turned it into the end of the process.

Change: such evidence, and another entry at the address, are only the reason to ask the server; a refused connection to the leader, or the response of another server, shows the end. Refusals carry the run and expire. Losses, failures and limits of an earlier run are discarded.

On the old code the three new tests of createRangeController fail (two servers hold a key) and the three of createLoadAggregator. Ruled out: a lost release, and refusals at the time of the removal (the server accepts connections throughout). What shows the end of a crashed server is asked for within the same tick, so it is replaced one round trip later than before.

--- a/src/entry_host/create_coordinator.ts
+++ b/src/entry_host/create_coordinator.ts
@@ -137,7 +137,7 @@
         options.publish(encodeOwnersUpdate({ service, changes }, now()))
       },
       isResponding: (server) => loads.isResponding(server, now()),
-      isRefusingConnections: (server) => loads.isRefusingConnections(server.id, server.zone)
+      isRefusingConnections: (server) => loads.isRefusingConnections(server, now())
     })
     rangeController.setServers(serversOf(service), serverIdsByAddress())
     rangeControllers.set(service, rangeController)
@@ -281,6 +281,7 @@
     },
     onServersChanged () {
       isPlanOutdated = true
+      loads.setServers(routingState.servers())
       for (const [service, rangeController] of rangeControllers) rangeController.setServers(serversOf(service), serverIdsByAddress())
     },
     onReport (host, report) {
--- a/src/entry_host/load_aggregator.ts
+++ b/src/entry_host/load_aggregator.ts
@@ -1,6 +1,7 @@
 /** Aggregates the loads of backend servers that all hosts report to the leading host. */
 import { limitRetentionMs } from '../gateway/request_limits.ts'
 import type { ServerSample, ServerView } from '../gateway/server_loads.ts'
+import type { RoutedServer } from '../routing/mod.ts'
 
 /** A host that reports. */
 export interface ReportingHost { readonly name: string, readonly zone: string }
@@ -27,19 +28,28 @@
    * sent, and many hosts with one request each are enough to overload a server.
    */
   adjustShares (capacityOf: (server: string) => ServerCapacity | undefined, now: number): void
+  /** Discards what reports have shown of an earlier run of a server that has started again since. */
+  setServers (servers: readonly RoutedServer[]): void
   /**
-   * Whether the server refused connections from several hosts, one of them in
-   * its own zone, and has not responded since. Together with a missing entry,
-   * this shows that the server has ended: a partition that resets connections
-   * does not separate a server from its own zone.
+   * Whether this run of the server refused connections from several hosts, one
+   * of them in its own zone, within the duration of a grant, and has not
+   * responded since. A partition that resets connections does not separate a
+   * server from its own zone.
    */
-  isRefusingConnections (server: string, zone: string): boolean
+  isRefusingConnections (server: RoutedServer, now: number): boolean
   /** Requests per second that the server takes from all hosts together; `null` if it names no limit. */
   requestLimit (server: string, now: number): number | null
   /** Whether any host has recently received a response from the server. */
   isResponding (server: string, now: number): boolean
 }
 
+/** A host that was refused a connection by a run of a server. */
+interface Refusal {
+  readonly zone: string
+  readonly bornAt: number
+  readonly at: number
+}
+
 interface ServerLoad {
   readonly inFlight: Map<string, number>
   /** Age of each host's oldest request in flight. */
@@ -55,8 +65,8 @@
   completed: number
   /** Successful responses per second while all its slots are busy; 0 if unknown. */
   capacity: number
-  /** Zone of each host that was refused a connection since the last response. */
-  readonly refusedBy: Map<string, string>
+  /** Last refusal by host, since the last response. */
+  readonly refusedBy: Map<string, Refusal>
   /** Limit that the server has named, in requests per second; 0 if none. */
   limitPerSecond: number
   /** When a response last showed the limit, or its end. */
@@ -90,6 +100,9 @@
 /** Number of hosts that must have been refused a connection before a server counts as refusing. */
 const MINIMUM_REFUSED_HOSTS = 3
 
+/** Time for which a refused connection counts, in milliseconds: the maximum duration of a grant, so that every grant of before has expired after it. */
+const REFUSAL_RETENTION_MS = 10_000
+
 /** Consecutive lost requests after which a server counts as unresponsive. */
 const UNRESPONSIVE_LOST_REQUESTS = 2
 
@@ -107,6 +120,8 @@
  */
 export function createLoadAggregator (assumedWorkMs: (server: string) => number | undefined = () => undefined): LoadAggregator {
   const serverLoads = new Map<string, ServerLoad>()
+  /** Start time of each server's present run, as listed. */
+  const startTimes = new Map<string, number>()
   let adjustedAt = -Infinity
 
   function loadOf (server: string): ServerLoad {
@@ -137,9 +152,13 @@
       const retention = FAILURE_RETENTION ** responses
       load.failureShare = load.failureShare * retention + (sample.failed + sample.shed) / responses * (1 - retention)
     }
-    if (sample.refused > 0) load.refusedBy.set(host.name, host.zone)
-    if (sample.lost > 0) {
-      load.lost += sample.lost
+    const startTime = startTimes.get(server) ?? 0
+    const { refusedBornAt = startTime } = sample
+    if (sample.refused > 0 && refusedBornAt >= startTime) load.refusedBy.set(host.name, { zone: host.zone, bornAt: refusedBornAt, at: now })
+    // A refusal by an earlier run is no loss of the present one.
+    const lost = refusedBornAt >= startTime ? sample.lost : sample.lost - sample.refused
+    if (lost > 0) {
+      load.lost += lost
       load.lostAt = now
     }
     if (sample.served === 0) return
@@ -149,6 +168,16 @@
     load.workMs = before + (mean - before) * (1 - MEAN_RETENTION ** sample.served)
   }
 
+  /** The speed of a server outlasts its restart; what its process did does not. */
+  function discardRun (load: ServerLoad): void {
+    load.lastResponseAt = -Infinity
+    load.lost = 0
+    load.lostAt = -Infinity
+    load.failureShare = 0
+    load.limitPerSecond = 0
+    load.refusedBy.clear()
+  }
+
   function removeHost (host: string): void {
     for (const load of serverLoads.values()) {
       load.inFlight.delete(host)
@@ -219,9 +248,16 @@
         load.completed = 0
       }
     },
-    isRefusingConnections (server, zone) {
-      const zones = [...serverLoads.get(server)?.refusedBy.values() ?? []]
-      return zones.length >= MINIMUM_REFUSED_HOSTS && zones.includes(zone)
+    setServers (servers) {
+      for (const { id, bornAt } of servers) {
+        const load = serverLoads.get(id)
+        if (load !== undefined && startTimes.has(id) && startTimes.get(id) !== bornAt) discardRun(load)
+        startTimes.set(id, bornAt)
+      }
+    },
+    isRefusingConnections (server, now) {
+      const refusals = [...serverLoads.get(server.id)?.refusedBy.values() ?? []].filter(({ bornAt, at }) => bornAt === server.bornAt && now - at <= REFUSAL_RETENTION_MS)
+      return refusals.length >= MINIMUM_REFUSED_HOSTS && refusals.some(({ zone }) => zone === server.zone)
     },
     requestLimit (server, now) {
       const load = serverLoads.get(server)
--- a/src/entry_host/load_aggregator_test.ts
+++ b/src/entry_host/load_aggregator_test.ts
@@ -2,10 +2,13 @@
 import { suite } from 'uvu'
 import * as assert from 'uvu/assert'
 import type { ServerSample } from '../gateway/server_loads.ts'
-import { createLoadAggregator } from './load_aggregator.ts'
+import { createLoadAggregator, type LoadAggregator } from './load_aggregator.ts'
 
 const test = suite('createLoadAggregator')
 
+/** Server `s0` in zone `a`, in its first run. */
+const s0 = { id: 's0', bornAt: 1, service: 'lookups', address: '10.0.0.1:80', zone: 'a', slots: 4, leaving: false, warmUpLeftMs: 0 }
+
 const h1 = { name: 'h1', zone: 'a' }
 const h2 = { name: 'h2', zone: 'b' }
 const h3 = { name: 'h3', zone: 'b' }
@@ -62,15 +65,55 @@
 
 test('isRefusingConnections() requires refusals from three hosts, one of them in the zone of the server, and no response since', () => {
   const loads = createLoadAggregator()
-  const refused = sample({ lost: 1, refused: 1 })
+  const refused = sample({ lost: 1, refused: 1, refusedBornAt: 1 })
   loads.add(h2, [['s0', refused]], 0)
   loads.add(h3, [['s0', refused]], 0)
   loads.add({ name: 'h4', zone: 'b' }, [['s0', refused]], 0)
-  assert.not(loads.isRefusingConnections('s0', 'a'))
+  assert.not(loads.isRefusingConnections(s0, 0))
   loads.add(h1, [['s0', refused]], 10)
-  assert.ok(loads.isRefusingConnections('s0', 'a'))
+  assert.ok(loads.isRefusingConnections(s0, 10))
   loads.add(h2, [['s0', sample({ served: 1, workMs: 100 })]], 20)
-  assert.not(loads.isRefusingConnections('s0', 'a'))
+  assert.not(loads.isRefusingConnections(s0, 20))
+})
+
+/** Reports of three hosts that the first run of `s0` refused their connections. */
+function reportRefusals (loads: LoadAggregator, now: number): void {
+  for (const host of [h1, h2, h3]) loads.add(host, [['s0', sample({ lost: 1, refused: 1, refusedBornAt: s0.bornAt })]], now)
+}
+
+// Guards against taking a server for ended by what hosts saw of its earlier run.
+test('isRefusingConnections() counts refusals of the present run only, when a server has started again', () => {
+  const loads = createLoadAggregator()
+  loads.setServers([s0])
+  reportRefusals(loads, 0)
+  assert.ok(loads.isRefusingConnections(s0, 0))
+  const restarted = { ...s0, bornAt: 2 }
+  loads.setServers([restarted])
+  assert.not(loads.isRefusingConnections(restarted, 10))
+  // Reports that were on their way arrive later than the entry of the new run.
+  reportRefusals(loads, 20)
+  assert.not(loads.isRefusingConnections(restarted, 20))
+  assert.ok(loads.views(20).get('s0')?.silent === false)
+})
+
+// Guards against a server that had refused connections for a moment and got no requests since.
+test('isRefusingConnections() no longer counts a refusal, when every grant of before has expired', () => {
+  const loads = createLoadAggregator()
+  reportRefusals(loads, 0)
+  assert.ok(loads.isRefusingConnections(s0, 9000))
+  assert.not(loads.isRefusingConnections(s0, 10_001))
+})
+
+// Guards against a server that is avoided, or gets no more requests than before its crash, by the figures of its earlier run.
+test('setServers() discards failures, losses and the limit of the earlier run, when a server has started again', () => {
+  const loads = createLoadAggregator()
+  loads.setServers([s0])
+  loads.add(h1, [['s0', sample({ served: 1, workMs: 100, failed: 30, limit: [4, 0] })]], 0)
+  loads.add(h1, [['s0', sample({ lost: 3 })]], 600)
+  assert.ok(loads.views(600).get('s0')?.silent)
+  loads.setServers([{ ...s0, bornAt: 2 }])
+  assert.equal([loads.views(600).get('s0')?.silent, loads.views(600).get('s0')?.failureShare, loads.requestLimit('s0', 600)], [false, 0, null])
+  assert.is(loads.views(600).get('s0')?.workMs, 100)
 })
 
 test('adjustShares() keeps a server busy and its queue short, when 136 hosts request one of its keys 400 times per second', () => {
--- a/src/gateway/server_loads.ts
+++ b/src/gateway/server_loads.ts
@@ -34,6 +34,8 @@
   readonly wanted: number
   /** Refused connections, which are included in `lost`. */
   readonly refused: number
+  /** Start time of the latest run of the server that refused a connection, as listed; absent if none was refused. */
+  readonly refusedBornAt?: number
   /** Age of the oldest request in flight, normalised to an idle server, in milliseconds; 0 if there is none. */
   readonly oldestMs: number
   /** Requests per second that the server takes from all hosts together, 0 if it names no limit any more, and how long ago it said so, in milliseconds; absent if it has named none. */
@@ -104,9 +106,12 @@
   unresponsiveUntil: number
   fullUntil: number
   readonly pending: Set<Pending>
-  sample: { served: number, workMs: number, failed: number, shed: number, lost: number, refused: number, wanted: number }
+  sample: { served: number, workMs: number, failed: number, shed: number, lost: number, refused: number, refusedBornAt?: number, wanted: number }
 }
 
+/** Lost requests that are not reported yet. */
+interface Losses { lost: number, refused: number, refusedBornAt?: number }
+
 /** A request in flight. */
 interface Pending { readonly startedAt: number, readonly loadFactor: number }
 
@@ -164,7 +169,7 @@
   const { reachability = ALWAYS_REACHABLE, warmUp = LISTED_WARM_UP } = options
   const states = new Map<string, ServerState>()
   /** Losses that are not reported yet: only a later response of any server shows that this host reaches servers, and that the loss concerns the one. */
-  const unconfirmedLosses = new Map<ServerState, { lost: number, refused: number }>()
+  const unconfirmedLosses = new Map<ServerState, Losses>()
   const zoneDetector = createGroupFailureDetector(now)
 
   function stateOf (id: string): ServerState {
@@ -209,12 +214,16 @@
     if (workMs > expected * OVERDUE_FACTOR) recordLost(state)
   }
 
-  function recordLost (state: ServerState, refused = false): void {
+  /** `refusedBornAt` is the start time of the run that refused a connection; `undefined` if none was refused. */
+  function recordLost (state: ServerState, refusedBornAt?: number): void {
     if (!reachability.isTrusted()) return
     const losses = unconfirmedLosses.get(state) ?? { lost: 0, refused: 0 }
     unconfirmedLosses.set(state, losses)
     losses.lost++
-    if (refused) losses.refused++
+    if (refusedBornAt !== undefined) {
+      losses.refused++
+      losses.refusedBornAt = Math.max(losses.refusedBornAt ?? 0, refusedBornAt)
+    }
     state.consecutiveLosses++
     if (state.consecutiveLosses >= CONSECUTIVE_LOSS_LIMIT) state.unresponsiveUntil = now() + UNRESPONSIVE_MS
   }
@@ -225,9 +234,10 @@
   }
 
   function confirmLosses (): void {
-    for (const [{ sample }, { lost, refused }] of unconfirmedLosses) {
+    for (const [{ sample }, { lost, refused, refusedBornAt }] of unconfirmedLosses) {
       sample.lost += lost
       sample.refused += refused
+      if (refusedBornAt !== undefined) sample.refusedBornAt = Math.max(sample.refusedBornAt ?? 0, refusedBornAt)
     }
     unconfirmedLosses.clear()
   }
@@ -237,7 +247,7 @@
     const divisor = Math.min(loadFactor, MAXIMUM_LOAD_FACTOR)
     if (outcome.kind === 'other') return
     if (outcome.kind === 'abandoned') return recordAbandoned(state, server, outcome.durationMs / divisor)
-    if (outcome.kind === 'lost') return recordLost(state, outcome.refused)
+    if (outcome.kind === 'lost') return recordLost(state, outcome.refused ? server.bornAt : undefined)
     if (!isReset(outcome)) confirmLosses()
     state.consecutiveLosses = 0
     state.unresponsiveUntil = 0
--- a/src/ownership/range_controller.ts
+++ b/src/ownership/range_controller.ts
@@ -12,25 +12,15 @@
 import type { RoutedServer } from '../routing/mod.ts'
 import type { KeyOwner, OwnerChange } from './owner_map.ts'
 import type { PlannedRange } from './plan_ranges.ts'
+import { createDepartedServers } from './_departed_servers.ts'
 import { CLOCK_DRIFT_FACTOR, createEarlierGrants, DELIVERY_MARGIN_MS, type EarlierGrantsOptions } from './_earlier_grants.ts'
 import { findRange, restoreRange, UNKNOWN_HOLDER, type Holder, type Range } from './_range_state.ts'
 import { createServerCalls } from './_server_calls.ts'
 import { createUnresponsiveServers } from './_unresponsive_servers.ts'
+import { GrantTiming } from './grant_timing.ts'
 import type { RecordedRange } from './plan_record.ts'
 import type { ControlOutcome, ServerControl } from './server_control.ts'
 
-/** Durations and intervals of grants, in milliseconds. */
-export const GrantTiming = {
-  /** Duration of a grant: long enough to outlast a change of leader, but no longer, as the keys of an unresponsive server stay unserved until it ends. */
-  grantDurationMs: 3500,
-  /** Time between renewals; three fit into the duration of a grant, so one may be lost. */
-  renewIntervalMs: 900,
-  /** Delay before a failed call is retried. */
-  retryDelayMs: 250,
-  /** Time for which a single key stays with a server that it was moved to: speeds measured on a server whose queue is full vary, and each move waits for the work on the key. */
-  singleKeyStayMs: 2500
-} as const
-
 /** Duration of a grant that only raises the server's fencing token, in milliseconds; a release follows at once. */
 const FENCE_GRANT_DURATION_MS = 100
 
@@ -56,7 +46,7 @@
   readonly publish: (changes: readonly OwnerChange[]) => void
   /** Whether any host has recently received a response from the server. */
   readonly isResponding: (server: string) => boolean
-  /** Whether the server refuses connections from hosts, including one in its own zone. */
+  /** Whether hosts report that this run of the server refuses connections, one of them in its own zone. */
   readonly isRefusingConnections: (server: RoutedServer) => boolean
 }
 
@@ -103,7 +93,7 @@
 export function createRangeController (recorded: readonly RecordedRange[], options: RangeControllerOptions): RangeController {
   const { control, logger, now, service } = options
   const servers = new Map<string, RoutedServer>()
-  const departed = new Map<string, RoutedServer>()
+  const departed = createDepartedServers({ isRefusingConnections: options.isRefusingConnections, now, checkIntervalMs: GrantTiming.retryDelayMs })
   const unresponsive = createUnresponsiveServers({ service, logger, now, probeIntervalMs: GrantTiming.retryDelayMs, reachesServersSince: options.reachesServersSince ?? (() => -Infinity) })
   const calls = createServerCalls(unresponsive.has)
   const earlierGrants = createEarlierGrants(options)
@@ -151,11 +141,17 @@
     range.nextCallAt = 0
   }
 
-  function removeEndedServer (id: string, cause: string): void {
-    departed.delete(id)
-    const heldRanges = ranges.filter((range) => range.holders.has(id))
-    for (const range of heldRanges) removeHolder(range, id, cause)
-    if (heldRanges.length > 0) logger.info({ service, server: id, ranges: heldRanges.length, cause }, 'server-ended')
+  /** Removes a server as a holder of keys, if the outcome of a call to it shows that it has ended. */
+  function removeIfEnded (server: RoutedServer, outcome: ControlOutcome): void {
+    const cause = departed.causeOfEnd(server, outcome)
+    // The call may have been made to an earlier run, at an address that it had.
+    if (cause === null || serverOf(server.id)?.bornAt !== server.bornAt) return
+    departed.remove(server.id)
+    const heldRanges = ranges.filter((range) => range.holders.has(server.id))
+    for (const range of heldRanges) removeHolder(range, server.id, cause)
+    if (heldRanges.length > 0) logger.info({ service, server: server.id, ranges: heldRanges.length, cause }, 'server-ended')
+    for (const range of heldRanges) startNextCall(range)
+    publishChanges(heldRanges)
   }
 
   /** A restarted server holds nothing of before, but renewals may have reached its new run: its ranges are granted again, or released before others get them. */
@@ -222,7 +218,7 @@
     const outcome = await call(server.id, range, () => control.grant(server, { from, to, token, grantDurationMs: FENCE_GRANT_DURATION_MS, handover: null }))
     unresponsive.recordOutcome(server.id, outcome)
     range.nextCallAt = now() + GrantTiming.retryDelayMs
-    if (outcome.kind === 'replaced') removeHolder(range, server.id, 'another server responds at the address')
+    removeIfEnded(server, outcome)
     if (outcome.kind !== 'done') return
     range.holders.set(server.id, { ...holder, unansweredUntil: 0 })
     range.nextCallAt = 0
@@ -238,12 +234,11 @@
     if (outcome.kind !== 'silent') unresponsive.recordOutcome(server.id, outcome)
     if (!range.holders.has(server.id)) return
     range.nextCallAt = now() + GrantTiming.retryDelayMs
+    removeIfEnded(server, outcome)
     if (outcome.kind === 'done') {
       range.handover = outcome.handover ?? range.handover
       removeHolder(range, server.id, 'released')
       logger.info({ service, from, to, token, server: server.id, next: range.owner }, 'range-released')
-    } else if (outcome.kind === 'replaced') {
-      removeHolder(range, server.id, 'another server responds at the address')
     }
     publishChanges([range])
     startNextCall(range)
@@ -279,11 +274,21 @@
     }
   }
 
+  /** Asks the servers that may have ended; one that holds every range is asked by the release of the first range that moves. */
+  function checkDeparted (): void {
+    for (const server of departed.dueForCheck()) {
+      const range = rangeNotHeldBy(server.id)
+      if (range === undefined || !calls.hasCapacity(server.id) || !options.mayGrant() || !ranges.some(({ holders }) => holders.has(server.id))) continue
+      departed.recordCheck(server.id)
+      probe(server, range.to).catch(reportFailure)
+    }
+  }
+
   async function probe (server: RoutedServer, key: number): Promise<void> {
     const token = options.nextToken()
     const outcome = await calls.run(server.id, () => control.probe(server, { from: key, to: key, token }))
     unresponsive.recordOutcome(server.id, outcome)
-    if (outcome.kind === 'replaced') removeEndedServer(server.id, 'another server responds at the address')
+    removeIfEnded(server, outcome)
   }
 
   function rangeNotHeldBy (id: string): Range | undefined {
@@ -356,24 +361,20 @@
           logger.info({ service, server: server.id, bornAt: server.bornAt, previousBornAt: previous.bornAt }, 'server-restarted')
           recordRestart(server.id)
         }
-        departed.delete(server.id)
+        departed.remove(server.id)
       }
       const listedIds = new Set(listed.map((server) => server.id))
       for (const [id, server] of servers) {
-        if (!listedIds.has(id)) departed.set(id, server)
+        if (!listedIds.has(id)) departed.add(server)
       }
       servers.clear()
       for (const server of listed) servers.set(server.id, server)
-      for (const [id, server] of departed) {
-        if ((addresses.get(server.address) ?? id) !== id) removeEndedServer(id, 'another server is listed at the address')
-      }
+      departed.recordAddresses(addresses)
       publishChanges(ranges)
     },
     unresponsiveServers: unresponsive.suspects,
     tick () {
-      for (const [id, server] of departed) {
-        if (options.isRefusingConnections(server)) removeEndedServer(id, 'the server is no longer listed and refuses connections')
-      }
+      checkDeparted()
       probeUnresponsive()
       for (const range of ranges) {
         expireGrants(range)
--- a/src/ownership/range_controller_test.ts
+++ b/src/ownership/range_controller_test.ts
@@ -8,7 +8,8 @@
 import type { PreviousGrants } from '../leadership/mod.ts'
 import { createLogger } from '../logging/mod.ts'
 import { partitionKeySpace, planRanges, type PlannedRange } from './plan_ranges.ts'
-import { createRangeController, GrantTiming, type RangeController } from './range_controller.ts'
+import { GrantTiming } from './grant_timing.ts'
+import { createRangeController, type RangeController } from './range_controller.ts'
 import type { RecordedRange } from './plan_record.ts'
 
 const test = suite('createRangeController')
@@ -247,6 +248,33 @@
   }
 })
 
+// Guards against two owners of a key: what hosts saw of an earlier run, or the entry of another writer, was taken for the end of a live server.
+test('tick() releases the keys of a server that serves on without an entry, when hosts report refused connections or its address is listed again', async () => {
+  for (const sign of ['address', 'refused']) {
+    const simulation = createSimulation()
+    await run(simulation, 2000)
+    simulation.servers.unlist('s2')
+    if (sign === 'address') simulation.addresses.set('10.0.0.1:2', 's9')
+    else simulation.refusing.add('s2')
+    await run(simulation, 1000)
+    assert.equal(simulation.servers.violations, [], sign)
+    assert.not(currentOwners(simulation).includes(''), sign)
+    assert.not(currentOwners(simulation).some((owners) => owners.includes('s2')), sign)
+  }
+})
+
+// Guards against two owners of a key, when the leader cannot ask: silence does not show an end.
+test('tick() waits for the grants of a server without an entry to expire, when it answers no call and hosts report refused connections', async () => {
+  const simulation = createSimulation()
+  await run(simulation, 2000)
+  simulation.servers.setCallBehaviour((id) => id === 's2' ? CallBehaviour.lost : CallBehaviour.carriedOut)
+  simulation.servers.unlist('s2')
+  simulation.refusing.add('s2')
+  await run(simulation, GrantTiming.grantDurationMs * 1.02 + GrantTiming.renewIntervalMs + 1000)
+  assert.equal(simulation.servers.violations, [])
+  assert.not(currentOwners(simulation).includes(''))
+})
+
 test('tick() keeps all keys held during a store outage of 9 s, when the lease expires after 3 s', async () => {
   const simulation = createSimulation()
   await run(simulation, 2000)
@@ -360,6 +388,39 @@
   }), propertyParameters(25))
 })
 
+const departureStep = fc.record({
+  lengthMs: fc.integer({ min: 50, max: 3500 }),
+  action: fc.oneof(
+    fc.record({ kind: fc.constantFrom('unlist' as const, 'crash' as const), server, sign: fc.constantFrom('address', 'refused') }),
+    fc.record({ kind: fc.constant('behaviour' as const), server, behaviour: fc.constantFrom(...behaviours.filter((behaviour) => behaviour !== CallBehaviour.refused)) }),
+    fc.record({ kind: fc.constant('restart' as const), server }),
+    fc.record({ kind: fc.constant('new-leader' as const) })
+  )
+})
+
+// Guards against a second owner: a server without an entry may serve on, whatever hosts saw of it before and whoever is listed at its address.
+test('tick() never lets two servers hold a key, when servers leave the list with signs of an end while calls and leaders fail', async () => {
+  await fc.assert(fc.asyncProperty(fc.array(departureStep, { minLength: 1, maxLength: 10 }), async (steps) => {
+    const simulation = createSimulation()
+    const behaviourByServer = new Map<string, CallBehaviour>()
+    simulation.servers.setCallBehaviour((id) => behaviourByServer.get(id) ?? CallBehaviour.carriedOut)
+    await run(simulation, 1000)
+    for (const { action, lengthMs } of steps) {
+      if (action.kind === 'behaviour') behaviourByServer.set(action.server, action.behaviour)
+      else if (action.kind === 'restart') simulation.servers.restart(action.server)
+      else if (action.kind === 'new-leader') startLeader(simulation)
+      else {
+        if (action.kind === 'crash') simulation.servers.remove(action.server)
+        else simulation.servers.unlist(action.server)
+        if (action.sign === 'refused') simulation.refusing.add(action.server)
+        else simulation.addresses.set(`10.0.0.1:${action.server.slice(1)}`, 's9')
+      }
+      await run(simulation, lengthMs)
+    }
+    assert.equal(simulation.servers.violations, [])
+  }), propertyParameters(25))
+})
+
 test('isFixed() keeps a hot key with the server that it was moved to, when the measured speeds of busy servers vary between plans', async () => {
   const simulation = createSimulation()
   await run(simulation, 1500)
--- a/testing/fake_owned_servers.ts
+++ b/testing/fake_owned_servers.ts
@@ -25,6 +25,8 @@
   /** Sets whether a server counts as leaving; one whose zone is evacuated may return with the keys that it holds. Default: it leaves. */
   setLeaving (id: string, isLeaving?: boolean): void
   remove (id: string): void
+  /** Removes a server from the list; it serves on. */
+  unlist (id: string): void
   add (id: string): void
   /** Identifiers of the servers that hold a key now. */
   holders (key: number): string[]
@@ -33,7 +35,7 @@
 }
 
 interface ServerGrant { token: number, until: number }
-interface FakeServer { id: string, bornAt: number, leaving: boolean, isUp: boolean, highestTokens: Map<number, number>, grants: Map<number, ServerGrant> }
+interface FakeServer { id: string, bornAt: number, leaving: boolean, isUp: boolean, isListed: boolean, highestTokens: Map<number, number>, grants: Map<number, ServerGrant> }
 
 /** A server's clock may run 2 % slow, so its grants last longer. */
 const SLOW_CLOCK_FACTOR = 1.02
@@ -67,7 +69,7 @@
   for (const id of ids) add(id)
 
   function add (id: string): void {
-    servers.set(id, { id, bornAt: queue.now() + 1, leaving: false, isUp: true, highestTokens: new Map(), grants: new Map() })
+    servers.set(id, { id, bornAt: queue.now() + 1, leaving: false, isUp: true, isListed: true, highestTokens: new Map(), grants: new Map() })
   }
 
   function checkedKeysIn (span: KeySpan): number[] {
@@ -139,7 +141,7 @@
       server.highestTokens.clear()
       server.grants.clear()
     },
-    list: () => [...servers.values()].map((server) => ({
+    list: () => [...servers.values()].filter((server) => server.isListed).map((server) => ({
       id: server.id, bornAt: server.bornAt, service: 'lookups', address: `10.0.0.1:${server.id.slice(1)}`, zone: 'a', slots: 4, leaving: server.leaving, warmUpLeftMs: 0
     })),
     setLeaving (id, isLeaving = true) {
@@ -147,6 +149,10 @@
       if (server !== undefined) server.leaving = isLeaving
     },
     remove (id) { servers.delete(id) },
+    unlist (id) {
+      const server = servers.get(id)
+      if (server !== undefined) server.isListed = false
+    },
     add,
     holders,
     violations,
