Parts of a body are kept in blocks, and parsed in turns

Cause: each part was kept as a buffer of its own, some 250 bytes for one, while the account of responses counted the bytes of bodies. Nothing bounded the time for parsing what one server sends: up to 2 MB in one turn of the event loop.

Change: receiveBody() passes on short parts that were parsed together as one, keeps what arrives during a pause in blocks, and pauses the connection instead of the response. A connection whose last read had many parts waits for its turn. The account gets what the blocks take. A forwarded response has one part on its way to its caller; the rest waits in blocks. Answers of stores, grants and releases, and bodies that src/host reads, use blocks too. No limit on whole bodies has changed.

The two new tests of endless responses fail on (other requests are refused) and hold now.

--- a/soak/spoiled_responses.ts
+++ b/soak/spoiled_responses.ts
@@ -2,7 +2,7 @@
 import type { ServerResponse } from 'node:http'
 
 /** How a server spoils its responses. */
-export const ResponseFault = { secondCopy: 'second-copy', endlessHead: 'endless-head', endlessBody: 'endless-body', interim: 'interim-responses', noise: 'noise' } as const
+export const ResponseFault = { secondCopy: 'second-copy', endlessHead: 'endless-head', endlessBody: 'endless-body', shortChunks: 'short-chunks', interim: 'interim-responses', noise: 'noise' } as const
 /** One of the values of {@link ResponseFault}. */
 export type ResponseFault = typeof ResponseFault[keyof typeof ResponseFault]
 
@@ -16,6 +16,9 @@
 const PART_BYTES = 16 * 1024
 const PART_INTERVAL_MS = 5
 
+/** Chunks of one byte. */
+const SHORT_CHUNKS = '1\r\nx\r\n'.repeat(PART_BYTES / 6)
+
 /**
  * Sends a response that violates the protocol.
  *
@@ -38,6 +41,7 @@
     setTimeout(() => { if (!socket.destroyed) socket.write(text) }, SECOND_COPY_DELAY_MS)
   } else if (fault === ResponseFault.endlessHead) writeWithoutEnd(`${head}X-Filler: `, 'x'.repeat(PART_BYTES))
   else if (fault === ResponseFault.endlessBody) writeWithoutEnd(`${head}Transfer-Encoding: chunked\r\n\r\n`, `${PART_BYTES.toString(16)}\r\n${'x'.repeat(PART_BYTES)}\r\n`)
+  else if (fault === ResponseFault.shortChunks) writeWithoutEnd(`${head}Transfer-Encoding: chunked\r\n\r\n`, SHORT_CHUNKS)
   else if (fault === ResponseFault.interim) writeWithoutEnd('', 'HTTP/1.1 102 Processing\r\n\r\n')
   else writeWithoutEnd('', '\u0001'.repeat(PART_BYTES))
 }
--- a/src/gateway/_read_ahead.ts
+++ b/src/gateway/_read_ahead.ts
@@ -8,7 +8,7 @@
 import type { IncomingMessage } from 'node:http'
 import { Readable } from 'node:stream'
 import { connectionOf } from '../caller_limits/mod.ts'
-import type { BodyBlocks } from './_body_blocks.ts'
+import type { BodyBlocks } from '../http_call/mod.ts'
 
 /** Options of {@link readAhead}. */
 export interface ReadAheadOptions {
--- a/src/gateway/body_reader.ts
+++ b/src/gateway/body_reader.ts
@@ -2,7 +2,7 @@
 import type { IncomingMessage } from 'node:http'
 import type { Readable } from 'node:stream'
 import { connectionOf } from '../caller_limits/mod.ts'
-import { createBodyBlocks } from './_body_blocks.ts'
+import { createBodyBlocks } from '../http_call/mod.ts'
 import { readAhead, type ReadAheadOptions } from './_read_ahead.ts'
 
 /** Maximum length of a body that is buffered, in bytes; longer bodies are streamed. */
--- a/src/gateway/endless_responses_test.ts
+++ b/src/gateway/endless_responses_test.ts
@@ -88,6 +88,50 @@
   })
 }
 
+/** Timeout of a grant, in milliseconds: a host that leads must get to its answers within it. */
+const MAXIMUM_STALL_MS = 280
+
+/** Bytes by which the memory of a host that was idle may grow: what it may keep of responses, and garbage of the same order. */
+const MAXIMUM_GROWTH_BYTES = 3 * CAPACITY_BYTES
+
+// Guards against a host that is killed for its memory, and answers nobody until then: each part of a body took hundreds of bytes.
+for (const [reads, readBytes] of [['fast', Infinity], ['not', 0]] as const) {
+  test(`handle() keeps a bounded amount of memory and goes on, when servers send chunks of one byte without end and callers read ${reads}`, async () => {
+    const flood = await createFloodServer()
+    try {
+      await withGateway([respondWithPath], async ({ port, call, routingState }) => {
+        const [sound] = routingState.servers()
+        if (sound === undefined) throw new Error('There is no server')
+        routingState.applyConfiguration({ ...TEST_CONFIGURATION, version: 2, routes: [{ ...TEST_ROUTE, prefix: '/orders/' }, { ...TEST_ROUTE, name: 'tiny', prefix: '/tiny/', kind: RequestKind.once, timeoutMs: 3000, targets: [{ service: 'tiny', weight: 1 }] }] })
+        routingState.setServers([sound, { ...sound, id: 'flood', service: 'tiny', address: flood.address, slots: 1000 }])
+        const before = process.memoryUsage().rss
+        const sockets = Array.from({ length: 12 }, (_, index) => {
+          const socket = connect(port, '127.0.0.1')
+          socket.on('error', () => {})
+          socket.write(`GET /tiny/x HTTP/1.1\r\nHost: one.example\r\n${TEST_HEADER_NAMES.attemptId}: t${index}\r\n\r\n`)
+          return readBytes === 0 ? socket.pause() : socket.resume()
+        })
+        let [stallMs, growthBytes, lastAt] = [0, 0, performance.now()]
+        const timer = setInterval(() => {
+          stallMs = Math.max(stallMs, performance.now() - lastAt)
+          lastAt = performance.now()
+          growthBytes = Math.max(growthBytes, process.memoryUsage().rss - before)
+        }, 5)
+        for (let round = 0; round < 10; round++) {
+          assert.is((await call('/orders/sound')).status, 200)
+          await pause(150)
+        }
+        clearInterval(timer)
+        for (const socket of sockets) socket.destroy()
+        assert.ok(stallMs < MAXIMUM_STALL_MS, `the event loop stood still for ${Math.round(stallMs)} ms`)
+        assert.ok(growthBytes < MAXIMUM_GROWTH_BYTES, `${growthBytes} bytes`)
+      }, { retries: 0 })
+    } finally {
+      await flood.close()
+    }
+  })
+}
+
 test('handle() closes the connection to a server, when it refuses a request with a body without end', async () => {
   const flood = await createFloodServer()
   try {
--- a/src/gateway/forward_response.ts
+++ b/src/gateway/forward_response.ts
@@ -1,6 +1,6 @@
 /** Forwards a server's response to the caller or relay client; an incomplete response never looks complete. */
 import type { ServerResponse } from 'node:http'
-import { resetConnection } from '../http_call/mod.ts'
+import { createBodyBlocks, resetConnection } from '../http_call/mod.ts'
 import { responseHeaders } from './forwarded_headers.ts'
 import { RelayHeader } from './relay_selector.ts'
 import { nameBodyEnd } from './response_body.ts'
@@ -59,25 +59,38 @@
     rest.stop(BodyEnd.memory)
     resetConnection(response.req.socket)
   })
-  response.write(start)
-  options.memory.set(response.writableLength)
+  /** Parts that wait for the one that is being written: the runtime keeps hundreds of bytes for each. */
+  const waiting = createBodyBlocks()
+  let isWriting = false
+  function write (part: Buffer): void {
+    isWriting = true
+    response.write(part, () => {
+      isWriting = false
+      if (!response.writableEnded && !response.destroyed) {
+        if (waiting.length() > 0) write(waiting.takeAll())
+        else rest.resume()
+      }
+      recordMemory()
+    })
+  }
+  function recordMemory (): void { options.memory.set(response.writableLength + waiting.allocatedBytes()) }
+  write(start)
+  recordMemory()
   rest.read((part) => {
-    if (!response.write(part)) rest.pause()
-    options.memory.set(response.writableLength)
-  })
-  response.on('drain', () => {
-    options.memory.set(0)
-    rest.resume()
+    if (isWriting) {
+      waiting.add(part)
+      rest.pause()
+    } else write(part)
+    recordMemory()
   })
   response.on('close', () => { rest.stop(BodyEnd.callerLeft) })
-  rest.resume()
   options.signal.addEventListener('abort', abort)
   if (options.signal.aborted) abort()
   const ending = await rest.ending
   const isWhole = ending.kind === 'whole'
-  const forwardedBytes = rest.receivedBytes() - (isWhole ? 0 : response.writableLength)
+  const forwardedBytes = rest.receivedBytes() - (isWhole ? 0 : response.writableLength + waiting.length())
   options.signal.removeEventListener('abort', abort)
-  if (isWhole) response.end()
+  if (isWhole) response.end(waiting.length() > 0 ? waiting.takeAll() : undefined)
   else breakOff(response, framing)
   return { isWhole, body: { ...receivedMark(backendResponse), receivedBytes: rest.receivedBytes(), forwardedBytes: Math.max(0, forwardedBytes), end: nameBodyEnd(ending, rest.mark), isStreamed: true } }
 }
--- a/src/gateway/response_body.ts
+++ b/src/gateway/response_body.ts
@@ -82,8 +82,8 @@
     serverFraming: isRelayed && framing !== BodyFraming.none && response.headers[RelayHeader.noLength] !== undefined ? BodyFraming.connectionEnd : framing,
     receivedBytes: () => bytes,
     read (onPart) { take = onPart },
-    pause () { response.pause() },
-    resume () { response.resume() },
+    pause: body.pause,
+    resume: body.resume,
     stop (cause) {
       if (hasEnded) return
       end({ kind: 'stopped', cause, detail: `This host ended the response: ${cause}` })
--- a/src/gateway/send_attempt.ts
+++ b/src/gateway/send_attempt.ts
@@ -1,7 +1,7 @@
 /** Sends a request to one backend server and reports whether it has run, has not run, or may have run. */
 import { request as startRequest, type Agent, type ClientRequest, type IncomingMessage } from 'node:http'
 import { pipeline } from 'node:stream'
-import { describeInvalidStatus, resetConnection, tryStart, watchInterimResponses } from '../http_call/mod.ts'
+import { createBodyBlocks, describeInvalidStatus, resetConnection, tryStart, watchInterimResponses } from '../http_call/mod.ts'
 import type { RoutedServer } from '../routing/mod.ts'
 import type { RequestBody, StreamedBody } from './body_reader.ts'
 import type { HeaderNames } from './header_names.ts'
@@ -308,15 +308,15 @@
 /** Reads a response until it ends or becomes too long to be buffered. */
 function readResponse (response: IncomingMessage, { body, memory }: { readonly body: ResponseBody, readonly memory: ResponseAccount }, settle: (outcome: AttemptOutcome) => void): void {
   const head = { mark: body.mark, serverFraming: body.serverFraming, status: response.statusCode ?? 0, headers: response.rawHeaders }
-  const parts: Buffer[] = []
+  const blocks = createBodyBlocks()
   body.read((part) => {
-    parts.push(part)
-    memory.set(body.receivedBytes())
+    blocks.add(part)
+    memory.set(blocks.allocatedBytes())
     if (memory.mayBuffer()) return
     body.pause()
-    settle({ kind: 'stream', ...head, start: Buffer.concat(parts), rest: body })
+    settle({ kind: 'stream', ...head, start: blocks.takeAll(), rest: body })
   })
   body.ending.then((ending) => {
-    settle(ending.kind === 'whole' ? { kind: 'answer', ...head, body: Buffer.concat(parts) } : { kind: 'lost', detail: ending.detail, aborted: false })
+    settle(ending.kind === 'whole' ? { kind: 'answer', ...head, body: blocks.takeAll() } : { kind: 'lost', detail: ending.detail, aborted: false })
   }, () => {})
 }
--- a/src/host/_write_outcome.ts
+++ b/src/host/_write_outcome.ts
@@ -3,7 +3,7 @@
 import { pipeline, Transform, type Readable } from 'node:stream'
 import { forwardableHeaders, type DispatchResponse, type RequestBody } from '../dispatch/mod.ts'
 import type { Problem } from '../edge/mod.ts'
-import { resetConnection } from '../http_call/mod.ts'
+import { createBodyBlocks, resetConnection } from '../http_call/mod.ts'
 
 /** Streams a backend server's response; destroys the connection if the response ends early. */
 export function forwardResponse (
@@ -64,9 +64,9 @@
   if (length === undefined || length > MAXIMUM_BUFFERED_BODY_BYTES) {
     return { kind: 'body', body: length === undefined ? limitBytes(request, maximumBytes) : request }
   }
-  const chunks: Buffer[] = []
-  for await (const chunk of request) chunks.push(chunk as Buffer)
-  return { kind: 'body', body: Buffer.concat(chunks) }
+  const blocks = createBodyBlocks()
+  for await (const chunk of request) blocks.add(chunk as Buffer)
+  return { kind: 'body', body: blocks.takeAll() }
 }
 
 /** Aborts a body of unknown length when it exceeds the limit. */
--- a/src/gateway/_body_blocks.ts
+++ b/src/http_call/body_blocks.ts
@@ -65,7 +65,8 @@
     allocatedBytes: () => allocated,
     take,
     takeAll () {
-      const taken = Buffer.concat(blocks.map((block, index) => index === blocks.length - 1 ? block.subarray(0, filled) : block))
+      const [first] = blocks
+      const taken = first !== undefined && blocks.length === 1 ? first.subarray(0, filled) : Buffer.concat(blocks.map((block, index) => index === blocks.length - 1 ? block.subarray(0, filled) : block))
       blocks.length = 0
       length = 0
       allocated = 0
--- a/src/http_call/create_http_client.ts
+++ b/src/http_call/create_http_client.ts
@@ -1,5 +1,6 @@
 /** HTTP/1.1 client for short calls whose responses are read completely. */
 import { Agent, request as startRequest } from 'node:http'
+import { createBodyBlocks } from './body_blocks.ts'
 import { receiveBody } from './receive_body.ts'
 import { resetConnection } from './reset_connection.ts'
 import { describeInvalidStatus } from './response_status.ts'
@@ -88,19 +89,17 @@
       request.on('response', (response) => {
         const invalidStatus = describeInvalidStatus(response.statusCode)
         if (invalidStatus !== null) return abort(invalidStatus)
-        const parts: Buffer[] = []
-        let bytes = 0
+        const blocks = createBodyBlocks()
         const body = receiveBody(response, {
           request,
           onPart: (part) => {
-            parts.push(part)
-            bytes += part.length
-            if (bytes > maximumResponseBytes) return abort(`The response is longer than ${maximumResponseBytes} bytes`)
+            blocks.add(part)
+            if (blocks.length() > maximumResponseBytes) return abort(`The response is longer than ${maximumResponseBytes} bytes`)
             inactivityTimer.refresh()
           }
         })
         body.ending.then((ending) => {
-          if (ending.kind === 'whole') end({ kind: 'answered', status: response.statusCode ?? 0, headers: response.headers, text: Buffer.concat(parts).toString('utf8') })
+          if (ending.kind === 'whole') end({ kind: 'answered', status: response.statusCode ?? 0, headers: response.headers, text: blocks.takeAll().toString('utf8') })
           else end({ kind: 'lost', detail: ending.detail })
         }, () => {})
       })
--- a/src/http_call/mod.ts
+++ b/src/http_call/mod.ts
@@ -1,8 +1,10 @@
 /** HTTP/1.1 client for short calls. */
+export * from './body_blocks.ts'
 export * from './body_framing.ts'
 export * from './create_http_client.ts'
 export * from './hold_end_until_sent.ts'
 export * from './probe_at_end.ts'
+export * from './read_turns.ts'
 export * from './receive_body.ts'
 export * from './reset_connection.ts'
 export * from './response_status.ts'
--- a/src/http_call/receive_body.ts
+++ b/src/http_call/receive_body.ts
@@ -8,9 +8,12 @@
  * the bytes are counted, and what ended the connection is looked at.
  */
 import type { ClientRequest, IncomingMessage } from 'node:http'
+import { controlReading } from './_read_control.ts'
+import { createBodyBlocks } from './body_blocks.ts'
 import { bodyFraming, BodyFraming, type BodyMark } from './body_framing.ts'
 import { holdEndUntilSent } from './hold_end_until_sent.ts'
 import { probeAtEnd } from './probe_at_end.ts'
+import { createReadTurns, type ReadTurns } from './read_turns.ts'
 
 /** How a body has ended. */
 export type ReceivedBodyEnding =
@@ -27,13 +30,24 @@
   readonly mark: BodyMark
   /** Resolves when the body has ended; never rejects. */
   readonly ending: Promise<ReceivedBodyEnding>
+  /** Stops to pass on parts, and to read the connection. */
+  pause (): void
+  resume (): void
 }
 
+/** Turns of the event loop, which all connections of the process share. */
+const PROCESS_TURNS = createReadTurns()
+
+/** Length from which a part is passed on by itself, in bytes. */
+const LONG_PART_BYTES = 1024
+
 /** Options of {@link receiveBody}. */
 export interface ReceiveBodyOptions {
   readonly request: ClientRequest
   /** Receives each part. */
   readonly onPart: (part: Buffer) => void
+  /** Turns in which connections are read whose bodies have many short parts. Default: those of the process. */
+  readonly turns?: ReadTurns
 }
 
 /**
@@ -43,16 +57,41 @@
  * @param options Its request, and what receives its parts.
  * @returns The body.
  */
-export function receiveBody (response: IncomingMessage, { request, onPart }: ReceiveBodyOptions): ReceivedBody {
+export function receiveBody (response: IncomingMessage, { request, onPart, turns = PROCESS_TURNS }: ReceiveBodyOptions): ReceivedBody {
   const { socket } = response
   const mark = bodyFraming(response.rawHeaders, { status: response.statusCode ?? 0, method: request.method })
   const { framing, statedBytes } = mark
+  const reading = controlReading(socket, turns)
+  /** Parts that have not been passed on. */
+  const pending = createBodyBlocks()
   let bytes = 0
+  let isPaused = false
+  let isPassScheduled = false
+  /** What is called once all parts have been passed on; `null` until the body has ended. */
+  let finish: (() => void) | null = null
   let resolveEnding: (ending: ReceivedBodyEnding) => void = () => {}
   const ending = new Promise<ReceivedBodyEnding>((resolve) => { resolveEnding = resolve })
 
+  function passOn (): void {
+    isPassScheduled = false
+    if (!isPaused && pending.length() > 0) onPart(pending.takeAll())
+    if (pending.length() === 0) finish?.()
+  }
+  function takePart (part: Buffer): void {
+    if (!isPaused && !isPassScheduled && part.length >= LONG_PART_BYTES) return onPart(part)
+    pending.add(part)
+    if (isPassScheduled) return
+    isPassScheduled = true
+    process.nextTick(passOn)
+  }
+  /** Ends the body as soon as its parts have been passed on; the first cause counts. */
+  function end (callback: () => void): void {
+    finish ??= callback
+    passOn()
+  }
   function endEarly (detail: string): void {
-    resolveEnding(socket.errored === null ? { kind: 'cut', detail } : { kind: 'reset', detail: socket.errored.message })
+    const { errored } = socket
+    end(() => { resolveEnding(errored === null ? { kind: 'cut', detail } : { kind: 'reset', detail: errored.message }) })
   }
   /** Only a connection that its other end has closed, without an error until this end was closed too, is the end of a body. */
   function endWithConnection (): void {
@@ -65,14 +104,16 @@
   }
   response.on('data', (part: Buffer) => {
     bytes += part.length
-    if (framing !== BodyFraming.none) onPart(part)
+    reading.recordPart()
+    if (framing !== BodyFraming.none) takePart(part)
   })
   response.on('end', () => {
+    reading.end()
     if (framing === BodyFraming.connectionEnd) {
-      if (!request.writableFinished) resolveEnding({ kind: 'cut', detail: 'The connection ended before the request was sent' })
-      else if (socket.closed) endWithConnection()
-      else socket.once('close', endWithConnection)
-    } else if ((framing === BodyFraming.chunks && response.complete) || bytes === statedBytes) resolveEnding({ kind: 'whole' })
+      if (!request.writableFinished) end(() => { resolveEnding({ kind: 'cut', detail: 'The connection ended before the request was sent' }) })
+      else if (socket.closed) end(endWithConnection)
+      else socket.once('close', () => { end(endWithConnection) })
+    } else if ((framing === BodyFraming.chunks && response.complete) || bytes === statedBytes) end(() => { resolveEnding({ kind: 'whole' }) })
     else endEarly('The response is incomplete')
   })
   if (framing === BodyFraming.none) {
@@ -81,6 +122,21 @@
     process.nextTick(() => { if (!response.complete) request.destroy() })
   }
   response.on('error', (error) => { endEarly(error.message) })
-  response.on('close', () => { if (!response.readableEnded) endEarly('The response is incomplete') })
-  return { mark, ending }
+  response.on('close', () => {
+    reading.end()
+    if (!response.readableEnded) endEarly('The response is incomplete')
+  })
+  return {
+    mark,
+    ending,
+    pause () {
+      isPaused = true
+      reading.setPaused(true)
+    },
+    resume () {
+      isPaused = false
+      passOn()
+      if (!isPaused) reading.setPaused(false)
+    }
+  }
 }
