Connections are closed in order behind their last response

Cause: behind its last response a connection was closed at once. While bytes of its caller are unread or on their way, the operating system then resets it and drops what the caller has not read.

Change: this side of the connection is ended, and what still comes is read and discarded until the caller closes, bounded in time and bytes. Idle connections at a stop or after the idle timeout, refusals with the body unread, and heads that are no request take the same way. A host that stops waits for such callers until it has to end.

Of the five new tests of limitCallers four fail on (the response is cut, the refusal is missing); the fifth holds the bound. Ruled out: the exit of the process (the resets come seconds before it), and answers dropped in the process (the connections do not end in order).

--- a/src/caller_limits/default_limits.ts
+++ b/src/caller_limits/default_limits.ts
@@ -30,6 +30,15 @@
 /** Time without progress after which a caller that does not read its responses is disconnected in any case, in milliseconds: the network accepts bytes of a slow reader in parts that take it some seconds. */
 export const READER_STALL_MS = 60_000
 
+/** Time for which a connection that is closed in order is read until its caller closes it too, in milliseconds: callers of bodies of some megabytes take that long to read what the network keeps of them. */
+export const LINGER_MS = 15_000
+
+/** The same for a connection that was closed because of a limit, in milliseconds. */
+export const REFUSED_LINGER_MS = 1000
+
+/** Bytes that are read and discarded on such a connection: requests that were sent ahead, and part of a body that was refused. */
+export const LINGER_BYTES = 4 * 1024 * 1024
+
 /** Interval at which connections are checked, in milliseconds. */
 export const CHECK_INTERVAL_MS = 250
 
--- a/src/caller_limits/limit_callers_test.ts
+++ b/src/caller_limits/limit_callers_test.ts
@@ -22,6 +22,8 @@
   readonly account: ReturnType<typeof createCallerAccount>
   /** Opens a connection and passes it to `write`; resolves with what it has received once it is closed, or after a time in milliseconds. */
   exchange (write: (socket: Socket) => void, untilMs?: number): Promise<{ readonly text: string, readonly isOpen: boolean }>
+  /** Stops to accept connections, and closes idle ones. */
+  stop (): void
 }
 
 async function withListener (handle: (request: IncomingMessage, response: ServerResponse) => void, run: (listener: Listener) => Promise<void>): Promise<void> {
@@ -31,6 +33,7 @@
   try {
     await run({
       account,
+      stop () { server.close() },
       exchange: (write, untilMs = 6000) => new Promise((resolve) => {
         const socket = connect((server.address() as AddressInfo).port, '127.0.0.1')
         let text = ''
@@ -126,4 +129,84 @@
   })
 })
 
+/** Length of an answer that the network keeps for a caller that does not read, in bytes. */
+const LONG_ANSWER_BYTES = 1024 * 1024
+
+/** Sends a request and then, before it reads anything, whatever `writeFurther` does; resolves with the text that it reads in the end. */
+async function readLate (exchange: Listener['exchange'], writeFurther: (socket: Socket) => void): Promise<string> {
+  const { text } = await exchange((socket) => {
+    socket.write(GET)
+    socket.pause()
+    setTimeout(() => { writeFurther(socket) }, 300)
+    setTimeout(() => { socket.resume() }, 800)
+  })
+  return text
+}
+
+// Guards against answers that are lost: a connection that is closed while bytes of its caller are unread is reset.
+test('a caller gets the whole last response, when it has sent further requests and reads slowly', async () => {
+  await withListener((request, response) => {
+    connectionOf(request).endAfterLast(request)
+    response.writeHead(200, { Connection: 'close', 'Content-Length': LONG_ANSWER_BYTES }).end(Buffer.alloc(LONG_ANSWER_BYTES, 'a'))
+  }, async ({ exchange }) => {
+    const text = await readLate(exchange, (socket) => { socket.write(GET.repeat(20)) })
+    assert.is(text.length - text.indexOf('\r\n\r\n') - 4, LONG_ANSWER_BYTES)
+    assert.is(countResponses(text), 1)
+  })
+})
+
+// The response has been handed to the network, which then knows more of it than the runtime: the connection counts as idle.
+test('a caller gets the whole response on an idle connection, when the host stops and the caller sends another request', async () => {
+  await withListener((_request, response) => { response.writeHead(200, { 'Content-Length': LONG_ANSWER_BYTES }).end(Buffer.alloc(LONG_ANSWER_BYTES, 'a')) }, async ({ exchange, stop }) => {
+    const text = await readLate(exchange, (socket) => {
+      stop()
+      setTimeout(() => { socket.write(GET) }, 100)
+    })
+    assert.is(text.length - text.indexOf('\r\n\r\n') - 4, LONG_ANSWER_BYTES)
+  })
+})
+
+for (const [name, head] of [['a body is refused', 'POST /1 HTTP/1.1\r\nHost: x\r\nContent-Length: 2000000\r\n\r\n'], ['a head is too long', `GET /1 HTTP/1.1\r\nHost: x\r\nA: ${'a'.repeat(20_000)}`]] as const) {
+  // Guards against a refusal that is lost with what was sent behind it.
+  test(`a caller gets a refusal, when ${name} and it goes on sending`, async () => {
+    await withListener((request, response) => {
+      connectionOf(request).endAfterLast(request)
+      response.writeHead(413, { Connection: 'close', 'Content-Length': 0 }).end()
+    }, async ({ exchange }) => {
+      const { text } = await exchange((socket) => {
+        socket.pause()
+        socket.write(head + 'a'.repeat(1_000_000))
+        setTimeout(() => { socket.write('a'.repeat(500_000)) }, 200)
+        setTimeout(() => { socket.resume() }, 500)
+      })
+      assert.match(text, /^HTTP\/1\.1 4(13|31) /)
+    })
+  })
+}
+
+// Guards against callers that hold a connection for nothing: what is read after a refusal is bounded.
+test('a connection is closed, when its caller sends without end behind the last response', async () => {
+  await withListener((request, response) => {
+    connectionOf(request).endAfterLast(request)
+    response.writeHead(413, { Connection: 'close', 'Content-Length': 0 }).end()
+  }, async ({ exchange, account }) => {
+    const startedAt = performance.now()
+    let sent = 0
+    await exchange((socket) => {
+      socket.write('POST /1 HTTP/1.1\r\nHost: x\r\nContent-Length: 1000000000\r\n\r\n')
+      const send = (): void => {
+        sent += 64 * 1024
+        if (!socket.destroyed) socket.write(Buffer.alloc(64 * 1024), () => { setImmediate(send) })
+      }
+      send()
+      // The end of the response is no reason for this caller to stop.
+      socket.end = () => socket
+    })
+    assert.ok(performance.now() - startedAt < 3000)
+    assert.ok(sent < 16 * 1024 * 1024, `${sent} bytes`)
+    await pause(50)
+    assert.is(account.describe().connections, 0)
+  })
+})
+
 test.run()
--- a/src/caller_limits/limit_connection.ts
+++ b/src/caller_limits/limit_connection.ts
@@ -5,6 +5,11 @@
  * 2,000 short requests or 10,000 chunks, each of which costs far more than its
  * bytes. Here the parser gets small parts, and none while the caller or the
  * host has reached a limit; the connection is then not read either.
+ *
+ * A connection is closed in order behind its last response: the operating
+ * system would reset one that is closed while bytes of its caller are unread or
+ * on their way, and drop what the caller has not read yet. So this side is
+ * ended, and what still comes is read and discarded until the caller closes.
  */
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import type { Socket } from 'node:net'
@@ -12,7 +17,7 @@
 import { Held, type CallerAccount, EndCause } from './caller_account.ts'
 import { registerConnection } from './connection_of.ts'
 import { CONNECTION_BYTES, HEAD_BYTE_COST, HEADER_BYTES, REQUEST_BYTES } from './costs.ts'
-import { MAXIMUM_OPEN_REQUESTS, PART_BYTES, READER_STALL_MS } from './default_limits.ts'
+import { LINGER_BYTES, LINGER_MS, MAXIMUM_OPEN_REQUESTS, PART_BYTES, READER_STALL_MS, REFUSED_LINGER_MS } from './default_limits.ts'
 import type { ParseTurns } from './parse_turns.ts'
 
 /** Options of {@link limitConnection}. */
@@ -24,6 +29,8 @@
   readonly parse: (part: Buffer) => void
   /** Time for parsing, which all connections share. */
   readonly turns: ParseTurns
+  /** Whether the connection is to be closed as soon as it is idle. Default: it is not. */
+  readonly isStopping?: () => boolean
   /** Times in milliseconds; a change of the configuration changes them. */
   readonly timeouts: () => ConnectionTimeouts
 }
@@ -40,6 +47,12 @@
 export interface LimitedConnection {
   /** Records a request that has been read. */
   onRequest (request: IncomingMessage, response: ServerResponse): void
+  /** Closes the connection in order, if it is idle. */
+  endIdle (): void
+  /** Responds to bytes that are no request, and closes the connection in order; without a response if requests are in progress. */
+  refuse (response: string): void
+  /** Whether the caller has not closed the connection yet, which is closed in order here. */
+  isClosing (): boolean
   /** Checks the times; called at an interval with the time since the last call, in milliseconds. */
   check (elapsedMs: number): void
 }
@@ -79,24 +92,45 @@
   let hasProgressed = false
   let hasEnded = false
   let sentBytes = 0
+  let isClosing = false
+  let lingerMs = 0
+  let lingerLimitMs = LINGER_MS
+  let discardedBytes = 0
 
   const account = options.account.open({
     address: socket.remoteAddress ?? '',
     ...(options.listener === undefined ? {} : { listener: options.listener }),
     end (cause) {
+      if (cause === EndCause.head && !isClosing && open.size === 0 && socket.writableLength === 0) {
+        lingerLimitMs = REFUSED_LINGER_MS
+        socket.write(HEAD_TIMEOUT_RESPONSE)
+        return closeInOrder()
+      }
       hasEnded = true
       queue = null
       socket.pause()
-      const isUnanswered = cause === EndCause.head && open.size === 0 && socket.writableLength === 0
-      if (isUnanswered) socket.end(HEAD_TIMEOUT_RESPONSE, () => { socket.destroy() })
       // A reset also frees what the network keeps for a caller that does not read.
-      else resetConnection(socket)
+      resetConnection(socket)
     },
     onFull () { if (!account.mayRead()) socket.pause() },
     onRoom: advance
   })
   account.change(Held.connections, CONNECTION_BYTES)
 
+  /** Ends this side of the connection behind what is still to be sent. */
+  function closeInOrder (): void {
+    if (isClosing || hasEnded || socket.destroyed) return
+    isClosing = true
+    queue = null
+    account.change(Held.unparsed, -queuedBytes)
+    queuedBytes = 0
+    setHeadBytes(0)
+    socket.end()
+    socket.resume()
+  }
+  // The runtime closes a connection in this way behind a response with `Connection: close`.
+  socket.destroySoon = closeInOrder
+
   function isInBody (): boolean {
     return last !== null && !last.complete
   }
@@ -121,6 +155,7 @@
 
   /** Whether more may be read from the network. */
   function mayRead (): boolean {
+    if (isClosing) return true
     return queue === null && account.mayRead() && mayParse()
   }
 
@@ -143,10 +178,11 @@
 
   /** Parses one part of what has been read, and reads on if nothing of it is left; returns whether more is waiting. */
   function takeTurn (): boolean {
-    if (isParsing) return false
+    if (isParsing || isClosing) return false
     isParsing = true
     if (queue !== null && mayParse()) parsePart(queue)
     isParsing = false
+    if (isClosing) return false
     if (queue === null) {
       account.change(Held.unparsed, -queuedBytes)
       queuedBytes = 0
@@ -161,6 +197,10 @@
     if (!isParsing) options.turns.add(takeTurn)
   }
 
+  function isIdle (): boolean {
+    return open.size === 0 && queue === null && headBytes === 0 && !isInBody()
+  }
+
   function closeRequest (request: IncomingMessage): void {
     const entry = open.get(request)
     if (entry === undefined) return
@@ -169,12 +209,17 @@
     account.change(Held.requests, -entry.headBytes)
     account.change(Held.bodies, -entry.bodyBytes)
     // Nothing more is read behind the response that was to be the last one.
-    if (endsAfterLast && open.size === 0 && !socket.writableEnded) socket.destroySoon()
-    advance()
+    if (open.size === 0 && (endsAfterLast || (options.isStopping?.() === true && isIdle()))) closeInOrder()
+    else advance()
   }
 
   socket.on('data', (data) => {
     if (hasEnded) return
+    if (isClosing) {
+      discardedBytes += data.length
+      if (discardedBytes > LINGER_BYTES) socket.destroy()
+      return
+    }
     hasProgressed = true
     queue = queue === null ? data : Buffer.concat([queue, data])
     queuedBytes += data.length
@@ -226,7 +271,29 @@
     return open.size === 0 ? 'request' : null
   }
 
+  /** Bounds the time in which the caller closes a connection that is closed here. */
+  function checkClosing (elapsedMs: number): void {
+    const sent = socket.bytesWritten - socket.writableLength
+    if (sent !== sentBytes) lingerMs = 0
+    sentBytes = sent
+    lingerMs += elapsedMs
+    account.setRest({ stalledMs: lingerMs, blockedMs: 0, idleMs: 0 })
+    if (lingerMs <= lingerLimitMs) return
+    options.account.end(account, EndCause.reader)
+    socket.destroy()
+  }
+
   return {
+    endIdle () { if (isIdle()) closeInOrder() },
+    refuse (response) {
+      if (open.size > 0 || isClosing || !socket.writable) {
+        socket.destroy()
+        return
+      }
+      socket.write(response)
+      closeInOrder()
+    },
+    isClosing: () => isClosing,
     onRequest (request, response) {
       last = request
       bodyIsStopped = false
@@ -240,6 +307,7 @@
       response.once('close', () => { closeRequest(request) })
     },
     check (elapsedMs) {
+      if (isClosing) return checkClosing(elapsedMs)
       // A paused socket does not show that its caller has left while it keeps unread bytes.
       if (open.size > 0 && socket.readableLength > 0 && queuedBytes < MAXIMUM_QUEUED_BYTES) socket.read()
       const awaited = awaitedPart()
@@ -257,7 +325,8 @@
       if (awaited === 'head' && headMs > maximumHeadMs) options.account.end(account, EndCause.head)
       else if (awaited === 'body' && restMs > idleMs) options.account.end(account, EndCause.body)
       else if (awaited === 'reader' && restMs > READER_STALL_MS) options.account.end(account, EndCause.reader)
-      else if (awaited === 'request' && restMs > idleMs) options.account.end(account, EndCause.idle)
+      // The caller may still read its last response: the network can keep some megabytes.
+      else if (awaited === 'request' && restMs > idleMs) closeInOrder()
       // A cause of a stop that has passed unnoticed must not stop the connection for ever.
       else if (queue !== null) advance()
     }
--- a/src/entry_host/create_entry_host.ts
+++ b/src/entry_host/create_entry_host.ts
@@ -4,6 +4,7 @@
  * the connection to the leader and, on the leading host, the coordinator.
  */
 import { Agent, createServer } from 'node:http'
+import { countClosingConnections } from '../caller_limits/mod.ts'
 import { createEvacuationControl, type EvacuationDescription } from '../evacuation/mod.ts'
 import {
   createGateway, createRequestLimits, createRequestPermits, createResponseMemory, createRoutingState, createServerAdmission, createServerAgent, createServerLoads, createServerStatements, type HeaderNames, type RequestRecord
@@ -353,8 +354,9 @@
   // Random delay, so that hosts that start together do not all claim the lease.
   setTimeout(() => { leadershipController.run(stop.signal).catch(reportFailure) }, Math.random() * TaskTiming.startJitterMs)
 
+  /** Waits for requests in progress, and for callers that have not read their last responses. */
   async function waitUntilIdle (until: number): Promise<void> {
-    while (gateway.pending() + relay.pending() > 0 && now() < until) await pause(50)
+    while (gateway.pending() + relay.pending() + countClosingConnections(callerServer) + countClosingConnections(relayServer) > 0 && now() < until) await pause(50)
   }
 
   return {
@@ -369,9 +371,7 @@
       if (!leadership.isStoreUnavailable()) await leadershipController.release()
       await pause(BALANCER_DETECTION_MS)
       callerServer.close()
-      callerServer.closeIdleConnections()
       relayServer.close()
-      relayServer.closeIdleConnections()
       await waitUntilIdle(stopsAt)
       await leadershipController.release()
       stop.abort()
