A server that is at work is left only for another attempt

Cause: a repeatable attempt was given up after four times the expected duration, also if no attempt, budget or server was left, or the host had begun to stop since; relays gave up by themselves, knowing none of this.

Change: the host of the caller gives up an attempt only once another one is paid for and another server has room; until then it runs on. A relay reports an overdue server in an interim response and goes on waiting.

Ruled out: failure detectors and queues, which break nothing off.

--- a/src/gateway/_server_selector.ts
+++ b/src/gateway/_server_selector.ts
@@ -21,6 +21,8 @@
 export interface ServerSelector {
   /** Chooses a server for a request without a key. */
   choose (exchange: Exchange): RoutedServer | NoServer
+  /** Whether a server that the request has not been sent to has room for it, besides the one at which it is. */
+  hasAlternative (exchange: Exchange, server: RoutedServer): boolean
   /** Selects the way of a request to a server. */
   selectPath (exchange: Exchange, server: RoutedServer): ServerPath
 }
@@ -56,6 +58,9 @@
       if (cold.length > 0) return { reason: 'servers-cold', retryAfterMs: Math.min(...cold.map(warmUp.coldForMs)) }
       return { reason: exchange.triedServers.size > 0 ? 'every-server-tried' : 'no-server', retryAfterMs: DEFAULT_RETRY_AFTER_MS }
     },
+    hasAlternative (exchange, server) {
+      return routingState.availableServers(exchange.service).some((other) => other.id !== server.id && !exchange.triedServers.has(other.id) && !loads.isUnresponsive(other) && loads.inFlight(other.id) < other.slots && !permits.isExhausted(other.id) && !warmUp.isCold(other))
+    },
     selectPath
   }
 }
--- a/src/gateway/attempt_ledger.ts
+++ b/src/gateway/attempt_ledger.ts
@@ -39,6 +39,13 @@
    * @returns What has paid for the attempt, or `null` if it must not be made.
    */
   tryRepeat (query: Pick<RepeatQuery, 'remainingMs' | 'limitsUnsent'>): RepeatPayment | null
+  /**
+   * Pays for another attempt while the last one is in progress. The next `tryRepeat()` uses the payment.
+   *
+   * @param query The time that remains and the limits that apply.
+   * @returns Whether another attempt may be made and is paid for.
+   */
+  reserveRepeat (query: Pick<RepeatQuery, 'remainingMs' | 'limitsUnsent'>): boolean
   /** Number of withdrawals from the retry budget. */
   withdrawals (): number
 }
@@ -75,15 +82,29 @@
 export function createAttemptLedger ({ maximumAttempts, budget }: { readonly maximumAttempts: number, readonly budget: Pick<RetryBudget, 'tryWithdraw'> }): AttemptLedger {
   const reaches: AttemptReach[] = []
   let withdrawals = 0
+  let isReserved = false
+
+  function withdraw (): boolean {
+    if (!budget.tryWithdraw()) return false
+    withdrawals++
+    return true
+  }
+
   return {
     record (reach) { reaches.push(reach) },
+    reserveRepeat (query) {
+      isReserved ||= repeatTerms({ ...query, reaches: [...reaches, AttemptReach.possible], maximumAttempts }) === 'paid' && withdraw()
+      return isReserved
+    },
     tryRepeat (query) {
+      if (isReserved) {
+        isReserved = false
+        return 'paid'
+      }
       const terms = repeatTerms({ ...query, reaches, maximumAttempts })
       if (terms === 'refused') return null
       if (terms === 'free') return terms
-      if (!budget.tryWithdraw()) return null
-      withdrawals++
-      return terms
+      return withdraw() ? terms : null
     },
     withdrawals: () => withdrawals
   }
--- a/src/gateway/attempt_ledger_test.ts
+++ b/src/gateway/attempt_ledger_test.ts
@@ -63,4 +63,16 @@
   }), { seed: 41 })
 })
 
+// Guards against a repeat that is paid for twice, or not at all.
+test('reserveRepeat() pays once for the next repeat, when an attempt is in progress', () => {
+  let withdrawals = 0
+  const ledger = createAttemptLedger({ maximumAttempts: 2, budget: { tryWithdraw: () => ++withdrawals === 1 } })
+  const query = { remainingMs: 500, limitsUnsent: true }
+  assert.equal([ledger.reserveRepeat(query), ledger.reserveRepeat(query)], [true, true])
+  ledger.record(AttemptReach.possible)
+  assert.is(ledger.tryRepeat(query), 'paid')
+  assert.is(ledger.withdrawals(), 1)
+  assert.not(ledger.reserveRepeat(query))
+})
+
 test.run()
--- a/src/gateway/create_gateway.ts
+++ b/src/gateway/create_gateway.ts
@@ -10,6 +10,7 @@
 import { pickTarget, RequestKind, type RoutedServer } from '../routing/mod.ts'
 import { clampRetryAfterMs } from './admission.ts'
 import { createAttemptLedger } from './attempt_ledger.ts'
+import { createAttemptSender } from './_attempt_sender.ts'
 import { createAttemptRecord, type EndedAttempt } from './attempt_record.ts'
 import { createBodyReader, discardBody, isBodyUnread } from './body_reader.ts'
 import { decideOnTimeout, DEFAULT_RETRY_AFTER_MS, type Exchange, type AttemptDecision } from './_exchange.ts'
@@ -25,7 +26,7 @@
 import type { Relay } from './relay_selector.ts'
 import { reportAttempt } from './report_attempt.ts'
 import type { ResponseAccount } from './response_memory.ts'
-import { sendAttempt, type Attempt, type AttemptOutcome, type SendAttemptOptions } from './send_attempt.ts'
+import type { Attempt, AttemptOutcome } from './send_attempt.ts'
 import type { Turn } from '../server_queue/mod.ts'
 import type { ServerAdmissionQuery } from './server_admission.ts'
 import { forwardResponse, waitUntilSent } from './forward_response.ts'
@@ -45,7 +46,7 @@
 /** Share of the time left to the goal that is expected of a relay: a request may wait there for its turn, and overdue ones make the relay count as unresponsive. */
 const RELAY_OVERDUE_SHARE = 0.4
 
-/** Share of the remaining time after which a repeatable request is aborted at its relay, which itself gives up a silent server sooner: the request may wait there for a slot. */
+/** Share of the remaining time after which a repeatable request is overdue at its relay, which itself reports a silent server sooner: the request may wait there for a slot. */
 const RELAY_WAIT_SHARE = 0.5
 
 /** Timeout for connecting to a relay, in milliseconds: many round trips within a region. After it, the request goes to the server directly. */
@@ -65,6 +66,7 @@
   const serverSelector = createServerSelector(options)
   const finder = createServerFinder(options, { times, serverSelector })
   const { isKeyed } = finder
+  const attemptSender = createAttemptSender(options, { times, serverSelector, isKeyed })
   const bodyReader = createBodyReader()
   const callerDeadlines = createCallerDeadlines()
   /** Headers that differ between attempts with the same content. */
@@ -192,7 +194,7 @@
     const inFlight = loads.inFlight(server.id)
     const sentAt = now()
     const complete = loads.trackRequest(server)
-    const outcome = await sendWithTimeout(exchange, { attempt: createAttempt(exchange, server), connections: { agent: options.agent, names, limits: options.limits, ...(options.statements === undefined ? {} : { statements: options.statements }), onLeaving: routingState.recordLeaving, isEvacuated: routingState.isEvacuated }, timeoutMs: attemptTimeoutMs(expectedMs) })
+    const outcome = await attemptSender.send(exchange, { attempt: createAttempt(exchange, server), connections: { agent: options.agent, names, limits: options.limits, ...(options.statements === undefined ? {} : { statements: options.statements }), onLeaving: routingState.recordLeaving, isEvacuated: routingState.isEvacuated }, timeoutMs: attemptTimeoutMs(expectedMs) })
     const durationMs = now() - sentAt
     complete(toLoadOutcome(outcome, durationMs))
     turn.end(outcome)
@@ -211,11 +213,11 @@
     const sentAt = now()
     const completions = [relay.trackRequest(exchange.id, Math.max(expectedMs, goalRemainingMs(exchange) * RELAY_OVERDUE_SHARE)), loads.trackRelayedRequest(named, relay.host)]
     let server = named
-    const outcome = await sendWithTimeout(exchange, {
+    const outcome = await attemptSender.send(exchange, {
       attempt: {
         ...createAttempt(exchange, named),
         relay: {
-          address: relay.address, priority: exchange.route.priority, goalMs: exchange.route.latencyGoalMs, goalRemainingMs: goalRemainingMs(exchange), callerRemainingMs: callerRemainingMs(exchange), isLate: isLate(exchange, named), triedServers: exchange.triedServers, isRepeatable: isRepeatable(exchange)
+          address: relay.address, priority: exchange.route.priority, goalMs: exchange.route.latencyGoalMs, goalRemainingMs: goalRemainingMs(exchange), callerRemainingMs: callerRemainingMs(exchange), isLate: isLate(exchange, named), triedServers: exchange.triedServers, isRepeatable: attemptSender.isRepeatable(exchange)
         }
       },
       connections: {
@@ -253,21 +255,6 @@
     }
   }
 
-  /** Whether the request may be sent to another server when one does not respond in time. A host that stops lets its requests end where they run. */
-  function isRepeatable (exchange: Exchange): boolean {
-    return exchange.route.kind === RequestKind.idempotent && !isKeyed(exchange) && !options.isLeaving()
-  }
-
-  /** Sends an attempt. A repeatable request is aborted after a timeout, so that it can be sent to another server. */
-  async function sendWithTimeout (exchange: Exchange, { attempt, connections, timeoutMs }: { readonly attempt: Attempt, readonly connections: SendAttemptOptions, readonly timeoutMs: number }): Promise<AttemptOutcome> {
-    if (!isRepeatable(exchange)) return await sendAttempt(attempt, connections)
-    const attemptTimeout = new AbortController()
-    const timer = setTimeout(() => { attemptTimeout.abort() }, timeoutMs)
-    const outcome = await sendAttempt({ ...attempt, signal: AbortSignal.any([attemptTimeout.signal, exchange.abort.signal]) }, connections)
-    clearTimeout(timer)
-    return outcome
-  }
-
   /** Records what the outcome shows about the server, and decides what follows. */
   function continueAfter (exchange: Exchange, server: RoutedServer, outcome: AttemptOutcome): AttemptDecision {
     if (outcome.kind === 'lost' || (outcome.kind === 'answer' && outcome.status >= 500)) exchange.mayHaveRun = true
--- a/src/gateway/relay_selector.ts
+++ b/src/gateway/relay_selector.ts
@@ -56,7 +56,9 @@
   goalRemainingMs: 'x-gooseberryfold-goal-remaining-ms',
   /** From the host: servers that have already got the request, separated by commas. */
   triedServers: 'x-gooseberryfold-tried',
-  /** From the host: present if the request may be sent to another server when this one does not respond in time. */
+  /** From the host: present if the request may be sent to another server, and the relay should report a server that does not respond in time. */
+  reportsOverdue: 'x-gooseberryfold-reports-overdue',
+  /** From hosts of earlier builds: the same, and such relays would give up the server by themselves. */
   repeatable: 'x-gooseberryfold-repeatable',
   /** From the relay: server that the request was sent to, if that is not the one that the host has named. */
   server: 'x-gooseberryfold-server',
@@ -72,6 +74,9 @@
   noLength: 'x-gooseberryfold-no-length'
 } as const
 
+/** Status of the interim response by which a relay reports that a server does not respond in time; the request runs on. */
+export const OVERDUE_STATUS = 102
+
 /** Maximum length of a body that is sent through a relay, in bytes: a second transfer over a slow network would take long. Longer ones are relayed only to servers that have named a limit. */
 export const MAXIMUM_RELAYED_BODY_BYTES = 16 * 1024
 
--- a/src/gateway/send_attempt.ts
+++ b/src/gateway/send_attempt.ts
@@ -7,7 +7,7 @@
 import type { HeaderNames } from './header_names.ts'
 import { pollConnections } from './poll_connections.ts'
 import { hasAnsweredAttempt, recordAnsweredAttempt } from './_answered_attempts.ts'
-import { RelayHeader, RelayRefusal } from './relay_selector.ts'
+import { OVERDUE_STATUS, RelayHeader, RelayRefusal } from './relay_selector.ts'
 import type { RequestLimits } from './request_limits.ts'
 import { openResponseBody, type ResponseBody } from './response_body.ts'
 import { BodyEnd, BodyFraming, type BodyMark, type PartialBody } from './response_body_record.ts'
@@ -27,7 +27,7 @@
   readonly isLate: boolean
   /** Servers that have already got the request. */
   readonly triedServers: ReadonlySet<string>
-  /** Whether the relay should give up a server that does not respond in time, so that the request can be sent to another one. */
+  /** Whether the relay should report a server that does not respond in time, since the request may be sent to another one. */
   readonly isRepeatable: boolean
 }
 
@@ -77,6 +77,8 @@
   readonly onServer?: (id: string) => void
   /** Called when a response shows that the server is leaving. Default: no callback. */
   readonly onLeaving?: (server: RoutedServer) => void
+  /** Called when the relay reports that the server does not respond in time. Default: no callback. */
+  readonly onOverdue?: () => void
   /** Whether the server's zone is evacuated; checked just before the request is sent. Default: never. */
   readonly isEvacuated?: (server: RoutedServer) => boolean
   /** Timeout for connecting, in milliseconds. Default: 400, many round trips within a region. */
@@ -186,6 +188,7 @@
         pollConnections().then(sendWithBody, (error: unknown) => { request.destroy(error instanceof Error ? error : new Error(String(error))) })
       })
     })
+    request.on('information', ({ statusCode }) => { if (relay !== undefined && statusCode === OVERDUE_STATUS) options.onOverdue?.() })
     watchInterimResponses(request, (detail) => {
       settle({ kind: 'lost', detail, aborted: false })
       request.destroy()
@@ -240,7 +243,7 @@
     RelayHeader.priority, String(relay.priority), RelayHeader.goalMs, String(relay.goalMs), RelayHeader.goalRemainingMs, String(Math.round(relay.goalRemainingMs)), RelayHeader.callerRemainingMs, String(Math.round(relay.callerRemainingMs))
   ]
   if (relay.isLate) headers.push(RelayHeader.late, '1')
-  if (relay.isRepeatable) headers.push(RelayHeader.repeatable, '1')
+  if (relay.isRepeatable) headers.push(RelayHeader.reportsOverdue, '1')
   if (relay.triedServers.size > 0) headers.push(RelayHeader.triedServers, [...relay.triedServers].join())
   return headers
 }
--- a/src/relay/create_relay.ts
+++ b/src/relay/create_relay.ts
@@ -148,8 +148,8 @@
       const expectedMs = isQueued ? loads.workMs(server) : loads.expectedMs(server)
       const end = loads.trackRequest(server, { isOnlySender: isQueued })
       const sentAt = now()
-      const attemptTimeout = new AbortController()
-      const attemptTimer = request.headers[RelayHeader.repeatable] === undefined ? undefined : setTimeout(() => { attemptTimeout.abort() }, attemptTimeoutMs(expectedMs))
+      // Only the host of the caller knows whether the request can go on elsewhere.
+      const overdueTimer = request.headers[RelayHeader.reportsOverdue] === undefined ? undefined : setTimeout(() => { if (!response.destroyed) response.writeProcessing() }, attemptTimeoutMs(expectedMs))
       const outcome = await sendAttempt({
         server,
         id: attemptIdOf(request),
@@ -159,9 +159,9 @@
         body,
         memory,
         deadlineMs: deadlineAt - sentAt,
-        signal: AbortSignal.any([signal, attemptTimeout.signal])
+        signal
       }, { agent: options.agent, names, limits: options.limits, ...(options.statements === undefined ? {} : { statements: options.statements }), onLeaving: routingState.recordLeaving, isEvacuated: routingState.isEvacuated })
-      clearTimeout(attemptTimer)
+      clearTimeout(overdueTimer)
       const durationMs = now() - sentAt
       end(toLoadOutcome(outcome, durationMs))
       turn.end(outcome)
@@ -204,7 +204,7 @@
   /** Waits for a slot of the server or, as its relay, of another one in its group. */
   async function takeSlot (request: IncomingMessage, server: RoutedServer, { query, deadlineAt, signal }: { readonly query: ServerAdmissionQuery, readonly deadlineAt: number, readonly signal: AbortSignal }): Promise<Turn> {
     if (options.queues !== undefined && mayQueue(request, server, query)) {
-      const isRepeatable = request.headers[RelayHeader.repeatable] !== undefined
+      const isRepeatable = request.headers[RelayHeader.reportsOverdue] !== undefined || request.headers[RelayHeader.repeatable] !== undefined
       return await options.queues.enter({
         server,
         tried: new Set(String(request.headers[RelayHeader.triedServers] ?? '').split(',')),
--- a/src/relay/create_relay_test.ts
+++ b/src/relay/create_relay_test.ts
@@ -1,5 +1,5 @@
 /** Tests of requests that one host sends to a server through another host. */
-import { Agent, type Server, type ServerResponse } from 'node:http'
+import { Agent, request as startRequest, type Server, type ServerResponse } from 'node:http'
 import { connect, type AddressInfo } from 'node:net'
 import { suite } from 'uvu'
 import * as assert from 'uvu/assert'
@@ -378,4 +378,20 @@
   }, () => stopsAt)
 })
 
+// Guards against a request that is broken off by a relay, which cannot know whether it goes on elsewhere.
+test('handle() reports a server that does not respond in time and passes on its response, when the host asks for reports', async () => {
+  await withRelay((request, response) => { setTimeout(() => { respondWithPath(request, response) }, 800) }, async ({ relayPort, backend }) => {
+    const received = await new Promise<{ readonly interim: number[], readonly status: number | undefined }>((resolve, reject) => {
+      const interim: number[] = []
+      const request = startRequest({ port: relayPort, host: '127.0.0.1', agent: false, path: '/lookups/x', headers: { [TEST_HEADER_NAMES.attemptId]: 'a1', [TEST_HEADER_NAMES.targetServer]: 's0', [TEST_HEADER_NAMES.deadlineMs]: '3000', [RelayHeader.goalMs]: '300', [RelayHeader.reportsOverdue]: '1' } })
+      request.on('information', ({ statusCode }) => { interim.push(statusCode) })
+      request.on('error', reject)
+      request.on('response', ({ statusCode }) => { resolve({ interim, status: statusCode }) })
+      request.end()
+    })
+    assert.equal(received, { interim: [102], status: 200 })
+    assert.equal(backend.abandonedRequestIds, [])
+  })
+})
+
 test.run()
--- a/testing/with_gateway.ts
+++ b/testing/with_gateway.ts
@@ -57,6 +57,8 @@
   readonly warmUp?: WarmUpTracker
   /** When the host stops. Default: never. */
   readonly stopsAt?: () => number
+  /** Whether the host stops. Default: it does not. */
+  readonly isLeaving?: () => boolean
 }
 
 /**
@@ -81,7 +83,7 @@
   const responseMemory = createResponseMemory()
   const budget = createRetryBudget({ share: 0, maximum: options.retries ?? 5 })
   const gateway = createGateway({
-    routingState, loads, limits, permits, ...warmUp, admission: createServerAdmission({ loads, limits, permits, now, ...warmUp }), guard: createTestGuard(), responseMemory, agent, relays: options.relays ?? { select: () => ({ kind: 'direct' }), isRelay: () => true, isIsolated: () => false, recordIsolated: () => {} }, relayAgent: agent, names: TEST_HEADER_NAMES, host: 'h1', zone: 'a', retryBudgetOf: () => budget, now, random: () => 0, onKeyRequested: () => {}, onRequestEnd: (record) => { records.push(record) }, isLeaving: () => false, stopsAt: () => options.stopsAt?.() ?? Infinity
+    routingState, loads, limits, permits, ...warmUp, admission: createServerAdmission({ loads, limits, permits, now, ...warmUp }), guard: createTestGuard(), responseMemory, agent, relays: options.relays ?? { select: () => ({ kind: 'direct' }), isRelay: () => true, isIsolated: () => false, recordIsolated: () => {} }, relayAgent: agent, names: TEST_HEADER_NAMES, host: 'h1', zone: 'a', retryBudgetOf: () => budget, now, random: () => 0, onKeyRequested: () => {}, onRequestEnd: (record) => { records.push(record) }, isLeaving: () => options.isLeaving?.() ?? false, stopsAt: () => options.stopsAt?.() ?? Infinity
   })
   const server: Server = createCallerServer({ limits: TEST_CONFIGURATION.limits, maximumConnections: 100, handle: gateway.handle, onError: () => {} })
   await new Promise<void>((resolve) => { server.listen(0, '127.0.0.1', resolve) })
