A second SIGTERM waits for the shutdown in progress

Cause: shutDown() returned when one was in progress, and the program exited with it. Every call returns the promise of the one shutdown now.

Ruled out: the runtime's handler of the signal (the process exits with code 0). Turns for reading connections are scheduled once for each turn, too.

--- a/src/caller_limits/limit_connection.ts
+++ b/src/caller_limits/limit_connection.ts
@@ -182,6 +182,7 @@
     isParsing = true
     if (queue !== null && mayParse()) parsePart(queue)
     isParsing = false
+    // A part may have ended the last request.
     if (isClosing) return false
     if (queue === null) {
       account.change(Held.unparsed, -queuedBytes)
--- a/src/entry_host/create_entry_host.ts
+++ b/src/entry_host/create_entry_host.ts
@@ -359,24 +359,29 @@
     while (gateway.pending() + relay.pending() + countClosingConnections(callerServer) + countClosingConnections(relayServer) > 0 && now() < until) await pause(50)
   }
 
+  async function stopServing (): Promise<void> {
+    const signalledAt = now()
+    leaving = true
+    stopsAt = signalledAt + settings.graceMs - EXIT_MARGIN_MS
+    logger.info({ pending: gateway.pending(), leading: leadershipController.isLeading() }, 'stopping')
+    leaderConnection.send({ kind: 'leaving' })
+    // While the store is unavailable no other host can lead, so this host keeps the grants until it exits.
+    if (!leadership.isStoreUnavailable()) await leadershipController.release()
+    await pause(BALANCER_DETECTION_MS)
+    callerServer.close()
+    relayServer.close()
+    await waitUntilIdle(stopsAt)
+    await leadershipController.release()
+    stop.abort()
+    for (const timer of timers) clearInterval(timer)
+    logger.info({ pending: gateway.pending(), afterMs: Math.round(now() - signalledAt) }, 'stopped')
+  }
+  let stopped: Promise<void> | null = null
+
   return {
     async shutDown () {
-      if (leaving) return
-      const signalledAt = now()
-      leaving = true
-      stopsAt = signalledAt + settings.graceMs - EXIT_MARGIN_MS
-      logger.info({ pending: gateway.pending(), leading: leadershipController.isLeading() }, 'stopping')
-      leaderConnection.send({ kind: 'leaving' })
-      // While the store is unavailable no other host can lead, so this host keeps the grants until it exits.
-      if (!leadership.isStoreUnavailable()) await leadershipController.release()
-      await pause(BALANCER_DETECTION_MS)
-      callerServer.close()
-      relayServer.close()
-      await waitUntilIdle(stopsAt)
-      await leadershipController.release()
-      stop.abort()
-      for (const timer of timers) clearInterval(timer)
-      logger.info({ pending: gateway.pending(), afterMs: Math.round(now() - signalledAt) }, 'stopped')
+      stopped ??= stopServing()
+      await stopped
     },
     liftRefusal: protection.lift,
     retryBudgets: budgets.describe,
--- a/src/http_call/read_turns.ts
+++ b/src/http_call/read_turns.ts
@@ -28,16 +28,22 @@
  */
 export function createReadTurns ({ schedule = (callback) => { setImmediate(callback) } }: ReadTurnsOptions = {}): ReadTurns {
   const waiting: Array<() => void> = []
+  let isScheduled = false
 
-  function takeTurn (): void {
-    waiting.shift()?.()
-    if (waiting.length > 0) schedule(takeTurn)
+  function scheduleTurn (): void {
+    if (isScheduled || waiting.length === 0) return
+    isScheduled = true
+    schedule(() => {
+      isScheduled = false
+      waiting.shift()?.()
+      scheduleTurn()
+    })
   }
 
   return {
     add (read) {
       waiting.push(read)
-      if (waiting.length === 1) schedule(takeTurn)
+      scheduleTurn()
     }
   }
 }
--- a/testing/with_host_process.ts
+++ b/testing/with_host_process.ts
@@ -51,6 +51,9 @@
 /** Timeout of the routes, in milliseconds: longer than a crowd takes to send, so that nothing is freed by it meanwhile. */
 const ROUTE_TIMEOUT_MS = 15_000
 
+/** Work of the servers on a path that ends with `/slow`, in milliseconds. */
+export const SLOW_WORK_MS = 2000
+
 let isBundled = false
 
 /**
@@ -100,7 +103,7 @@
 async function startServer (address: string): Promise<Server> {
   const server = createServer((request, response) => {
     request.on('error', () => {}).resume()
-    request.on('end', () => { response.writeHead(200, { 'Gooseberryfold-Attempt-Id': String(request.headers['gooseberryfold-attempt-id'] ?? ''), 'Gooseberryfold-Backend-Signature': 'signed' }).end('done') })
+    request.on('end', () => { setTimeout(() => { response.writeHead(200, { 'Gooseberryfold-Attempt-Id': String(request.headers['gooseberryfold-attempt-id'] ?? ''), 'Gooseberryfold-Backend-Signature': 'signed' }).end('done') }, request.url?.endsWith('/slow') === true ? SLOW_WORK_MS : 0) })
   })
   await new Promise<void>((resolve) => { server.listen(BASE_PORT, address, resolve) })
   return server
