A response that has begun is not given up

A repeatable attempt was given up after four times the expected duration also while its response was arriving, which was thrown away: the timer asked only whether the response was complete.

The sender stops its checks once a response of the server has begun. The new test of give_up_test fails on (the other server's response comes) and holds now, with the six others.

--- a/src/gateway/_attempt_sender.ts
+++ b/src/gateway/_attempt_sender.ts
@@ -3,7 +3,8 @@
  *
  * Silence does not show that a server is not at work. Giving it up is of use
  * only if the request goes on elsewhere, so an attempt runs on until another
- * one is paid for and another server has room for it.
+ * one is paid for and another server has room for it. One whose response has
+ * begun is not given up.
  */
 import { RequestKind } from '../routing/mod.ts'
 import type { Exchange } from './_exchange.ts'
@@ -62,15 +63,21 @@
       if (!isRepeatable(exchange)) return await sendAttempt(attempt, connections)
       const giveUp = new AbortController()
       let timer = setTimeout(check, timeoutMs)
+      let isSilent = true
       function check (): void {
         clearTimeout(timer)
+        if (!isSilent) return
         if (reserveNext(exchange, attempt)) giveUp.abort()
         else timer = setTimeout(check, CHECK_INTERVAL_MS)
       }
+      function endChecks (): void {
+        isSilent = false
+        clearTimeout(timer)
+      }
       try {
-        return await sendAttempt({ ...attempt, signal: AbortSignal.any([giveUp.signal, exchange.abort.signal]) }, { ...connections, onOverdue: check })
+        return await sendAttempt({ ...attempt, signal: AbortSignal.any([giveUp.signal, exchange.abort.signal]) }, { ...connections, onOverdue: check, onResponse: endChecks })
       } finally {
-        clearTimeout(timer)
+        endChecks()
       }
     }
   }
--- a/src/gateway/give_up_test.ts
+++ b/src/gateway/give_up_test.ts
@@ -1,7 +1,7 @@
 /** Tests of servers that do not respond in time: a request leaves one only if it certainly goes on elsewhere. */
 import { suite } from 'uvu'
 import * as assert from 'uvu/assert'
-import { createFakeBackend, respondWithPath, type BackendHandler } from '../../testing/fake_backend.ts'
+import { createFakeBackend, respondWithPath, TEST_HEADER_NAMES, type BackendHandler } from '../../testing/fake_backend.ts'
 import { TEST_CONFIGURATION, TEST_ROUTE, withGateway, type GatewaySetup, type WithGatewayOptions } from '../../testing/with_gateway.ts'
 import type { PathSelector } from './relay_selector.ts'
 
@@ -65,6 +65,18 @@
   })
 })
 
+// Guards against a response that is thrown away while it arrives.
+test('handle() passes on a response that has begun in time, when its rest comes late and another server has room', async () => {
+  const respondInParts: BackendHandler = ({ id }, response) => {
+    response.writeHead(200, { [TEST_HEADER_NAMES.attemptId]: id, [TEST_HEADER_NAMES.signature]: 'signed' }).write('one ')
+    setTimeout(() => { response.end('two') }, SLOW_WORK_MS)
+  }
+  await withSlowRoute({ handlers: [respondInParts, respondWithPath] }, async ({ call, backends }) => {
+    assert.is((await call('/lookups/x')).body, 'one two')
+    assert.is(backends[1]?.requests.length, 0)
+  })
+})
+
 /** Relay of the first server that reports it as overdue after a time and never responds. */
 async function withOverdueRelay (run: (relays: PathSelector) => Promise<void>): Promise<void> {
   const relay = await createFakeBackend('relay', (_request, response) => { setTimeout(() => { response.writeProcessing() }, 150) })
--- a/src/gateway/send_attempt.ts
+++ b/src/gateway/send_attempt.ts
@@ -79,6 +79,8 @@
   readonly onLeaving?: (server: RoutedServer) => void
   /** Called when the relay reports that the server does not respond in time. Default: no callback. */
   readonly onOverdue?: () => void
+  /** Called when a response of the server has begun. Default: no callback. */
+  readonly onResponse?: () => void
   /** Whether the server's zone is evacuated; checked just before the request is sent. Default: never. */
   readonly isEvacuated?: (server: RoutedServer) => boolean
   /** Timeout for connecting, in milliseconds. Default: 400, many round trips within a region. */
@@ -221,6 +223,7 @@
         settle({ kind: 'not-run', status: response.statusCode ?? 0, misdirected: response.statusCode === 421, ...(roomAfterMs === undefined ? {} : { roomAfterMs: Number(roomAfterMs) }) })
         return discardResponse(request, response)
       }
+      options.onResponse?.()
       const body = openResponseBody(response, { request, isRelayed: relay !== undefined })
       responseBody = body
       // Relays of earlier versions pass on such a body as it is; the connections of one that is killed are closed in order.
