--- a/soak/backend.ts
+++ b/soak/backend.ts
@@ -65,6 +65,9 @@
 /** Processing time of a long request, in milliseconds: most of its timeout. */
 export const LONG_WORK_MS = 1000
 
+/** Length of the body of a response that a path asks for, in bytes. */
+const BODY_BYTES = /\?bytes=(\d+)$/
+
 /** Factor by which a server extends its grants: its clock may run 2 % slow. */
 const CLOCK_DRIFT_FACTOR = 1.02
 
@@ -174,7 +177,7 @@
       runningRequests.set(key, (runningRequests.get(key) ?? 1) - 1)
       const headers = { 'Gooseberryfold-Attempt-Id': attempt, 'Gooseberryfold-Backend-Signature': `signed-${id}`, ...stated }
       if (backend.responseFault !== null && options.spoilRandom() < SPOILED_SHARE) sendSpoiledResponse(response, backend.responseFault, { headers, body: `done ${attempt}` })
-      else response.writeHead(200, headers).end(`done ${attempt}`)
+      else response.writeHead(200, headers).end(`done ${attempt}`.padEnd(Number(BODY_BYTES.exec(request.url ?? '')?.[1] ?? 0)))
     } finally {
       freeSlot()
     }
--- a/soak/fatal_requests.ts
+++ b/soak/fatal_requests.ts
@@ -8,9 +8,11 @@
 /** Time for which a server runs a fatal request before it ends, in milliseconds. */
 const RUN_MS = 70
 
-/** Time after which the entry of a server that has ended lapses, and after which another run of it starts, in milliseconds. */
+/** Time after which the entry of a server that has ended lapses, in milliseconds. */
 const ENTRY_LAPSE_MS = 1800
-const RESTART_MS = 3500
+
+/** Time after which another run of a server that has ended starts, in milliseconds. */
+export const RESTART_MS = 3500
 
 /** Time between two fatal requests, in milliseconds. */
 const INTERVAL_MS = 350
--- a/soak/recovery_checks.ts
+++ b/soak/recovery_checks.ts
@@ -4,7 +4,9 @@
 import { checkEvacuation } from './evacuation_check.ts'
 import { checkFatalRequests } from './fatal_requests.ts'
 import { Guarantees, type GuaranteeChecker } from './guarantee_checker.ts'
+import { SOAK_KEYS } from './backend.ts'
 import { HOST_MEMORY_MB, type SoakHost } from './hosts.ts'
+import { startPipeliningCaller } from './pipelining_caller.ts'
 
 /** Time after the last fault within which requests must be served again, in milliseconds; the platform requires 15 s. */
 const RECOVERY_MS = 15_000
@@ -18,6 +20,9 @@
 /** Time between the stop signals to two hosts, in milliseconds: short enough that their shutdowns overlap. */
 const STOP_INTERVAL_MS = 400
 
+/** Time for which a caller sends ahead before its host is stopped, in milliseconds: its responses are on their way then. */
+const SENDING_AHEAD_MS = 1500
+
 /** Share of requests that take long while hosts shut down: some of them are in progress at any moment. */
 const LONG_WORK_SHARE = 0.1
 
@@ -96,9 +101,15 @@
     await pause(index * STOP_INTERVAL_MS)
     if (host?.isServing() !== true) return
     environment.stoppingHosts.add(host.name)
+    const endCaller = startPipeliningCaller(host, { key: SOAK_KEYS[index % SOAK_KEYS.length] ?? 0, checker: environment.checker })
+    await pause(SENDING_AHEAD_MS)
+    host.sendSignal('SIGTERM')
+    await pause(STOP_INTERVAL_MS)
+    // A second signal changes nothing.
     host.sendSignal('SIGTERM')
     const code = await host.waitForExit()
     await pause(100)
+    endCaller()
     environment.stoppingHosts.delete(host.name)
     if (code !== 0) environment.checker.reportViolation(Guarantees.graceful, `${host.name} ended with code ${String(code)}`)
   }))
--- a/soak/run_soak.ts
+++ b/soak/run_soak.ts
@@ -11,6 +11,7 @@
 import { BASE_PORT, createRandom, listenOnFreeNetwork, STORE_HOST_NUMBER, STORE_PORT } from './network.ts'
 import { createGuaranteeChecker, type GuaranteeChecker } from './guarantee_checker.ts'
 import { checkMemory, checkRecovery } from './recovery_checks.ts'
+import { checkReplacedServer } from './replaced_server_check.ts'
 import { ResponseFault } from './spoiled_responses.ts'
 import { createSoakStore } from './store.ts'
 
@@ -113,7 +114,7 @@
     clearFaults(environment)
     checkMemory(environment)
     await checkRecovery(environment)
-    await callers.stop()
+    await checkReplacedServer(environment, callers.stop)
   } finally {
     clearInterval(spoilTimer)
     await callers.stop()
