Ordinary bodies are passed on without blocks of their own

The change for bodies in short chunks cost processor time for every response: a listener, two sets of blocks and a callback.

--- a/src/http_call/_read_control.ts
+++ b/src/http_call/_read_control.ts
@@ -34,18 +34,20 @@
   let hasEnded = false
 
   // The runtime reads on whenever a response is read.
-  function holdBack (): void {
-    if (isHeld) socket.pause()
-  }
+  function holdBack (): void { socket.pause() }
   function update (): void {
     const mustHold = !hasEnded && (isPaused || isWaiting)
     if (mustHold === isHeld) return
     isHeld = mustHold
-    if (mustHold) socket.pause()
-    else if (!socket.destroyed) socket.resume()
+    if (mustHold) {
+      socket.on('resume', holdBack)
+      socket.pause()
+    } else {
+      socket.off('resume', holdBack)
+      if (!socket.destroyed) socket.resume()
+    }
   }
 
-  socket.on('resume', holdBack)
   return {
     recordPart () {
       parts++
@@ -65,7 +67,6 @@
     end () {
       hasEnded = true
       update()
-      socket.off('resume', holdBack)
     }
   }
 }
--- a/src/http_call/body_blocks.ts
+++ b/src/http_call/body_blocks.ts
@@ -35,7 +35,8 @@
   }
 
   function allocate (bytes: number): Buffer {
-    const block = Buffer.allocUnsafeSlow(Math.min(BLOCK_BYTES.maximum, Math.max(BLOCK_BYTES.minimum, length, bytes)))
+    // The runtime has a pool for short buffers.
+    const block = Buffer.allocUnsafe(Math.min(BLOCK_BYTES.maximum, Math.max(BLOCK_BYTES.minimum, length, bytes)))
     blocks.push(block)
     filled = 0
     allocated += block.length
--- a/src/http_call/receive_body.ts
+++ b/src/http_call/receive_body.ts
@@ -9,7 +9,7 @@
  */
 import type { ClientRequest, IncomingMessage } from 'node:http'
 import { controlReading } from './_read_control.ts'
-import { createBodyBlocks } from './body_blocks.ts'
+import { createBodyBlocks, type BodyBlocks } from './body_blocks.ts'
 import { bodyFraming, BodyFraming, type BodyMark } from './body_framing.ts'
 import { holdEndUntilSent } from './hold_end_until_sent.ts'
 import { probeAtEnd } from './probe_at_end.ts'
@@ -41,6 +41,9 @@
 /** Length from which a part is passed on by itself, in bytes. */
 const LONG_PART_BYTES = 1024
 
+/** Short parts of a body that are passed on by themselves too: most bodies have no more. */
+const SINGLE_PARTS = 4
+
 /** Options of {@link receiveBody}. */
 export interface ReceiveBodyOptions {
   readonly request: ClientRequest
@@ -62,8 +65,9 @@
   const mark = bodyFraming(response.rawHeaders, { status: response.statusCode ?? 0, method: request.method })
   const { framing, statedBytes } = mark
   const reading = controlReading(socket, turns)
-  /** Parts that have not been passed on. */
-  const pending = createBodyBlocks()
+  /** Parts that have not been passed on; `null` while there have been none. */
+  let pending: BodyBlocks | null = null
+  let shortParts = 0
   let bytes = 0
   let isPaused = false
   let isPassScheduled = false
@@ -74,11 +78,12 @@
 
   function passOn (): void {
     isPassScheduled = false
-    if (!isPaused && pending.length() > 0) onPart(pending.takeAll())
-    if (pending.length() === 0) finish?.()
+    if (!isPaused && pending !== null && pending.length() > 0) onPart(pending.takeAll())
+    if (pending === null || pending.length() === 0) finish?.()
   }
   function takePart (part: Buffer): void {
-    if (!isPaused && !isPassScheduled && part.length >= LONG_PART_BYTES) return onPart(part)
+    if (!isPaused && !isPassScheduled && (part.length >= LONG_PART_BYTES || ++shortParts <= SINGLE_PARTS)) return onPart(part)
+    pending ??= createBodyBlocks()
     pending.add(part)
     if (isPassScheduled) return
     isPassScheduled = true
