Review: two cases that earlier ones show are dropped

Case 12 (a cut answer without a length looks complete after a kill) is shown by review/7, case 13 (a copy of an answer counts as the answer to a release) by review/4. Their scripts go, with the stand-ins that only they used; case 14 becomes case 12.

--- a/review/stand-ins-3/deployment.mjs
+++ b/review/stand-ins-3/deployment.mjs
@@ -1,5 +1,4 @@
-/** A small deployment: store, servers of services that are divided by key, entry hosts and clients. */
-import { request as startRequest } from 'node:http'
+/** A small deployment: a store, entries of servers, and entry hosts. */
 import { mkdtempSync, rmSync } from 'node:fs'
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
@@ -32,29 +31,19 @@
 
   beat () { this.store.put('servers', this.id, { ...this.entry, Seq: ++this.#seq }) }
 
-  drain () {
-    this.entry.State = 'draining'
-    this.beat()
-  }
-
-  end () {
-    clearInterval(this.#timer)
-    this.store.remove('servers', this.id)
-  }
-
   stop () { clearInterval(this.#timer) }
 }
 
 /** Configuration with one route a service. */
-export function configuration (services, { version = 1 } = {}) {
+export function configuration (services) {
   return {
-    Version: version,
+    Version: 1,
     Limits: { MaxHeaderBytes: 16384, MaxBodyBytes: 67108864, HeaderTimeout: '3000ms', IdleTimeout: '15000ms' },
     Listeners: services.map(({ name, kind = 'idempotent', timeout = '2000ms', goal = '500ms', attempts = 2 }) => ({
       Host: `${name}.example`,
       Rules: [{ Name: `r-${name}`, Kind: kind, LatencyGoal: goal, Priority: 1, Match: { Prefix: `/${name}/` }, Action: { Service: name, Timeout: timeout, MaxAttempts: attempts } }]
     })),
-    Clusters: services.map(({ name, sharded = false }) => ({ Name: name, HealthPath: '/health', MaxConns: 244, Protocol: 'h1', Tls: false, ...(sharded ? { Sharded: true, Warm: '3s', Grants: 'direct' } : {}) }))
+    Clusters: services.map(({ name }) => ({ Name: name, HealthPath: '/health', MaxConns: 244, Protocol: 'h1', Tls: false }))
   }
 }
 
@@ -75,7 +64,6 @@
   return {
     store,
     hosts,
-    folder,
     serverIp: ips[count],
     async waitUntilReady () {
       const ready = await Promise.all(hosts.map((host) => waitUntilReady(host, 15_000)))
@@ -84,36 +72,7 @@
     async end () {
       await Promise.all(hosts.map((host) => host.end()))
       store.close()
-      if (process.env.KEEP === undefined) rmSync(folder, { recursive: true, force: true })
+      rmSync(folder, { recursive: true, force: true })
     }
   }
 }
-
-/** Sends one request on a new connection; resolves with the status, `0` if there was no complete answer. */
-export function send (address, { method = 'GET', path, host, id, deadlineMs, key, body }) {
-  return new Promise((resolve) => {
-    const [ip, port] = address.split(':')
-    const startedAt = performance.now()
-    const timer = setTimeout(() => { request.destroy(new Error('The deadline has passed')) }, deadlineMs)
-    function end (outcome) {
-      clearTimeout(timer)
-      resolve({ ...outcome, tookMs: Math.round(performance.now() - startedAt) })
-    }
-    const request = startRequest({
-      host: ip,
-      port,
-      method,
-      path,
-      agent: false,
-      headers: { Host: host, 'Gooseberryfold-Attempt-Id': id, 'Gooseberryfold-Deadline-Ms': String(deadlineMs), ...(key === undefined ? {} : { 'Gooseberryfold-Shard-Key': String(key) }), ...(body === undefined ? {} : { 'Content-Length': String(body.length) }) }
-    })
-    request.on('response', (response) => {
-      const parts = []
-      response.on('data', (part) => { parts.push(part) })
-      response.on('end', () => { end({ status: response.complete ? response.statusCode : 0, headers: response.headers, body: Buffer.concat(parts).toString('latin1') }) })
-      response.on('error', (error) => { end({ status: 0, error: error.message }) })
-    })
-    request.on('error', (error) => { end({ status: 0, error: error.message }) })
-    request.end(body)
-  })
-}
--- a/review/stand-ins-3/hosts.mjs
+++ b/review/stand-ins-3/hosts.mjs
@@ -41,9 +41,6 @@
   throw new Error(`No ports are free on ${ip}`)
 }
 
-/** Memory of a machine, in megabytes. A process that takes more is killed by the platform. */
-const MEMORY_MB = 272
-
 function settingsText ({ name, ip, zone, ports, storeAddress }) {
   return `Grants = "direct"
 [Self]
@@ -59,7 +56,7 @@
 [Self.Limits]
 CpuShare = 0.378
 Cores = 1
-MemoryMb = ${MEMORY_MB}
+MemoryMb = 272
 MaxFds = 2870
 LinkMbps = 700.0
 DiskMb = 0
@@ -130,7 +127,7 @@
     const ports = await findPorts(ip)
     const settingsPath = join(folder, `${name}.toml`)
     writeFileSync(settingsPath, settingsText({ name, ip, zone, ports, storeAddress }))
-    const host = new Host({ limitMb: MEMORY_MB, name, ip, zone, ports, settingsPath, logPath: join(folder, `${name}.log`), front: `${ip}:${ports.front}`, ready: `${ip}:${ports.ready}` })
+    const host = new Host({ name, ip, zone, ports, settingsPath, logPath: join(folder, `${name}.log`), front: `${ip}:${ports.front}`, ready: `${ip}:${ports.ready}` })
     host.run()
     return host
   }
--- a/review/stand-ins-3/store.mjs
+++ b/review/stand-ins-3/store.mjs
@@ -1,15 +1,12 @@
-/** Stand-in for the platform's store: rows, conditional transactions and eras. */
+/** Stand-in for the platform's store: rows, and conditional transactions. */
 import { createServer } from 'node:http'
 
 /** Time of an answer, in milliseconds, as the site files state it. */
 const ANSWER_MS = 4
 
 export class Store {
-  /** What happens to calls: `ok`, `busy` (503) or `silent`. */
-  mode = 'ok'
   #tables = new Map()
   #version = 0
-  #era = 1
   #server = createServer((request, response) => {
     const parts = []
     request.on('data', (part) => { parts.push(part) })
@@ -31,17 +28,6 @@
     this.#write(table, key, Buffer.from(JSON.stringify(value)).toString('base64'))
   }
 
-  remove (table, key) {
-    this.#version++
-    this.#rows(table).delete(key)
-  }
-
-  /** Value of a row; `undefined` if there is none. */
-  get (table, key) {
-    const row = this.#rows(table).get(key)
-    return row === undefined ? undefined : JSON.parse(Buffer.from(row.Value, 'base64').toString())
-  }
-
   #rows (table) {
     if (!this.#tables.has(table)) this.#tables.set(table, new Map())
     return this.#tables.get(table)
@@ -52,10 +38,8 @@
   }
 
   #respond (request, response, body) {
-    if (this.mode === 'silent') return
-    response.setHeader('Store-Era', String(this.#era))
+    response.setHeader('Store-Era', '1')
     response.setHeader('Content-Type', 'application/json')
-    if (this.mode === 'busy') return response.writeHead(503).end()
     const url = new URL(request.url, 'http://store')
     if (url.pathname === '/-/rows-tx') return this.#transact(JSON.parse(body), response)
     if (url.pathname !== '/-/rows-get') return response.writeHead(404).end()
